--- /dev/null
+++ b/linnetwind/__init__.py
@@ -0,0 +1,1 @@
+"""A load balancer for groups of model engines with expert parallelism."""
--- /dev/null
+++ b/linnetwind/__main__.py
@@ -0,0 +1,5 @@
+"""Lets the console command run as `python -m linnetwind`."""
+
+from linnetwind.cli import app
+
+app()
--- /dev/null
+++ b/linnetwind/cli.py
@@ -0,0 +1,16 @@
+"""The console command."""
+
+import typer
+
+from linnetwind.cmd_daemons import entry, side
+from linnetwind.cmd_config import check, publish
+
+app = typer.Typer(
+    help='linnetwind: a load balancer for expert-parallel model groups.',
+    no_args_is_help=True,
+    add_completion=False,
+)
+app.command()(entry)
+app.command()(side)
+app.command()(check)
+app.command()(publish)
--- /dev/null
+++ b/linnetwind/cmd_daemons.py
@@ -0,0 +1,75 @@
+"""The commands that run a daemon until it is told to stop."""
+
+import signal
+import threading
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Annotated, Protocol
+
+import typer
+
+from linnetwind.decisions import start_logging
+from linnetwind.errors import Described
+from linnetwind.settings import load_entry_settings, load_side_settings
+
+EXIT_BAD_SETTINGS = 2
+
+SettingsFile = Annotated[
+    Path, typer.Argument(help='The YAML file with the daemon settings.')
+]
+LogLevel = Annotated[str, typer.Option(help='The lowest level logged.')]
+
+
+class _Daemon(Protocol):
+    def start(self) -> None:
+        """Start serving."""
+
+    def shut_down(self) -> None:
+        """Finish what is in flight and end."""
+
+
+def entry(settings_file: SettingsFile, log_level: LogLevel = 'INFO') -> None:
+    """Run an entry daemon: it takes callers' requests and routes them.
+
+    SIGTERM or SIGINT drains it: it reports not ready, waits for the
+    balancer, finishes what is in flight and exits with 0.
+    """
+    from linnetwind.entry_daemon import EntryDaemon  # noqa: PLC0415
+
+    settings, errors = load_entry_settings(settings_file)
+    if settings is None:
+        _exit_with(errors)
+    else:
+        start_logging(log_level)
+        _run(EntryDaemon(settings))
+
+
+def side(settings_file: SettingsFile, log_level: LogLevel = 'INFO') -> None:
+    """Run a side daemon beside the upstreams of its host.
+
+    SIGTERM or SIGINT drains it: it refuses new calls, finishes the running
+    ones and exits with 0.
+    """
+    from linnetwind.side_daemon import SideDaemon  # noqa: PLC0415
+
+    settings, errors = load_side_settings(settings_file)
+    if settings is None:
+        _exit_with(errors)
+    else:
+        start_logging(log_level)
+        _run(SideDaemon(settings))
+
+
+def _run(daemon: _Daemon) -> None:
+    stop = threading.Event()
+    signal.signal(signal.SIGTERM, lambda *_args: stop.set())
+    signal.signal(signal.SIGINT, lambda *_args: stop.set())
+    daemon.start()
+    stop.wait()
+    daemon.shut_down()
+
+
+def _exit_with(errors: Sequence[Described]) -> None:
+    for error in errors:
+        typer.echo(error.describe(), err=True)
+    raise typer.Exit(EXIT_BAD_SETTINGS)
--- /dev/null
+++ b/linnetwind/config_loader.py
@@ -0,0 +1,219 @@
+"""Reading a base and its overlays, and checking them as a whole."""
+
+from collections import Counter
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+from typing import Any, TypeVar
+
+import yaml
+
+from linnetwind.config import Base, Deployment, Overlay
+from linnetwind.convert import structure, unstructure
+from linnetwind.errors import (
+    ConfigError,
+    DanglingReference,
+    DuplicateName,
+    FileError,
+    ValueProblem,
+)
+
+BASE_FILE = 'base.yaml'
+OVERLAY_FOLDER = 'overlays'
+
+_BASE = 'base'
+
+Loaded = TypeVar('Loaded')
+
+
+def load_yaml(
+    path: Path, target: type[Loaded]
+) -> tuple[Loaded | None, list[ConfigError]]:
+    """Read one YAML file into a data class.
+
+    Args:
+      path: The file.
+      target: The data class.
+
+    Returns:
+      The data class, or None when there are errors; and the errors.
+    """
+    try:
+        plain = yaml.load(path.read_text('utf-8'), yaml.CSafeLoader)
+    except (OSError, UnicodeDecodeError) as error:
+        return None, [FileError(str(path), f'cannot be read: {error}')]
+    except yaml.YAMLError as error:
+        problem = ' '.join(str(error).split())
+        return None, [FileError(str(path), f'not YAML: {problem}')]
+    return structure(plain, target, str(path))
+
+
+def load_deployment(
+    folder: Path,
+) -> tuple[Deployment | None, list[ConfigError]]:
+    """Read the base and every overlay in a folder, and check the whole.
+
+    Args:
+      folder: Holds `base.yaml` and, in `overlays/`, one file per site.
+
+    Returns:
+      The deployment, or None when there are errors; and the errors.
+    """
+    base, errors = load_yaml(folder / BASE_FILE, Base)
+    overlays = []
+    for path in sorted((folder / OVERLAY_FOLDER).glob('*.yaml')):
+        overlay, found = load_yaml(path, Overlay)
+        errors.extend(found)
+        if overlay is not None:
+            overlays.append(overlay)
+    if base is None or errors:
+        return None, errors
+    deployment = Deployment(base, tuple(overlays))
+    errors = check_deployment(deployment)
+    return (None if errors else deployment), errors
+
+
+def deployment_from_plain(
+    plain: Any,
+) -> tuple[Deployment | None, list[ConfigError]]:
+    """Rebuild a deployment from its published form, and check it.
+
+    Args:
+      plain: What `unstructure` gave for a deployment.
+
+    Returns:
+      The deployment, or None when there are errors; and the errors.
+    """
+    deployment, errors = structure(plain, Deployment, 'published')
+    if deployment is None:
+        return None, errors
+    errors = check_deployment(deployment)
+    return (None if errors else deployment), errors
+
+
+def deployment_to_plain(deployment: Deployment) -> Any:
+    """Return the published form of a deployment.
+
+    Args:
+      deployment: The deployment.
+
+    Returns:
+      Maps, lists and scalars.
+    """
+    return unstructure(deployment)
+
+
+def check_deployment(deployment: Deployment) -> list[ConfigError]:
+    """Check the references of a base together with all its overlays.
+
+    Args:
+      deployment: The base and the overlays.
+
+    Returns:
+      Every error found, in the order of the files.
+    """
+    errors = list(_base_errors(deployment.base))
+    for overlay in deployment.overlays:
+        errors.extend(_overlay_errors(deployment.base, overlay))
+    sites = (part.site for part in deployment.overlays)
+    errors.extend(_duplicates('overlays', 'site', sites))
+    return errors
+
+
+def _base_errors(base: Base) -> Iterator[ConfigError]:
+    sites = {site.name for site in base.sites}
+    upstreams = [up for service in base.services for up in service.upstreams]
+    names = [up.name for up in upstreams]
+    yield from _duplicates(_BASE, 'sites', (site.name for site in base.sites))
+    yield from _duplicates(
+        _BASE, 'services', (service.name for service in base.services)
+    )
+    yield from _duplicates(_BASE, 'upstreams', names)
+    yield from _duplicates(
+        _BASE, 'customers', (customer.name for customer in base.customers)
+    )
+    yield from _duplicates(
+        _BASE,
+        'customers.key_sha256',
+        (customer.key_sha256 for customer in base.customers),
+    )
+    for upstream in upstreams:
+        key = f'upstreams.{upstream.name}.site'
+        yield from _dangling(_BASE, key, [upstream.site], sites, 'site')
+    yield from _dangling(_BASE, 'drained', base.drained, names, 'upstream')
+    yield from _group_errors(base)
+
+
+def _group_errors(base: Base) -> Iterator[ConfigError]:
+    members = {
+        service.name: {upstream.name for upstream in service.upstreams}
+        for service in base.services
+    }
+    yield from _duplicates(
+        _BASE, 'groups', (group.name for group in base.groups)
+    )
+    yield from _duplicates(
+        _BASE,
+        'groups.ranks',
+        (rank for group in base.groups for rank in group.ranks),
+    )
+    for group in base.groups:
+        key = f'groups.{group.name}'
+        yield from _dangling(
+            _BASE, f'{key}.service', [group.service], members, 'service'
+        )
+        known = members.get(group.service, set())
+        yield from _dangling(
+            _BASE, f'{key}.ranks', group.ranks, known, 'upstream'
+        )
+        slots = len(group.ranks) * group.slots_per_rank
+        if slots < group.experts:
+            yield ValueProblem(
+                _BASE,
+                f'{key}.slots_per_rank',
+                str(group.slots_per_rank),
+                f'{slots} slots cannot hold {group.experts} experts',
+            )
+
+
+def _overlay_errors(base: Base, overlay: Overlay) -> Iterator[ConfigError]:
+    file = f'overlay {overlay.site}'
+    sites = [site.name for site in base.sites]
+    customers = [customer.name for customer in base.customers]
+    groups = [group.name for group in base.groups]
+    upstreams = [
+        upstream.name
+        for service in base.services
+        for upstream in service.upstreams
+        if upstream.site == overlay.site
+    ]
+    overridden = [customer.name for customer in overlay.customers]
+    placed = [placement.group for placement in overlay.placements]
+    yield from _dangling(file, 'site', [overlay.site], sites, 'site')
+    yield from _dangling(file, 'customers', overridden, customers, 'customer')
+    yield from _dangling(file, 'placements', placed, groups, 'group')
+    yield from _dangling(
+        file, 'drained', overlay.drained, upstreams, 'upstream of this site'
+    )
+    yield from _duplicates(file, 'customers', overridden)
+    yield from _duplicates(file, 'placements', placed)
+
+
+def _duplicates(
+    file: str, key: str, names: Iterable[str]
+) -> Iterator[DuplicateName]:
+    for name, count in Counter(names).items():
+        if count > 1:
+            yield DuplicateName(file, key, name)
+
+
+def _dangling(
+    file: str,
+    key: str,
+    names: Iterable[str],
+    known: Iterable[str],
+    kind: str,
+) -> Iterator[DanglingReference]:
+    accepted = set(known)
+    for name in names:
+        if name not in accepted:
+            yield DanglingReference(file, key, name, kind)
--- /dev/null
+++ b/linnetwind/convert.py
@@ -0,0 +1,113 @@
+"""Checked conversion between plain data and frozen data classes.
+
+`msgspec` checks types and ranges; it passes over unknown keys of data
+classes, so those are found here by walking the type next to the data.
+"""
+
+import dataclasses
+import re
+import types
+from collections.abc import Iterator
+from functools import cache
+from typing import Any, TypeVar, Union, get_args, get_origin, get_type_hints
+
+import msgspec
+
+from linnetwind.errors import ConfigError, UnknownKey, ValueProblem
+
+Converted = TypeVar('Converted')
+
+_STEP = re.compile(r'([^.\[\]]+)')
+
+
+def unstructure(record: Any) -> Any:
+    """Turn a data class into maps, lists and scalars.
+
+    Args:
+      record: A data class made of data classes, tuples, enums and scalars.
+
+    Returns:
+      Plain data that CBOR and YAML can carry.
+    """
+    return msgspec.to_builtins(record)
+
+
+def structure(
+    plain: Any,
+    target: type[Converted],
+    file: str,
+) -> tuple[Converted | None, list[ConfigError]]:
+    """Turn plain data into a data class and check it on the way.
+
+    Args:
+      plain: Maps, lists and scalars.
+      target: The data class to build.
+      file: Where the data came from, for the errors.
+
+    Returns:
+      The data class, or None when there are errors; and the errors.
+    """
+    errors: list[ConfigError] = list(_unknown_keys(plain, target, file, ''))
+    try:
+        converted = msgspec.convert(plain, target)
+    except msgspec.ValidationError as error:
+        return None, [*errors, _value_problem(error, plain, file)]
+    if errors:
+        return None, errors
+    return converted, []
+
+
+def _value_problem(
+    error: msgspec.ValidationError, plain: Any, file: str
+) -> ValueProblem:
+    problem, _separator, where = str(error).partition(' - at `$')
+    path = where.rstrip('`').removeprefix('.')
+    found = repr(_look_up(plain, path))
+    return ValueProblem(file, path or '(top)', found, problem)
+
+
+def _look_up(plain: Any, path: str) -> Any:
+    found = plain
+    for step in _STEP.findall(path):
+        key = int(step) if step.isdigit() else step
+        try:
+            found = found[key]
+        except (KeyError, IndexError, TypeError):
+            return None
+    return found
+
+
+def _unknown_keys(
+    plain: Any, target: Any, file: str, path: str
+) -> Iterator[UnknownKey]:
+    target = _core_type(target)
+    if dataclasses.is_dataclass(target) and isinstance(plain, dict):
+        yield from _unknown_in_map(plain, target, file, path)
+    elif get_origin(target) is tuple and isinstance(plain, list):
+        inner = get_args(target)[0]
+        for index, part in enumerate(plain):
+            yield from _unknown_keys(part, inner, file, f'{path}[{index}]')
+
+
+def _unknown_in_map(
+    plain: dict[str, Any], target: Any, file: str, path: str
+) -> Iterator[UnknownKey]:
+    hints = _hints(target)
+    for key, part in plain.items():
+        where = f'{path}.{key}' if path else str(key)
+        hint = hints.get(key)
+        if hint is None:
+            yield UnknownKey(file, where, tuple(hints))
+        else:
+            yield from _unknown_keys(part, hint, file, where)
+
+
+@cache
+def _hints(target: Any) -> dict[str, Any]:
+    return get_type_hints(target)
+
+
+def _core_type(target: Any) -> Any:
+    if get_origin(target) in {types.UnionType, Union}:
+        return get_args(target)[0]
+    return target
--- /dev/null
+++ b/linnetwind/entry_app.py
@@ -0,0 +1,286 @@
+"""The callers' HTTP interface as a WSGI application."""
+
+import json
+import threading
+import uuid
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from datetime import timedelta
+from http import HTTPStatus
+from types import MappingProxyType
+from typing import Any
+
+from result import Err, Ok
+
+from linnetwind.decisions import log_decision
+from linnetwind.dispatch import BrokenAnswer, Dispatcher, OpenAnswer
+from linnetwind.entry_metrics import EntryMetrics
+from linnetwind.fleet import Fleet
+from linnetwind.http_request import CheckedRequest, HttpRequest, check_request
+from linnetwind.outcome import NotRun, Reason, Unknown
+
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+Admit = Callable[[CheckedRequest], NotRun | None]
+Settle = Callable[[CheckedRequest, int], None]
+
+_EVENT_START = b'data: '
+_JSON = 'application/json'
+_SECOND = timedelta(seconds=1)
+
+_STATUS: Mapping[Reason, HTTPStatus] = MappingProxyType(
+    {
+        Reason.BAD_REQUEST: HTTPStatus.BAD_REQUEST,
+        Reason.TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+        Reason.UNKNOWN_SERVICE: HTTPStatus.NOT_FOUND,
+        Reason.UNKNOWN_CUSTOMER: HTTPStatus.UNAUTHORIZED,
+        Reason.CUSTOMER_LIMIT: HTTPStatus.TOO_MANY_REQUESTS,
+        Reason.IN_PROGRESS: HTTPStatus.CONFLICT,
+        Reason.KEY_REUSED: HTTPStatus.UNPROCESSABLE_ENTITY,
+        Reason.RAN_BEFORE: HTTPStatus.CONFLICT,
+    }
+)
+
+
+class EntryApp:
+    """Answers callers; counts what is in flight for a graceful shutdown."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        dispatcher: Dispatcher,
+        metrics: EntryMetrics,
+        admit: Admit,
+        settle: Settle,
+    ) -> None:
+        """Start ready to serve.
+
+        Args:
+          fleet: Holds the configuration in force.
+          dispatcher: Runs the requests.
+          metrics: Counts them.
+          admit: Checks a customer's limits before a request runs.
+          settle: Told what a request has cost, in generated tokens.
+        """
+        self._fleet = fleet
+        self._dispatcher = dispatcher
+        self._metrics = metrics
+        self._admit = admit
+        self._settle = settle
+        self._lock = threading.Lock()
+        self._in_flight = 0
+        self._draining = False
+
+    @property
+    def in_flight(self) -> int:
+        """Return the number of requests not yet answered in full."""
+        return self._in_flight
+
+    def drain(self) -> None:
+        """Report not ready, and ask callers to close their connections."""
+        self._draining = True
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer one request; the WSGI entry point.
+
+        Args:
+          environ: The request.
+          start_response: Takes the status and the headers.
+
+        Returns:
+          The body.
+        """
+        path = environ['PATH_INFO']
+        if path == '/healthz':
+            return _plain(start_response, HTTPStatus.OK, {'alive': True})
+        if path == '/readyz':
+            return self._readiness(start_response)
+        with self._lock:
+            self._in_flight += 1
+        return _Counted(self._serve(environ, start_response), self._done)
+
+    def _done(self) -> None:
+        with self._lock:
+            self._in_flight -= 1
+
+    def _readiness(self, start_response: StartResponse) -> Iterable[bytes]:
+        ready = self._fleet.base is not None and not self._draining
+        status = HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
+        return _plain(start_response, status, {'ready': ready})
+
+    def _serve(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterator[bytes]:
+        request_id = uuid.uuid4().hex
+        checked = self._check(environ, request_id)
+        if isinstance(checked, NotRun):
+            yield self._fail(start_response, request_id, checked)
+            return
+        refusal = self._admit(checked)
+        if refusal is not None:
+            yield self._fail(start_response, request_id, refusal)
+            return
+        opened = self._dispatcher.open(checked)
+        if isinstance(opened, OpenAnswer):
+            yield from self._pass_on(start_response, checked, opened)
+        else:
+            self._settle(checked, 0)
+            yield self._fail(start_response, request_id, opened)
+
+    def _check(
+        self, environ: dict[str, Any], request_id: str
+    ) -> CheckedRequest | NotRun:
+        base = self._fleet.base
+        if base is None:
+            return NotRun(Reason.NO_CONFIGURATION, _SECOND)
+        request = HttpRequest(
+            environ['REQUEST_METHOD'],
+            environ['PATH_INFO'],
+            environ.get('QUERY_STRING', ''),
+            _headers(environ),
+            environ['wsgi.input'].read(),
+        )
+        match check_request(request, base, request_id):
+            case Ok(checked):
+                return checked
+            case Err(refusal):
+                return refusal
+
+    def _pass_on(
+        self,
+        start_response: StartResponse,
+        checked: CheckedRequest,
+        opened: OpenAnswer,
+    ) -> Iterator[bytes]:
+        headers = [*opened.headers, ('X-Request-Id', checked.request_id)]
+        start_response(_status_line(opened.status), self._with_close(headers))
+        tokens = 0
+        try:
+            for body in opened.body:
+                tokens += body.count(_EVENT_START)
+                yield body
+        except BrokenAnswer as broken:
+            self._report(checked.request_id, broken.outcome)
+            if checked.streamed:
+                yield _broken_event(checked.request_id, broken.outcome)
+            # Raising leaves the chunked body without its end, so that the
+            # caller cannot take half an answer for the whole.
+            raise
+        else:
+            self._metrics.answered(checked.service.name)
+        finally:
+            self._settle(checked, tokens)
+
+    def _fail(
+        self,
+        start_response: StartResponse,
+        request_id: str,
+        outcome: NotRun | Unknown,
+    ) -> bytes:
+        self._report(request_id, outcome)
+        body = json.dumps(_error(request_id, outcome)).encode()
+        headers = [
+            ('Content-Type', _JSON),
+            ('Content-Length', str(len(body))),
+            ('X-Request-Id', request_id),
+        ]
+        if isinstance(outcome, NotRun) and outcome.retry_after:
+            seconds = -(-outcome.retry_after // _SECOND)
+            headers.append(('Retry-After', str(seconds)))
+        status = _http_status(outcome)
+        start_response(_status_line(status), self._with_close(headers))
+        return body
+
+    def _report(self, request_id: str, outcome: NotRun | Unknown) -> None:
+        self._metrics.failed(type(outcome).__name__, outcome.reason)
+        log_decision(
+            'gave_up',
+            {
+                'request': request_id,
+                'outcome': type(outcome).__name__,
+                'reason': outcome.reason,
+            },
+        )
+
+    def _with_close(
+        self, headers: list[tuple[str, str]]
+    ) -> list[tuple[str, str]]:
+        return (
+            [*headers, ('Connection', 'close')] if self._draining else headers
+        )
+
+
+class _Counted:
+    """A body that reports once when it has ended or was given up."""
+
+    def __init__(self, body: Iterator[bytes], done: Callable[[], None]) -> None:
+        self._body = body
+        self._done: Callable[[], None] | None = done
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self._body
+
+    def close(self) -> None:
+        """Tell that the request is over; called by the WSGI server."""
+        try:
+            self._body.close()  # type: ignore[attr-defined]
+        finally:
+            done = self._done
+            self._done = None
+            if done is not None:
+                done()
+
+
+def _headers(environ: dict[str, Any]) -> dict[str, str]:
+    headers = {
+        name.removeprefix('HTTP_').replace('_', '-').lower(): text
+        for name, text in environ.items()
+        if name.startswith('HTTP_')
+    }
+    if environ.get('CONTENT_TYPE'):
+        headers['content-type'] = environ['CONTENT_TYPE']
+    return headers
+
+
+def _status_line(status: int) -> str:
+    try:
+        return f'{status} {HTTPStatus(status).phrase}'
+    except ValueError:
+        return f'{status} Unknown'
+
+
+def _http_status(outcome: NotRun | Unknown) -> HTTPStatus:
+    match outcome:
+        case NotRun(reason=reason):
+            return _STATUS.get(reason, HTTPStatus.SERVICE_UNAVAILABLE)
+        case Unknown(Reason.RAN_BEFORE):
+            return HTTPStatus.CONFLICT
+        case Unknown():
+            return HTTPStatus.BAD_GATEWAY
+
+
+def _error(request_id: str, outcome: NotRun | Unknown) -> dict[str, Any]:
+    error: dict[str, Any] = {
+        'type': str(outcome.reason),
+        'request_id': request_id,
+        'ran': 'no' if isinstance(outcome, NotRun) else 'unknown',
+    }
+    if isinstance(outcome, NotRun) and outcome.retry_after:
+        error['retry_after_ms'] = outcome.retry_after // timedelta(
+            milliseconds=1
+        )
+    return {'error': error}
+
+
+def _broken_event(request_id: str, outcome: NotRun | Unknown) -> bytes:
+    text = json.dumps(_error(request_id, outcome))
+    return f'event: error\ndata: {text}\n\n'.encode()
+
+
+def _plain(
+    start_response: StartResponse, status: HTTPStatus, facts: dict[str, Any]
+) -> Iterable[bytes]:
+    body = json.dumps(facts).encode()
+    headers = [('Content-Type', _JSON), ('Content-Length', str(len(body)))]
+    start_response(_status_line(status), headers)
+    return [body]
--- /dev/null
+++ b/linnetwind/entry_daemon.py
@@ -0,0 +1,191 @@
+"""The entry daemon: callers' HTTP on one side, side daemons on the other."""
+
+import random
+import socket as sockets
+import threading
+import time
+import uuid
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from datetime import timedelta
+from pathlib import Path
+from typing import Any
+
+from loguru import logger
+from prometheus_client import start_http_server
+from result import Err, Ok
+from waitress.server import create_server
+
+from linnetwind.clock import SystemClock
+from linnetwind.config_fold import ConfigState
+from linnetwind.config_merge import at_site
+from linnetwind.dispatch import make_dispatcher
+from linnetwind.entry_app import EntryApp
+from linnetwind.entry_metrics import EntryMetrics
+from linnetwind.fleet import Fleet
+from linnetwind.follower import Follower
+from linnetwind.hosts_http import HttpHosts
+from linnetwind.link import Link
+from linnetwind.link_pool import LinkPool
+from linnetwind.log_http import make_log
+from linnetwind.messages import ConfigCopy, ConfigQuery, Leaving, Load
+from linnetwind.peer import Identity
+from linnetwind.settings import EntrySettings
+
+PLATFORM_TIMEOUT = timedelta(seconds=2)
+LARGEST_BODY = 16_777_216
+
+_CONNECTORS = 8
+_HALF_SENT_SECONDS = 30
+_TICK_SECONDS = 0.05
+
+
+class EntryDaemon:
+    """All parts of an entry daemon, wired together."""
+
+    def __init__(self, settings: EntrySettings) -> None:
+        """Build the parts; nothing runs yet.
+
+        Args:
+          settings: The daemon's own settings.
+        """
+        self._settings = settings
+        self._clock = SystemClock()
+        incarnation = uuid.uuid4().hex
+        platform = settings.platform
+        self._identity = Identity('entry', settings.name, incarnation)
+        self._executor = ThreadPoolExecutor(_CONNECTORS, 'connect')
+        self._fleet = Fleet(self._clock)
+        self._links = LinkPool(
+            self._identity,
+            Path(platform.fleet_key_file).read_bytes(),
+            self._fleet,
+            self._executor,
+            self._clock,
+            self._notice,
+        )
+        self._hosts = HttpHosts(platform.host_list, PLATFORM_TIMEOUT)
+        self._follower = Follower(
+            make_log(platform.log_service, PLATFORM_TIMEOUT),
+            self._clock,
+            timedelta(seconds=platform.snapshot_seconds),
+            random.Random(incarnation),  # noqa: S311
+        )
+        self._metrics = EntryMetrics()
+        self._app = EntryApp(
+            self._fleet,
+            make_dispatcher(
+                settings.site,
+                incarnation,
+                self._fleet,
+                self._links,
+                self._clock,
+            ),
+            self._metrics,
+            lambda _request: None,
+            lambda _request, _tokens: None,
+        )
+        self._stopping = threading.Event()
+        self._server: Any = None
+
+    def start(self) -> None:
+        """Start following the platform and serving callers."""
+        settings = self._settings
+        poll = timedelta(seconds=settings.platform.poll_seconds)
+        self._follower.listen(self._take_state)
+        start_http_server(
+            settings.metrics.port,
+            settings.metrics.ip,
+            registry=self._metrics.registry,
+        )
+        self._in_background(lambda: self._follower.run(poll))
+        self._in_background(lambda: self._watch_hosts(poll))
+        self._server = create_server(
+            self._app,
+            host=settings.listen.ip,
+            port=settings.listen.port,
+            threads=settings.threads,
+            max_request_body_size=LARGEST_BODY,
+            channel_timeout=_HALF_SENT_SECONDS,
+            ident='linnetwind',
+            clear_untrusted_proxy_headers=False,
+        )
+        self._in_background(self._server.run)
+        logger.info('entry serves on {}', settings.listen)
+
+    def shut_down(self) -> None:
+        """Leave without cutting a request: see docs/OPERATING.md.
+
+        Not ready first, so that the balancer sends nothing new; then the
+        listening socket is closed; the process ends only when every answer
+        has been written out.
+        """
+        self._app.drain()
+        logger.info('draining')
+        time.sleep(self._settings.drain_notice_seconds)
+        self._server.accepting = False
+        self._server.socket.shutdown(sockets.SHUT_RDWR)
+        while self._app.in_flight or self._unsent():
+            time.sleep(_TICK_SECONDS)
+        self._stopping.set()
+        self._follower.stop()
+        self._links.close()
+        logger.info('drained')
+
+    def _unsent(self) -> bool:
+        # The application is done before the server has written its buffers;
+        # exiting then would cut the end of an answer.
+        channels = list(self._server.active_channels.values())
+        return any(
+            channel.requests or channel.total_outbufs_len
+            for channel in channels
+        )
+
+    def _in_background(self, work: Callable[[], None]) -> None:
+        threading.Thread(target=work, daemon=True).start()
+
+    def _take_state(self, state: ConfigState) -> None:
+        if state.deployment is None:
+            return
+        base = at_site(state.deployment, self._settings.site)
+        with self._links.lock:
+            self._fleet.take_base(base)
+        self._metrics.in_force(state.revision)
+        logger.info('configuration revision {} in force', state.revision)
+
+    def _watch_hosts(self, interval: timedelta) -> None:
+        due = self._clock.elapsed()
+        while not self._stopping.is_set():
+            if self._clock.elapsed() >= due:
+                self._read_hosts()
+                due = self._clock.elapsed() + interval
+            self._links.maintain()
+            self._stopping.wait(_TICK_SECONDS * 2)
+
+    def _read_hosts(self) -> None:
+        match self._hosts.read():
+            case Ok(hosts):
+                with self._links.lock:
+                    self._fleet.take_hosts(hosts)
+            case Err(failed):
+                logger.warning('{}', failed.describe())
+        offset = self._follower.state.next_offset
+        for link in self._some_link():
+            link.post(ConfigQuery(offset))
+
+    def _some_link(self) -> list[Link]:
+        # One neighbour a round is enough: it costs a few bytes, and bounds
+        # how long a daemon that is cut off from the log stays behind.
+        links = list(self._links.links.values())
+        return random.sample(links, min(1, len(links)))  # noqa: S311
+
+    def _notice(self, host: str, _link: Link, message: Any) -> None:
+        match message:
+            case Load():
+                with self._links.lock:
+                    self._fleet.take_load(message)
+            case Leaving(upstreams):
+                with self._links.lock:
+                    self._fleet.take_leaving(host, upstreams)
+            case ConfigCopy(state=state):
+                self._follower.adopt(state)
--- /dev/null
+++ b/linnetwind/hosts_http.py
@@ -0,0 +1,52 @@
+"""The host list over HTTP, as JSON."""
+
+import json
+from collections.abc import Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+from http.client import HTTPConnection, HTTPException
+
+import msgspec
+from result import Err, Ok, Result
+
+from linnetwind.errors import HostListUnavailable
+from linnetwind.hosts_port import Host
+from linnetwind.settings import Address
+
+_OK = 200
+
+
+@dataclass(frozen=True)
+class HttpHosts:
+    """A client of the host list."""
+
+    address: Address
+    timeout: timedelta
+
+    def read(self) -> Result[Sequence[Host], HostListUnavailable]:
+        """Read the list; see `HostsPort`."""
+        connection = HTTPConnection(
+            self.address.ip,
+            self.address.port,
+            timeout=self.timeout.total_seconds(),
+        )
+        try:
+            connection.request('GET', '/hosts')
+            response = connection.getresponse()
+            return _parse(response.status, response.read())
+        except (OSError, HTTPException) as error:
+            return Err(HostListUnavailable(repr(error)))
+        finally:
+            connection.close()
+
+
+def _parse(
+    status: int, body: bytes
+) -> Result[Sequence[Host], HostListUnavailable]:
+    if status != _OK:
+        return Err(HostListUnavailable(f'status {status}'))
+    try:
+        hosts = msgspec.convert(json.loads(body), tuple[Host, ...])
+    except (ValueError, msgspec.ValidationError) as error:
+        return Err(HostListUnavailable(repr(error)))
+    return Ok(hosts)
--- /dev/null
+++ b/linnetwind/log_http.py
@@ -0,0 +1,94 @@
+"""The log service over HTTP, with CBOR bodies."""
+
+from collections.abc import Sequence
+from datetime import timedelta
+from http.client import HTTPConnection, HTTPException
+from typing import Any
+
+import cbor2
+from result import Err, Ok, Result
+
+from linnetwind.errors import LogUnavailable
+from linnetwind.log_port import Entry, Page
+from linnetwind.settings import Address
+
+_OK = 200
+
+
+class HttpLog:
+    """A client of the log service; safe for use by several threads.
+
+    Each request has a connection of its own, so a broken one is never
+    met again by a later request.
+    """
+
+    def __init__(self, address: Address, timeout: timedelta) -> None:
+        """Prepare the client; nothing is sent yet.
+
+        Args:
+          address: The log service's address.
+          timeout: The longest wait for connecting and for each read.
+        """
+        self._address = address
+        self._timeout = timeout
+
+    def append(
+        self, stream: str, records: Sequence[bytes]
+    ) -> Result[int, LogUnavailable]:
+        """Append records in one go; see `LogPort`."""
+        body = cbor2.dumps(list(records))
+        return self._ask('POST', f'/streams/{stream}', body).map(
+            lambda answer: answer['first_offset'],
+        )
+
+    def read(self, stream: str, start: int) -> Result[Page, LogUnavailable]:
+        """Read records in offset order; see `LogPort`."""
+        return self._ask('GET', f'/streams/{stream}?from={start}', None).map(
+            _page_from_plain,
+        )
+
+    def _ask(
+        self, method: str, path: str, body: bytes | None
+    ) -> Result[Any, LogUnavailable]:
+        connection = HTTPConnection(
+            self._address.ip,
+            self._address.port,
+            timeout=self._timeout.total_seconds(),
+        )
+        try:
+            connection.request(method, path, body)
+            response = connection.getresponse()
+            return _parse(response.status, response.read())
+        except (OSError, HTTPException) as error:
+            return Err(LogUnavailable(repr(error)))
+        finally:
+            connection.close()
+
+
+def make_log(address: Address, timeout: timedelta) -> HttpLog:
+    """Build a client of the log service.
+
+    Args:
+      address: The log service's address.
+      timeout: The longest wait for connecting and for each read.
+
+    Returns:
+      The client.
+    """
+    return HttpLog(address, timeout)
+
+
+def _parse(status: int, body: bytes) -> Result[Any, LogUnavailable]:
+    if status != _OK:
+        return Err(LogUnavailable(f'status {status}'))
+    try:
+        return Ok(cbor2.loads(body))
+    except cbor2.CBORDecodeError as error:
+        return Err(LogUnavailable(repr(error)))
+
+
+def _page_from_plain(plain: Any) -> Page:
+    entries = tuple(
+        Entry(offset, record) for offset, record in plain['entries']
+    )
+    return Page(plain['first'], plain['end'], entries)
--- /dev/null
+++ b/linnetwind/peer.py
@@ -0,0 +1,227 @@
+"""The handshake between daemons, and frames on a websocket.
+
+Both ends prove that they know the fleet key by a keyed digest over both
+nonces. Not all upstreams check who gives them an order, so the side daemon
+must know that its caller belongs to the fleet before it takes any call.
+"""
+
+import hashlib
+import hmac
+import os
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from result import Err, Ok, Result
+from websockets.exceptions import WebSocketException
+
+from linnetwind.messages import Challenge, Hello, Proof, Welcome
+from linnetwind.wire import PEER_CODEC, PROTOCOL_VERSION
+
+HANDSHAKE_SECONDS = 3.0
+MAX_FRAME_BYTES = 33_554_432
+
+_NONCE_BYTES = 16
+_TRANSPORT_ERRORS = (WebSocketException, OSError, EOFError, TimeoutError)
+
+
+class Socket(Protocol):
+    """The part of a websocket connection that is used here."""
+
+    def send(self, message: bytes) -> None:
+        """Send one frame."""
+
+    def recv(self, timeout: float | None = None) -> Any:
+        """Wait for one frame."""
+
+    def close(self) -> None:
+        """Close the connection."""
+
+
+@dataclass(frozen=True)
+class Identity:
+    """Who a daemon is; `incarnation` differs after each restart."""
+
+    role: str
+    name: str
+    incarnation: str
+
+
+@dataclass(frozen=True)
+class PeerLost:
+    """The connection broke or the other end broke the protocol."""
+
+    problem: str
+
+    def describe(self) -> str:
+        """Return the problem."""
+        return f'peer lost: {self.problem}'
+
+
+def send_message(socket: Socket, message: Any) -> Result[None, PeerLost]:
+    """Send one message.
+
+    Args:
+      socket: The connection.
+      message: A type of `PEER_CODEC`.
+
+    Returns:
+      Nothing, or why the message may not have been sent.
+    """
+    try:
+        socket.send(PEER_CODEC.encode(message))
+    except _TRANSPORT_ERRORS as error:
+        return Err(PeerLost(repr(error)))
+    return Ok(None)
+
+
+def receive_message(
+    socket: Socket, timeout: float | None = None
+) -> Result[Any, PeerLost]:
+    """Wait for one message.
+
+    Args:
+      socket: The connection.
+      timeout: The longest wait in seconds, or None to wait for ever.
+
+    Returns:
+      The message, or why there is none.
+    """
+    try:
+        frame = socket.recv(timeout)
+    except _TRANSPORT_ERRORS as error:
+        return Err(PeerLost(repr(error)))
+    if not isinstance(frame, bytes):
+        return Err(PeerLost('a text frame'))
+    return PEER_CODEC.decode(frame).map_err(
+        lambda bad: PeerLost(bad.describe()),
+    )
+
+
+def greet(
+    socket: Socket, identity: Identity, key: bytes
+) -> Result[Challenge, PeerLost]:
+    """Do the handshake as the one who connects.
+
+    Args:
+      socket: The new connection.
+      identity: Who this daemon is.
+      key: The fleet key.
+
+    Returns:
+      The listener's identity, or why it is not trusted.
+    """
+    hello = Hello(
+        PROTOCOL_VERSION,
+        identity.role,
+        identity.name,
+        identity.incarnation,
+        os.urandom(_NONCE_BYTES),
+    )
+    send_message(socket, hello)
+    match receive_message(socket, HANDSHAKE_SECONDS):
+        case Ok(Challenge() as challenge):
+            return _answer_challenge(socket, hello, challenge, key)
+        case Err() as lost:
+            return lost
+        case _:
+            return Err(PeerLost('no challenge'))
+
+
+def welcome(
+    socket: Socket, identity: Identity, key: bytes, config_offset: int
+) -> Result[Hello, PeerLost]:
+    """Do the handshake as the one who listens.
+
+    Args:
+      socket: The new connection.
+      identity: Who this daemon is.
+      key: The fleet key.
+      config_offset: How far this daemon has folded the configuration.
+
+    Returns:
+      The caller's identity, or why it is not trusted.
+    """
+    match receive_message(socket, HANDSHAKE_SECONDS):
+        case Ok(Hello(version=version) as hello):
+            if version != PROTOCOL_VERSION:
+                return Err(PeerLost(f'protocol version {version}'))
+            return _challenge(socket, hello, identity, key, config_offset)
+        case Err() as lost:
+            return lost
+        case _:
+            return Err(PeerLost('no hello'))
+
+
+def _answer_challenge(
+    socket: Socket, hello: Hello, challenge: Challenge, key: bytes
+) -> Result[Challenge, PeerLost]:
+    expected = _listener_proof(key, hello, challenge)
+    if not hmac.compare_digest(expected, challenge.proof):
+        return Err(PeerLost('wrong fleet key'))
+    send_message(socket, Proof(_caller_proof(key, hello, challenge)))
+    match receive_message(socket, HANDSHAKE_SECONDS):
+        case Ok(Welcome()):
+            return Ok(challenge)
+        case Err() as lost:
+            return lost
+        case _:
+            return Err(PeerLost('no welcome'))
+
+
+def _challenge(
+    socket: Socket,
+    hello: Hello,
+    identity: Identity,
+    key: bytes,
+    config_offset: int,
+) -> Result[Hello, PeerLost]:
+    bare = Challenge(
+        PROTOCOL_VERSION,
+        identity.name,
+        identity.incarnation,
+        os.urandom(_NONCE_BYTES),
+        b'',
+    )
+    challenge = Challenge(
+        bare.version,
+        bare.name,
+        bare.incarnation,
+        bare.nonce,
+        _listener_proof(key, hello, bare),
+    )
+    send_message(socket, challenge)
+    match receive_message(socket, HANDSHAKE_SECONDS):
+        case Ok(Proof(proof=proof)):
+            expected = _caller_proof(key, hello, challenge)
+            if not hmac.compare_digest(expected, proof):
+                return Err(PeerLost('wrong fleet key'))
+            return send_message(socket, Welcome(config_offset)).map(
+                lambda _nothing: hello,
+            )
+        case Err() as lost:
+            return lost
+        case _:
+            return Err(PeerLost('no proof'))
+
+
+def _listener_proof(key: bytes, hello: Hello, challenge: Challenge) -> bytes:
+    return _digest(key, b'listener', hello, challenge)
+
+
+def _caller_proof(key: bytes, hello: Hello, challenge: Challenge) -> bytes:
+    return _digest(key, b'caller', hello, challenge)
+
+
+def _digest(
+    key: bytes, label: bytes, hello: Hello, challenge: Challenge
+) -> bytes:
+    names = (
+        hello.role,
+        hello.name,
+        hello.incarnation,
+        challenge.name,
+        challenge.incarnation,
+    )
+    text = '\n'.join(names).encode()
+    signed = b'\n'.join((label, hello.nonce, challenge.nonce, text))
+    return hmac.new(key, signed, hashlib.sha256).digest()
--- /dev/null
+++ b/linnetwind/settings.py
@@ -0,0 +1,108 @@
+"""A daemon's own settings: addresses, site, key file, log service."""
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+from msgspec import Meta
+
+from linnetwind.config import Name, PositiveInt, Seconds
+from linnetwind.config_loader import load_yaml
+from linnetwind.errors import ConfigError
+
+_LAST_PORT = 65_535
+_LONGEST_NOTICE_SECONDS = 600
+
+Port = Annotated[int, Meta(ge=0, le=_LAST_PORT)]
+IpAddress = Annotated[str, Meta(pattern=r'^[0-9]+(\.[0-9]+){3}$')]
+
+
+@dataclass(frozen=True)
+class Address:
+    """An IP number and a port."""
+
+    ip: IpAddress
+    port: Port
+
+    def __str__(self) -> str:
+        """Return the address as it stands in a URL."""
+        return f'{self.ip}:{self.port}'
+
+
+@dataclass(frozen=True)
+class PlatformSettings:
+    """Where the platform's services are, and how often they are asked."""
+
+    log_service: Address
+    host_list: Address
+    fleet_key_file: str
+    poll_seconds: Seconds = 1.0
+    snapshot_seconds: Seconds = 3600.0
+
+
+@dataclass(frozen=True)
+class EntrySettings:
+    """The settings of an entry daemon."""
+
+    name: Name
+    site: Name
+    listen: Address
+    metrics: Address
+    platform: PlatformSettings
+    threads: PositiveInt = 64
+    drain_notice_seconds: Annotated[
+        float, Meta(ge=0, le=_LONGEST_NOTICE_SECONDS)
+    ] = 5.0
+
+
+@dataclass(frozen=True)
+class ServedUpstream:
+    """An upstream on the side daemon's host."""
+
+    name: Name
+    address: Address
+
+
+@dataclass(frozen=True)
+class SideSettings:
+    """The settings of a side daemon."""
+
+    name: Name
+    host: Name
+    site: Name
+    listen: Address
+    metrics: Address
+    platform: PlatformSettings
+    upstreams: tuple[ServedUpstream, ...]
+    weight_store: Address | None = None
+    drain_notice_seconds: Annotated[
+        float, Meta(ge=0, le=_LONGEST_NOTICE_SECONDS)
+    ] = 5.0
+
+
+def load_entry_settings(
+    path: Path,
+) -> tuple[EntrySettings | None, list[ConfigError]]:
+    """Read an entry daemon's settings file.
+
+    Args:
+      path: The YAML file.
+
+    Returns:
+      The settings, or None when there are errors; and the errors.
+    """
+    return load_yaml(path, EntrySettings)
+
+
+def load_side_settings(
+    path: Path,
+) -> tuple[SideSettings | None, list[ConfigError]]:
+    """Read a side daemon's settings file.
+
+    Args:
+      path: The YAML file.
+
+    Returns:
+      The settings, or None when there are errors; and the errors.
+    """
+    return load_yaml(path, SideSettings)
--- /dev/null
+++ b/linnetwind/side_daemon.py
@@ -0,0 +1,200 @@
+"""The side daemon: the only process that speaks to its upstreams."""
+
+import random
+import threading
+import time
+import uuid
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from datetime import timedelta
+from pathlib import Path
+
+from loguru import logger
+from prometheus_client import CollectorRegistry, Gauge, start_http_server
+
+from linnetwind.clock import SystemClock
+from linnetwind.config import Base, Upstream
+from linnetwind.config_fold import ConfigState
+from linnetwind.config_merge import at_site
+from linnetwind.follower import Follower
+from linnetwind.gate import Gate
+from linnetwind.hosts_http import HttpHosts
+from linnetwind.hosts_port import HostState
+from linnetwind.log_http import make_log
+from linnetwind.messages import Leaving, Load
+from linnetwind.peer import Identity
+from linnetwind.settings import SideSettings
+from linnetwind.side_calls import UpstreamCalls
+from linnetwind.side_server import SideHandlers, SideServer
+
+PLATFORM_TIMEOUT = timedelta(seconds=2)
+
+_WORKERS = 256
+_FIRST_CONCURRENCY = 8
+_TICK_SECONDS = 0.05
+_REPORT_SECONDS = 0.5
+_MS = timedelta(milliseconds=1)
+
+
+class SideDaemon:
+    """All parts of a side daemon, wired together."""
+
+    def __init__(self, settings: SideSettings) -> None:
+        """Build the parts; nothing runs yet.
+
+        Args:
+          settings: The daemon's own settings.
+        """
+        self._settings = settings
+        self._clock = SystemClock()
+        incarnation = uuid.uuid4().hex
+        platform = settings.platform
+        self._executor = ThreadPoolExecutor(_WORKERS, 'call')
+        self._calls = {
+            served.name: UpstreamCalls(
+                served.address,
+                Gate(_FIRST_CONCURRENCY, self._clock),
+                self._executor,
+                self._clock,
+            )
+            for served in settings.upstreams
+        }
+        self._hosts = HttpHosts(platform.host_list, PLATFORM_TIMEOUT)
+        self._follower = Follower(
+            make_log(platform.log_service, PLATFORM_TIMEOUT),
+            self._clock,
+            timedelta(seconds=platform.snapshot_seconds),
+            random.Random(incarnation),  # noqa: S311
+        )
+        self._registry = CollectorRegistry()
+        self._running = Gauge(
+            'linnetwind_running',
+            'Calls running at an upstream.',
+            ['upstream'],
+            registry=self._registry,
+        )
+        self._server = SideServer(
+            Identity('side', settings.name, incarnation),
+            Path(platform.fleet_key_file).read_bytes(),
+            self._calls,
+            self._follower,
+            SideHandlers(
+                lambda demand: None,
+                lambda note: None,
+                lambda call, send, calls: calls.offer(call, send),
+            ),
+        )
+        self._draining = False
+        self._host_leaving = False
+        self._drained: frozenset[str] = frozenset()
+        self._stopping = threading.Event()
+
+    def start(self) -> None:
+        """Start following the platform and serving entry daemons."""
+        settings = self._settings
+        poll = timedelta(seconds=settings.platform.poll_seconds)
+        self._follower.listen(self._take_state)
+        start_http_server(
+            settings.metrics.port, settings.metrics.ip, registry=self._registry
+        )
+        self._in_background(lambda: self._follower.run(poll))
+        self._in_background(lambda: self._every(poll, self._read_hosts))
+        self._in_background(self._tick)
+        self._in_background(
+            lambda: self._every(
+                timedelta(seconds=_REPORT_SECONDS), self._report
+            )
+        )
+        self._server.start(settings.listen)
+        logger.info('side serves on {}', settings.listen)
+
+    def shut_down(self) -> None:
+        """Refuse new calls, finish the running ones, then end."""
+        self._draining = True
+        self._apply_leaving()
+        logger.info('draining')
+        while any(calls.busy for calls in self._calls.values()):
+            time.sleep(_TICK_SECONDS)
+        # Entry daemons that were about to send get their refusal, rather
+        # than a closed connection after which the fate would be unknown.
+        time.sleep(self._settings.drain_notice_seconds)
+        while any(calls.busy for calls in self._calls.values()):
+            time.sleep(_TICK_SECONDS)
+        self._stopping.set()
+        self._follower.stop()
+        self._server.stop()
+        logger.info('drained')
+
+    def _in_background(self, work: Callable[[], None]) -> None:
+        threading.Thread(target=work, daemon=True).start()
+
+    def _every(self, interval: timedelta, work: Callable[[], None]) -> None:
+        while not self._stopping.wait(interval.total_seconds()):
+            work()
+
+    def _tick(self) -> None:
+        while not self._stopping.wait(_TICK_SECONDS):
+            for calls in self._calls.values():
+                if calls.gate.waiting:
+                    calls.expire()
+
+    def _take_state(self, state: ConfigState) -> None:
+        if state.deployment is None:
+            return
+        base = at_site(state.deployment, self._settings.site)
+        for upstream in _upstreams(base):
+            calls = self._calls.get(upstream.name)
+            if calls is not None:
+                calls.gate.concurrency = upstream.concurrency
+        self._drained = frozenset(base.drained)
+        self._apply_leaving()
+        logger.info('configuration revision {} in force', state.revision)
+
+    def _read_hosts(self) -> None:
+        hosts = self._hosts.read().unwrap_or(())
+        for host in hosts:
+            if host.name == self._settings.host:
+                self._host_leaving = host.state is HostState.LEAVING
+                self._apply_leaving()
+
+    def _apply_leaving(self) -> None:
+        changed = False
+        for name, calls in self._calls.items():
+            leaving = (
+                self._draining or self._host_leaving or name in self._drained
+            )
+            if leaving != calls.gate.leaving:
+                changed = True
+                if leaving:
+                    calls.leave()
+                else:
+                    calls.come_back()
+        if changed:
+            self._server.broadcast(Leaving(self._leaving_names()))
+
+    def _leaving_names(self) -> tuple[str, ...]:
+        return tuple(
+            name for name, calls in self._calls.items() if calls.gate.leaving
+        )
+
+    def _report(self) -> None:
+        for name, calls in self._calls.items():
+            gate = calls.gate
+            self._running.labels(name).set(gate.running)
+            self._server.report(
+                Load(
+                    name,
+                    gate.running,
+                    gate.waiting,
+                    0,
+                    gate.service_time / _MS,
+                    0,
+                    0,
+                )
+            )
+
+
+def _upstreams(base: Base) -> list[Upstream]:
+    return [
+        upstream for service in base.services for upstream in service.upstreams
+    ]
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform, for tests, the demo and benchmarks."""
