Run calls with an idempotency key at most once

Cause: a caller's repeat may enter through another entry daemon, and side daemons keep nothing when they are replaced. Change: keys fall into 64 slots a service; each slot has a log stream that holds ownership, claims and outcomes, so offset order voids a paused former owner's claim. The side that owns the slot claims the key before it runs. Ruled out: a claim by each entry daemon (every daemon would have to read all claims), leases by time (a paused holder still believes in its lease). Found by its test: a caller that went away stopped the recording of the answer, so that the key stayed blocked; frames are now followed to the end.

--- a/linnetwind/config_fold_test.py
+++ b/linnetwind/config_fold_test.py
@@ -57,7 +57,9 @@
 def history(count):
     """Publishes that each build on the one before."""
     return [
-        publish('base', number, documents(drained(number + 1))['base'], f'p{number}')
+        publish(
+            'base', number, documents(drained(number + 1))['base'], f'p{number}'
+        )
         for number in range(count)
     ]
 
--- a/linnetwind/dispatch.py
+++ b/linnetwind/dispatch.py
@@ -30,6 +30,7 @@
     NoCandidate,
     RouteRequest,
     choose,
+    choose_home,
     without,
 )
 
@@ -141,7 +142,8 @@
             decision = after_failure(
                 Attempt(
                     outcome,
-                    request.repeatable,
+                    # The key's ledger keeps a second run from happening.
+                    request.repeatable or request.idempotency is not None,
                     attempts,
                     deadline - self._clock.elapsed(),
                 ),
@@ -192,9 +194,12 @@
             len(request.blocks),
             _BLOCK_MS,
         )
-        choice = choose(
-            without(candidates, tried), route, base.routing, self._rng
-        )
+        fresh = without(candidates, tried)
+        identity = request.idempotency
+        if identity is None:
+            choice = choose(fresh, route, base.routing, self._rng)
+        else:
+            choice = choose_home(fresh, request.service.name, identity.slot)
         _log_choice(request, choice)
         return choice
 
--- a/linnetwind/entry_app.py
+++ b/linnetwind/entry_app.py
@@ -9,6 +9,7 @@
 from types import MappingProxyType
 from typing import Any
 
+from loguru import logger
 from result import Err, Ok
 
 from linnetwind.decisions import log_decision
@@ -120,13 +121,22 @@
         if refusal is not None:
             yield self._fail(start_response, request_id, refusal)
             return
-        opened = self._dispatcher.open(checked)
+        opened = self._open(checked)
         if isinstance(opened, OpenAnswer):
             yield from self._pass_on(start_response, checked, opened)
         else:
             self._settle(checked, 0)
             yield self._fail(start_response, request_id, opened)
 
+    def _open(self, checked: CheckedRequest) -> OpenAnswer | NotRun | Unknown:
+        try:
+            return self._dispatcher.open(checked)
+        except Exception:
+            # A fault of this program must not reach the caller as an
+            # untyped answer: nobody knows then whether the request ran.
+            logger.exception('request {} failed', checked.request_id)
+            return Unknown(Reason.INTERNAL)
+
     def _check(
         self, environ: dict[str, Any], request_id: str
     ) -> CheckedRequest | NotRun:
--- a/linnetwind/http_request.py
+++ b/linnetwind/http_request.py
@@ -197,7 +197,7 @@
     for start in range(0, len(prompt), BLOCK_CHARACTERS):
         block = prompt[start : start + BLOCK_CHARACTERS]
         if len(block) == BLOCK_CHARACTERS:
-            running.update(block)
+            running.update(block.encode())
             blocks.append(running.intdigest())
     return tuple(blocks)
 
--- a/linnetwind/routing.py
+++ b/linnetwind/routing.py
@@ -13,9 +13,12 @@
 from dataclasses import dataclass, replace
 from datetime import timedelta
 
+import xxhash
+
 from linnetwind.config import Routing
 
 _MS = timedelta(milliseconds=1)
+_SECOND = timedelta(seconds=1)
 _SMALLEST_SERVICE_MS = 0.1
 
 
@@ -107,7 +110,7 @@
       The choice with its reason, or that there is none.
     """
     if not candidates:
-        return NoCandidate(timedelta(seconds=1))
+        return NoCandidate(_SECOND)
     sample = _sample(candidates, request, weights, rng)
     scored = [_score(each, request, weights) for each in sample]
     # Equal scores are common when the fleet is idle; the first in the list
@@ -185,6 +188,35 @@
     return f'shortest expected time of {len(sample)} sampled'
 
 
+def choose_home(
+    candidates: Sequence[Candidate], service: str, slot: int
+) -> Choice | NoCandidate:
+    """Choose the upstream whose side should own a slot.
+
+    Every entry daemon that sees the same upstreams chooses the same one, by
+    the highest hash of slot and name. When their views differ two sides may
+    take the slot from each other; that costs appends, never a second run.
+
+    Args:
+      candidates: The upstreams that take new calls.
+      service: The service's name.
+      slot: The slot of the request's key.
+
+    Returns:
+      The choice, or that there is none.
+    """
+    if not candidates:
+        return NoCandidate(_SECOND)
+    ordered = sorted(
+        candidates,
+        key=lambda each: xxhash.xxh3_64_intdigest(
+            f'{service}/{slot}/{each.upstream}'.encode()
+        ),
+    )
+    scored = [Scored(each.upstream, 0, 0, 0, 0) for each in reversed(ordered)]
+    return Choice(scored[0].upstream, f'home of slot {slot}', scored[0], ())
+
+
 def without(
     candidates: Sequence[Candidate], tried: frozenset[str]
 ) -> list[Candidate]:
--- a/linnetwind/side_calls.py
+++ b/linnetwind/side_calls.py
@@ -150,7 +150,10 @@
         delivered = True
         whole = False
         for answer in run.answers():
-            delivered = delivered and pending.send(answer)
+            # A call that may not be repeated is followed to its end even if
+            # nobody listens: its outcome must be known to the next repeat.
+            reached = pending.send(answer)
+            delivered = delivered and reached
             if not delivered and pending.call.repeatable:
                 run.cancel()
                 return False
--- a/linnetwind/side_daemon.py
+++ b/linnetwind/side_daemon.py
@@ -20,6 +20,7 @@
 from linnetwind.gate import Gate
 from linnetwind.hosts_http import HttpHosts
 from linnetwind.hosts_port import HostState
+from linnetwind.keyed_calls import KeyedCalls
 from linnetwind.log_http import make_log
 from linnetwind.messages import Leaving, Load
 from linnetwind.peer import Identity
@@ -28,6 +29,7 @@
 from linnetwind.side_server import SideHandlers, SideServer
 
 PLATFORM_TIMEOUT = timedelta(seconds=2)
+CLAIM_TIMEOUT = timedelta(seconds=1)
 
 _WORKERS = 256
 _FIRST_CONCURRENCY = 8
@@ -66,6 +68,12 @@
             timedelta(seconds=platform.snapshot_seconds),
             random.Random(incarnation),  # noqa: S311
         )
+        self._keyed = KeyedCalls(
+            make_log(platform.log_service, CLAIM_TIMEOUT),
+            incarnation,
+            self._executor,
+            self._clock,
+        )
         self._registry = CollectorRegistry()
         self._running = Gauge(
             'linnetwind_running',
@@ -81,7 +89,7 @@
             SideHandlers(
                 lambda demand: None,
                 lambda note: None,
-                lambda call, send, calls: calls.offer(call, send),
+                self._keyed.handle,
             ),
         )
         self._draining = False
@@ -120,6 +128,7 @@
         time.sleep(self._settings.drain_notice_seconds)
         while any(calls.busy for calls in self._calls.values()):
             time.sleep(_TICK_SECONDS)
+        self._keyed.flush()
         self._stopping.set()
         self._follower.stop()
         self._server.stop()
@@ -178,6 +187,7 @@
         )
 
     def _report(self) -> None:
+        self._keyed.flush()
         for name, calls in self._calls.items():
             gate = calls.gate
             self._running.labels(name).set(gate.running)
