Keep a late arming from starting a rank apart from its group

Cause, from the explorer's trace of the one broken walk: a coordinator mixed a rank's answer from the group's start with a later one and sent an arming for step 0, which a restarted rank took while its group was at step 1. Change: a new rank is armed at step 0 only after all its peers have said that they are new as well. Conclusion: the start of a whole group is covered as well.

--- a/linnetwind/mapswitch.py
+++ b/linnetwind/mapswitch.py
@@ -371,16 +371,26 @@
     attempt = arming.attempt
     if _holds(side, attempt):
         return side, ()
-    if side.status is not None and side.status.is_new and arming.step > 0:
+    if side.status is not None and side.status.is_new:
         # A restarted rank may have voted before, so it must not refuse; it
-        # joins its group first. Armed without a map it could not run.
-        return side, ()
+        # joins its group first. Only in a group that is new as a whole is
+        # it armed at step 0; a late arming from that time must not start
+        # it apart from a group that has gone on.
+        if arming.step > 0 or not _group_is_new(side):
+            return side, ()
     if not _may_arm(side, arming, members):
         return _refuse(side, attempt), ()
     order = OrderArm(members[side.rank].generation, arming)
     return replace(side, pledged=arming), (order,)
 
 
+def _group_is_new(side: Participant) -> bool:
+    replied = {reply.rank for reply in side.replies}
+    return len(replied) == side.size - 1 and all(
+        reply.map_id is None for reply in side.replies
+    )
+
+
 def _holds(side: Participant, attempt: Attempt) -> bool:
     # A late arming of an attempt that has already taken effect here must
     # not be taken for a new one and refused.
