Prove the promises with real processes, and wire the groups

Cause: the pure parts were tested alone. Change: the side daemon runs a participant for each rank, coordinators take their role through the group's log stream, entry daemons bring a side up to date on connecting; tests with kills, freezes, cuts, log and host-list outages. Found by these tests, each mended here: a side that started during a log outage had nobody to ask for its configuration, so its group stood still (entry daemons now push it); a Connection header made waitress answer 500 during a drain; a small answer cut halfway reached the caller as broken though it could have been tried elsewhere (answers that are not streamed are held up to 64 KiB); a confirmed switch was announced on every tick.

--- a/linnetwind/dispatch.py
+++ b/linnetwind/dispatch.py
@@ -35,6 +35,7 @@
 )
 
 FATE_SECONDS = 1.0
+MOST_HELD_BYTES = 65_536
 
 # Failures that say something about the upstream's or its host's health.
 _BLAMED = frozenset(
@@ -243,10 +244,13 @@
         )
 
     def _wait_for_head(self, run: _Run) -> OpenAnswer | NotRun | Unknown:
-        # The head is held until a first part of the body has come: until
-        # then nothing went out to the caller and a repeatable request can
-        # still be tried elsewhere.
+        # The head of a stream is held until its first part has come, that
+        # of another answer until it is whole or large: until then nothing
+        # went out to the caller, a repeatable request can still be tried
+        # elsewhere, and a failure has a status of its own.
         opened: Opened | None = None
+        held: list[bytes] = []
+        most = 1 if run.request.streamed else MOST_HELD_BYTES
         steps = self._steps(run)
         for step in steps:
             match step:
@@ -254,16 +258,20 @@
                     opened = step
                 case Failed(outcome):
                     return outcome
-                case Body() | Finished() if opened is not None:
-                    body = self._body(step, steps, run)
-                    return OpenAnswer(opened.status, opened.headers, body)
+                case Body(body):
+                    held.append(body)
+            enough = sum(len(body) for body in held) >= most
+            if opened is not None and (enough or isinstance(step, Finished)):
+                rest = self._body(held, steps, run)
+                return OpenAnswer(opened.status, opened.headers, rest)
         return Unknown(Reason.INTERNAL)
 
     def _body(
-        self, first: Step, steps: Iterator[Step], run: _Run
+        self, held: list[bytes], steps: Iterator[Step], run: _Run
     ) -> Iterator[bytes]:
         try:
-            yield from _bodies(first, steps)
+            yield from held
+            yield from _bodies(steps)
         finally:
             if not run.assembler.done:
                 # The caller has gone away.
@@ -350,9 +358,7 @@
     return Dispatcher(site, incarnation, fleet, links, clock, rng)
 
 
-def _bodies(first: Step, steps: Iterator[Step]) -> Iterator[bytes]:
-    if isinstance(first, Body):
-        yield first.body
+def _bodies(steps: Iterator[Step]) -> Iterator[bytes]:
     for step in steps:
         match step:
             case Body(body):
--- a/linnetwind/entry_app.py
+++ b/linnetwind/entry_app.py
@@ -76,7 +76,7 @@
         return self._in_flight
 
     def drain(self) -> None:
-        """Report not ready, and ask callers to close their connections."""
+        """Report not ready from now on."""
         self._draining = True
 
     def __call__(
@@ -163,7 +163,7 @@
         opened: OpenAnswer,
     ) -> Iterator[bytes]:
         headers = [*opened.headers, ('X-Request-Id', checked.request_id)]
-        start_response(_status_line(opened.status), self._with_close(headers))
+        start_response(_status_line(opened.status), headers)
         tokens = 0
         try:
             for body in opened.body:
@@ -198,7 +198,7 @@
             seconds = -(-outcome.retry_after // _SECOND)
             headers.append(('Retry-After', str(seconds)))
         status = _http_status(outcome)
-        start_response(_status_line(status), self._with_close(headers))
+        start_response(_status_line(status), headers)
         return body
 
     def _report(self, request_id: str, outcome: NotRun | Unknown) -> None:
@@ -212,13 +212,6 @@
             },
         )
 
-    def _with_close(
-        self, headers: list[tuple[str, str]]
-    ) -> list[tuple[str, str]]:
-        return (
-            [*headers, ('Connection', 'close')] if self._draining else headers
-        )
-
 
 class _Counted:
     """A body that reports once when it has ended or was given up."""
--- a/linnetwind/entry_daemon.py
+++ b/linnetwind/entry_daemon.py
@@ -30,6 +30,7 @@
 from linnetwind.link_pool import LinkPool
 from linnetwind.log_http import make_log
 from linnetwind.messages import (
+    Challenge,
     ConfigCopy,
     ConfigQuery,
     Leaving,
@@ -135,6 +136,12 @@
         self._server.socket.shutdown(sockets.SHUT_RDWR)
         while self._app.in_flight or self._unsent():
             time.sleep(_TICK_SECONDS)
+        # Idle keep-alive connections are closed in order, so that their
+        # callers do not send into a connection that is about to be reset.
+        for channel in list(self._server.active_channels.values()):
+            channel.will_close = True
+        self._server.pull_trigger()
+        time.sleep(_TICK_SECONDS)
         self._stopping.set()
         self._follower.stop()
         self._links.close()
@@ -188,7 +195,14 @@
         links = list(self._links.links.values())
         return random.sample(links, min(1, len(links)))  # noqa: S311
 
-    def _notice(self, host: str, _link: Link, message: Any) -> None:
+    def _bring_up_to_date(self, link: Link, offset: int) -> None:
+        # A side that was started during a log outage has no configuration
+        # and nobody else to ask.
+        state = self._follower.state
+        if state.revision > 0 and state.next_offset > offset:
+            link.post(ConfigCopy(state.next_offset, self._follower.copy()))
+
+    def _notice(self, host: str, link: Link, message: Any) -> None:
         match message:
             case Load():
                 with self._links.lock:
@@ -198,5 +212,7 @@
                     self._fleet.take_leaving(host, upstreams)
             case Shares():
                 self._limits.take_shares(message)
+            case Challenge(config_offset=offset):
+                self._bring_up_to_date(link, offset)
             case ConfigCopy(state=state):
                 self._follower.adopt(state)
--- /dev/null
+++ b/linnetwind/group_planner.py
@@ -0,0 +1,288 @@
+"""The coordinator's part of a group: taking the role, planning, switching.
+
+Every side of the group may become coordinator: the one of the lowest rank
+first, the others after longer silences. Two at a time do no harm; the log
+decides whose maps are wanted, and the ranks' unanimity whose is used.
+"""
+
+from collections.abc import Callable
+from datetime import timedelta
+
+from loguru import logger
+from result import Ok
+
+from linnetwind.clock import Clock
+from linnetwind.config import Group
+from linnetwind.decisions import log_decision
+from linnetwind.expert_load import LoadEstimate, take_counts
+from linnetwind.group_log import (
+    GROUP_CODEC,
+    Coordinate,
+    GroupRole,
+    Target,
+    fold_role,
+    pack_map,
+    stream_of_group,
+    unpack_map,
+)
+from linnetwind.log_port import LogPort, read_to_end
+from linnetwind.mapcoordinator import Coordination, begin, take_prepared
+from linnetwind.mapswitch import (
+    Attempt,
+    Note,
+    Prepare,
+    Prepared,
+    RankStatus,
+    Send,
+)
+from linnetwind.placement import even_map, plan_moves
+from linnetwind.placement_types import ExpertMap, Plan, PlacementPrices
+
+SILENCE = timedelta(seconds=5)
+SILENCE_PER_RANK = timedelta(seconds=1)
+SIGN_INTERVAL = timedelta(seconds=2)
+LEAD_STEPS = 100
+
+# The part of the weight store's rate that one group counts on.
+STORE_BYTES_PER_SECOND = 1_000_000_000
+
+_LOOK = timedelta(seconds=1)
+_ATTEMPT_TIMEOUT = timedelta(seconds=10)
+
+Counts = Callable[[], list[list[float]]]
+
+
+class GroupPlanner:
+    """Plans and starts switches while this side coordinates its group."""
+
+    def __init__(
+        self, group: Group, rank: int, name: str, log: LogPort, clock: Clock
+    ) -> None:
+        """Start without the role.
+
+        Args:
+          group: The group's configuration.
+          rank: This side's rank.
+          name: This incarnation's name in the log.
+          log: The log service.
+          clock: For silences and intervals.
+        """
+        self._group = group
+        self._rank = rank
+        self._name = name
+        self._log = log
+        self._clock = clock
+        now = clock.elapsed()
+        self._role = GroupRole()
+        self._heard = now
+        self._next_look = now
+        self._next_plan = now
+        self._next_sign = now
+        self._estimate = LoadEstimate()
+        self._coordination: Coordination | None = None
+        self._begun = now
+        self._number = 0
+
+    def take_group(self, group: Group) -> None:
+        """Replace the group's settings.
+
+        Args:
+          group: The configuration in force.
+        """
+        self._group = group
+
+    def saw_coordinator(self, note: Note) -> None:
+        """Take note of a coordinator at work.
+
+        Args:
+          note: A note from another side.
+        """
+        if isinstance(note, Prepare):
+            self._heard = self._clock.elapsed()
+
+    def tick(self, status: RankStatus, counts: Counts) -> tuple[Send, ...]:
+        """Do what is due.
+
+        Args:
+          status: The own rank's status.
+          counts: Reads the tokens per expert.
+
+        Returns:
+          The notes to send.
+        """
+        now = self._clock.elapsed()
+        if now >= self._next_look:
+            self._next_look = now + _LOOK
+            self._read_role()
+            self._maybe_take_role(now)
+        if self._role.holder != self._name:
+            self._coordination = None
+            return ()
+        if self._coordination is not None:
+            return self._go_on(status, now)
+        if now < self._next_plan:
+            return self._signs_of_life(status, now)
+        interval = self._group.placement.interval_seconds
+        self._next_plan = now + timedelta(seconds=interval)
+        return self._plan(status, counts())
+
+    def take_prepared(self, note: Prepared) -> tuple[Send, ...]:
+        """Take a rank's answer to the attempt under way.
+
+        Args:
+          note: The answer.
+
+        Returns:
+          The notes to send.
+        """
+        if self._coordination is None:
+            return ()
+        after, notes = take_prepared(self._coordination, note)
+        self._coordination = after
+        return notes
+
+    def _read_role(self) -> None:
+        stream = stream_of_group(self._group.name)
+        page = read_to_end(self._log, stream, self._role.next_offset)
+        if isinstance(page, Ok):
+            before = self._role
+            self._role = fold_role(before, page.ok_value.entries)
+            if self._role.epoch != before.epoch:
+                self._heard = self._clock.elapsed()
+
+    def _maybe_take_role(self, now: timedelta) -> None:
+        if self._role.holder == self._name:
+            self._heard = now
+            return
+        silence = SILENCE + SILENCE_PER_RANK * self._rank
+        if not self._role.holder:
+            silence = SILENCE_PER_RANK * self._rank
+        if now - self._heard < silence:
+            return
+        self._heard = now
+        record = GROUP_CODEC.encode(Coordinate(self._name, self._role.epoch))
+        self._log.append(stream_of_group(self._group.name), [record])
+        self._read_role()
+        log_decision(
+            'coordinator',
+            {'group': self._group.name, 'holder': self._role.holder},
+        )
+
+    def _go_on(self, status: RankStatus, now: timedelta) -> tuple[Send, ...]:
+        coordination = self._coordination
+        if coordination is None:
+            return ()
+        if status.map_id == coordination.map_id:
+            log_decision(
+                'map_in_use',
+                {'group': self._group.name, 'map': status.map_id},
+            )
+            self._coordination = None
+            return ()
+        if now - self._begun > _ATTEMPT_TIMEOUT:
+            logger.warning('attempt given up: {}', coordination.attempt)
+            self._coordination = None
+            return ()
+        return begin(coordination)
+
+    def _plan(
+        self, status: RankStatus, counts: list[list[float]]
+    ) -> tuple[Send, ...]:
+        group = self._group
+        target = self._role.target
+        if status.map_id is None and target is not None:
+            return self._begin(target.map_id)
+        if target is None or status.map_id is None:
+            first = even_map(
+                len(group.ranks),
+                group.slots_per_rank,
+                group.layers,
+                group.experts,
+            )
+            return self._publish(first)
+        if status.map_id != target.map_id:
+            return self._begin(target.map_id)
+        if not counts:
+            return ()
+        self._estimate = take_counts(
+            self._estimate, counts, [1] * len(group.ranks)
+        )
+        return self._improve(unpack_map(target.packed), status)
+
+    def _improve(
+        self, current: ExpertMap, status: RankStatus
+    ) -> tuple[Send, ...]:
+        load = self._estimate.load
+        if load is None:
+            return ()
+        plan = plan_moves(current, load, self._prices())
+        self._log_plan(plan)
+        if not plan.moves:
+            return ()
+        return self._publish(plan.target)
+
+    def _prices(self) -> PlacementPrices:
+        settings = self._group.placement
+        return PlacementPrices(
+            settings.horizon_seconds * self._estimate.trust,
+            settings.skew_weight,
+            settings.cost_weight,
+            self._group.expert_bytes / STORE_BYTES_PER_SECOND,
+            settings.max_moves,
+        )
+
+    def _publish(self, expert_map: ExpertMap) -> tuple[Send, ...]:
+        # The map goes to the log before anybody uses it: a rank that is
+        # replaced later reads there what the others have loaded.
+        number = self._next_number()
+        epoch = self._role.epoch
+        map_id = f'{epoch}-{number}'
+        target = Target(self._role.epoch, map_id, pack_map(expert_map))
+        stream = stream_of_group(self._group.name)
+        appended = self._log.append(stream, [GROUP_CODEC.encode(target)])
+        if appended.is_err():
+            return ()
+        self._read_role()
+        if self._role.target != target:
+            return ()
+        return self._begin(map_id)
+
+    def _begin(self, map_id: str) -> tuple[Send, ...]:
+        attempt = Attempt(self._role.epoch, self._next_number(), self._rank)
+        size = len(self._group.ranks)
+        self._coordination = Coordination(attempt, map_id, size, LEAD_STEPS)
+        self._begun = self._clock.elapsed()
+        return begin(self._coordination)
+
+    def _signs_of_life(
+        self, status: RankStatus, now: timedelta
+    ) -> tuple[Send, ...]:
+        # Tells the other sides that the coordinator lives, without any
+        # record in the log: preparing the map in use changes nothing.
+        if now < self._next_sign or status.map_id is None:
+            return ()
+        self._next_sign = now + SIGN_INTERVAL
+        attempt = Attempt(self._role.epoch, 0, self._rank)
+        note = Prepare(attempt, status.map_id)
+        return tuple(
+            Send(rank, note)
+            for rank in range(len(self._group.ranks))
+            if rank != self._rank
+        )
+
+    def _next_number(self) -> int:
+        self._number += 1
+        return self._number
+
+    def _log_plan(self, plan: Plan) -> None:
+        log_decision(
+            'placement',
+            {
+                'group': self._group.name,
+                'skew_before': round(plan.skew_before, 3),
+                'skew_after': round(plan.skew_after, 3),
+                'moves': len(plan.moves),
+                'bytes': len(plan.moves) * self._group.expert_bytes,
+                'reason': plan.reason,
+            },
+        )
--- a/linnetwind/link_pool.py
+++ b/linnetwind/link_pool.py
@@ -42,7 +42,8 @@
           fleet: Tells the hosts; is told of connections.
           executor: Connects.
           clock: For the waits between attempts.
-          notice: Called with host, link and each message of no call.
+          notice: Called with host, link and each message of no call; at
+            first with the challenge that says who the side is.
         """
         self.lock = threading.RLock()
         self._identity = identity
@@ -141,6 +142,7 @@
                     self._attempts.pop(host, None)
                     self._fleet.connected(host)
                     log_decision('connected', {'side': link.peer.name})
+                    self._notice(host, link, link.peer)
                 case Err(lost):
                     logger.debug('{} not reached: {}', host, lost.describe())
                     self._back_off(host)
--- a/linnetwind/mapswitch.py
+++ b/linnetwind/mapswitch.py
@@ -562,11 +562,13 @@
     if attempt in side.refused:
         return side, (OrderDisarm(attempt),)
     side = replace(side, adopted=side.adopted | {attempt})
+    if status.confirmed:
+        return side, ()
     if _unanimous(side, attempt):
         confirm = _to_peers(side, Confirm(attempt))
         return side, (*confirm, OrderConfirm(attempt))
     asks = attempt.coordinator == side.rank or status.holding
-    if status.confirmed or not asks:
+    if not asks:
         return side, ()
     query = Query(attempt, side.rank, side.incarnation)
     return side, _to_peers(side, query)
--- a/linnetwind/messages.py
+++ b/linnetwind/messages.py
@@ -23,13 +23,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Challenge:
-    """The listener's answer: its identity, its proof and its own nonce."""
+    """The listener's answer: its identity, its proof and its own nonce.
+
+    `config_offset` is how far it has folded the configuration.
+    """
 
     version: int
     name: str
     incarnation: str
     nonce: bytes
     proof: bytes
+    config_offset: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,8 +47,6 @@
 class Welcome:
     """The listener accepts the caller."""
 
-    config_offset: int
-
 
 @dataclass(frozen=True, slots=True)
 class Call:
--- a/linnetwind/peer.py
+++ b/linnetwind/peer.py
@@ -8,7 +8,7 @@
 import hashlib
 import hmac
 import os
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any, Protocol
 
 from result import Err, Ok, Result
@@ -181,21 +181,16 @@
         identity.incarnation,
         os.urandom(_NONCE_BYTES),
         b'',
+        config_offset,
     )
-    challenge = Challenge(
-        bare.version,
-        bare.name,
-        bare.incarnation,
-        bare.nonce,
-        _listener_proof(key, hello, bare),
-    )
+    challenge = replace(bare, proof=_listener_proof(key, hello, bare))
     send_message(socket, challenge)
     match receive_message(socket, HANDSHAKE_SECONDS):
         case Ok(Proof(proof=proof)):
             expected = _caller_proof(key, hello, challenge)
             if not hmac.compare_digest(expected, proof):
                 return Err(PeerLost('wrong fleet key'))
-            return send_message(socket, Welcome(config_offset)).map(
+            return send_message(socket, Welcome()).map(
                 lambda _nothing: hello,
             )
         case Err() as lost:
--- a/linnetwind/placement_pack.py
+++ b/linnetwind/placement_pack.py
@@ -69,8 +69,8 @@
             matched[rank] = part
     return tuple(
         chain.from_iterable(
-            _in_place(part, packed[matched[place]])
-            for place, part in enumerate(held)
+            _in_place(before, packed[matched[place]])
+            for place, before in enumerate(held)
         )
     )
 
--- a/linnetwind/settings.py
+++ b/linnetwind/settings.py
@@ -57,10 +57,15 @@
 
 @dataclass(frozen=True)
 class ServedUpstream:
-    """An upstream on the side daemon's host."""
+    """An upstream on the side daemon's host.
+
+    `rank_engine` is where the engine takes orders about its rank, for an
+    upstream that belongs to a group.
+    """
 
     name: Name
     address: Address
+    rank_engine: Address | None = None
 
 
 @dataclass(frozen=True)
--- a/linnetwind/side_daemon.py
+++ b/linnetwind/side_daemon.py
@@ -27,6 +27,7 @@
 from linnetwind.settings import SideSettings
 from linnetwind.shares import ShareHome
 from linnetwind.side_calls import UpstreamCalls
+from linnetwind.side_groups import SideGroups
 from linnetwind.side_server import SideHandlers, SideServer
 
 PLATFORM_TIMEOUT = timedelta(seconds=2)
@@ -52,6 +53,7 @@
         self._clock = SystemClock()
         incarnation = uuid.uuid4().hex
         platform = settings.platform
+        key = Path(platform.fleet_key_file).read_bytes()
         self._executor = ThreadPoolExecutor(_WORKERS, 'call')
         self._calls = {
             served.name: UpstreamCalls(
@@ -75,6 +77,14 @@
             self._executor,
             self._clock,
         )
+        self._groups = SideGroups(
+            Identity('peer', settings.name, incarnation),
+            key,
+            settings.upstreams,
+            self._executor,
+            self._clock,
+            make_log(platform.log_service, PLATFORM_TIMEOUT),
+        )
         self._registry = CollectorRegistry()
         self._running = Gauge(
             'linnetwind_running',
@@ -84,12 +94,12 @@
         )
         self._server = SideServer(
             Identity('side', settings.name, incarnation),
-            Path(platform.fleet_key_file).read_bytes(),
+            key,
             self._calls,
             self._follower,
             SideHandlers(
                 ShareHome(self._clock).take,
-                lambda note: None,
+                self._groups.take_note,
                 self._keyed.handle,
             ),
         )
@@ -132,6 +142,7 @@
         self._keyed.flush()
         self._stopping.set()
         self._follower.stop()
+        self._groups.stop()
         self._server.stop()
         logger.info('drained')
 
@@ -158,10 +169,12 @@
                 calls.gate.concurrency = upstream.concurrency
         self._drained = frozenset(base.drained)
         self._apply_leaving()
+        self._groups.take_base(base)
         logger.info('configuration revision {} in force', state.revision)
 
     def _read_hosts(self) -> None:
         hosts = self._hosts.read().unwrap_or(())
+        self._groups.take_hosts(hosts)
         for host in hosts:
             if host.name == self._settings.host:
                 self._host_leaving = host.state is HostState.LEAVING
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -8,6 +8,7 @@
 import http.client
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -22,17 +23,24 @@
 
 CUSTOMER_KEY = 'key-of-monitoring'
 IP = '127.0.0.1'
+PORTS = (10_000, 32_000)
+TAKEN: set[int] = set()
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that are free now."""
-    held = [socket.socket() for _index in range(count)]
-    for each in held:
-        each.bind((IP, 0))
-    ports = [each.getsockname()[1] for each in held]
-    for each in held:
-        each.close()
-    return ports
+    """Return ports that are free now.
+
+    They lie below the range from which the system takes the ports of
+    outgoing connections, which could otherwise take one before its server
+    has started.
+    """
+    found: list[int] = []
+    while len(found) < count:
+        port = random.randrange(*PORTS)
+        if port not in TAKEN and not reachable(port):
+            TAKEN.add(port)
+            found.append(port)
+    return found
 
 
 def ask(
@@ -189,6 +197,7 @@
                         'ip': IP,
                         'port': self.nodes[upstream['name']].port,
                     },
+                    **self.rank_engine(upstream['name']),
                 }
             ],
         }
@@ -202,6 +211,20 @@
         )
         return self.start_daemon('side', name, port, settings)
 
+    def rank_engine(self, upstream: str) -> dict[str, Any]:
+        """Return where an upstream's rank takes orders, if it has one."""
+        for group in self.deployment.get('groups', []):
+            if upstream in group['ranks']:
+                port = self.nodes[group['name']].port
+                return {'rank_engine': {'ip': IP, 'port': port}}
+        return {}
+
+    def start_groups(self) -> None:
+        """Start a rank group for each group of the deployment."""
+        for group in self.deployment.get('groups', []):
+            size = str(len(group['ranks']))
+            self.start_standin(group['name'], 'rank_group', '--size', size)
+
     def start_entry(self, name: str, site: str, threads: int = 64) -> Node:
         """Start an entry daemon."""
         port, metrics = free_ports(2)
@@ -312,6 +335,7 @@
     cluster = Cluster(folder, deployment, **options)
     try:
         cluster.start_platform()
+        cluster.start_groups()
         cluster.start_upstreams()
         published = cluster.publish()
         if published.returncode:
@@ -328,14 +352,26 @@
         cluster.stop()
 
 
-def reduced(folder: Path, models: int, plains: int) -> dict[str, Any]:
-    """Return an example's base with fewer upstreams and no groups."""
+def reduced(
+    folder: Path, models: int, plains: int, *, groups: bool = False
+) -> dict[str, Any]:
+    """Return an example's base with fewer upstreams, and groups if asked."""
     base = yaml.safe_load((folder / 'base.yaml').read_text())
     counts = {'model': models, 'plain': plains}
     for service in base['services']:
         kept = counts[service['kind']]
         service['upstreams'] = service['upstreams'][:kept]
-    base['groups'] = []
+    kept = [
+        upstream['name']
+        for service in base['services']
+        for upstream in service['upstreams']
+    ]
+    for group in base['groups']:
+        group['ranks'] = [rank for rank in group['ranks'] if rank in kept]
+        # The reduced group has to hold all experts all the same.
+        group['slots_per_rank'] = 64 // len(group['ranks']) + 4
+    if not groups:
+        base['groups'] = []
     for customer in base['customers']:
         # Tests of other matters must not meet a limit.
         customer['requests_per_minute'] = 1_000_000
--- a/standins/log_service.py
+++ b/standins/log_service.py
@@ -21,7 +21,8 @@
     """Streams in memory.
 
     Faults besides the common ones: `retention` (seconds that a record is
-    kept) and `appends_per_second` (more are answered with status 429).
+    kept), `appends_per_second` (more are answered with status 429) and
+    `lose_append_replies` (store, then cut the connection, that many times).
     """
 
     def __init__(self, port: int = 0) -> None:
@@ -35,7 +36,11 @@
         """Append or read."""
         name = request.path.removeprefix('/streams/')
         if request.method == 'POST':
-            return self.append(name, cbor2.loads(request.body))
+            reply = self.append(name, cbor2.loads(request.body))
+            if self.take_fault('lose_append_replies'):
+                request.raw.close_connection = True
+                return None
+            return reply
         return self.read(name, int(request.query.get('from', 0)))
 
     def append(self, name: str, records: list[bytes]) -> Reply:
