--- /dev/null
+++ b/linnetwind/cmd_status.py
@@ -0,0 +1,154 @@
+"""The commands that show what is in force and explain what was done."""
+
+import json
+from collections.abc import Iterator
+from datetime import timedelta
+from pathlib import Path
+from typing import Annotated, Any
+from urllib.error import URLError
+from urllib.request import urlopen
+
+import typer
+
+from linnetwind.cmd_config import (
+    EXIT_UNAVAILABLE,
+    LogService,
+    parse_address,
+)
+from linnetwind.config_fold import ConfigState
+from linnetwind.group_log import GroupRole, fold_role, stream_of_group
+from linnetwind.log_http import make_log
+from linnetwind.log_port import LogPort, read_to_end
+from linnetwind.publisher import read_state
+
+EXIT_NOT_FOUND = 1
+
+_TIMEOUT_SECONDS = 2
+_SHOWN_METRICS = ('linnetwind_config_revision', 'linnetwind_running')
+
+Metrics = Annotated[
+    list[str] | None,
+    typer.Option(
+        help='The metrics address of a daemon, as IP:PORT; may be repeated.'
+    ),
+]
+RequestId = Annotated[
+    str, typer.Argument(help='The X-Request-Id of an answer.')
+]
+LogFiles = Annotated[
+    list[Path], typer.Argument(help='Log files of entry and side daemons.')
+]
+
+
+def status(log_service: LogService, metrics: Metrics = None) -> None:
+    """Show the revision in force, the upstreams and the groups.
+
+    With --metrics, also which revision each of these daemons has in force
+    and what runs at its upstreams. Exit codes: 0 shown, 4 the log service
+    or a daemon did not answer.
+    """
+    log = make_log(
+        parse_address(log_service), timedelta(seconds=_TIMEOUT_SECONDS)
+    )
+    state = read_state(log)
+    if state.is_err():
+        typer.echo(state.unwrap_err().describe(), err=True)
+        raise typer.Exit(EXIT_UNAVAILABLE)
+    for line in _state_lines(state.unwrap(), log):
+        typer.echo(line)
+    silent = False
+    for address in metrics or ():
+        lines = list(_metric_lines(address))
+        silent = silent or not lines
+        typer.echo('\n'.join(lines) or f'{address}: no answer')
+    if silent:
+        raise typer.Exit(EXIT_UNAVAILABLE)
+
+
+def explain(request_id: RequestId, log_files: LogFiles) -> None:
+    """Tell where a request went and why, from the daemons' log lines.
+
+    Exit codes: 0 found, 1 no line names the request.
+    """
+    lines = sorted(
+        (line for path in log_files for line in _lines_of(path, request_id)),
+        key=lambda line: line['time'],
+    )
+    for line in lines:
+        typer.echo(_sentence(line))
+    if not lines:
+        typer.echo(f'{request_id}: no line in these files', err=True)
+        raise typer.Exit(EXIT_NOT_FOUND)
+
+
+def _state_lines(state: ConfigState, log: LogPort) -> Iterator[str]:
+    yield f'revision {state.revision}'
+    for part in state.parts.values():
+        yield f'  {part.name}: changed by revision {part.revision}'
+    if state.deployment is None:
+        return
+    base = state.deployment.base
+    drained = set(base.drained)
+    for overlay in state.deployment.overlays:
+        drained.update(overlay.drained)
+    for service in base.services:
+        names = [upstream.name for upstream in service.upstreams]
+        out = sorted(drained.intersection(names))
+        count = len(names)
+        yield f'service {service.name}: {count} upstreams'
+        if out:
+            listed = ', '.join(out)
+            yield f'  drained: {listed}'
+    for group in base.groups:
+        yield _group_line(group.name, len(group.ranks), log)
+
+
+def _group_line(group: str, ranks: int, log: LogPort) -> str:
+    page = read_to_end(log, stream_of_group(group), 0)
+    if page.is_err():
+        problem = page.unwrap_err().describe()
+        return f'group {group}: {problem}'
+    role = fold_role(GroupRole(), page.unwrap().entries)
+    wanted = role.target.map_id if role.target else 'none yet'
+    holder = role.holder or 'nobody'
+    return (
+        f'group {group}: {ranks} ranks, map wanted: {wanted}, '
+        f'coordinator: {holder}'
+    )
+
+
+def _metric_lines(address: str) -> Iterator[str]:
+    ip_port = parse_address(address)
+    try:
+        with urlopen(  # noqa: S310
+            f'http://{ip_port}/metrics', timeout=_TIMEOUT_SECONDS
+        ) as answer:
+            text = answer.read().decode()
+    except (URLError, OSError):
+        return
+    for line in text.splitlines():
+        if line.startswith(_SHOWN_METRICS):
+            yield f'{address}: {line}'
+
+
+def _lines_of(path: Path, request_id: str) -> Iterator[dict[str, Any]]:
+    for text in path.read_text('utf-8').splitlines():
+        if request_id not in text:
+            continue
+        try:
+            line = json.loads(text)
+        except ValueError:
+            continue
+        if line.get('request') == request_id:
+            yield line
+
+
+def _sentence(line: dict[str, Any]) -> str:
+    known = {'time', 'level', 'event', 'request'}
+    facts = ', '.join(
+        f'{name} {found}'
+        for name, found in line.items()
+        if name not in known and found != ''
+    )
+    time, event = line['time'], line['event']
+    return f'{time}  {event}: {facts}'
--- a/linnetwind/keyed_calls.py
+++ b/linnetwind/keyed_calls.py
@@ -158,7 +158,8 @@
         known = slot.ledger.state_of(key)
         if known is not None and known.claim_id not in slot.abandoned:
             if known.fingerprint != call.fingerprint:
-                return _refuse(call, Reason.KEY_REUSED)
+                # Coming back would not help, so there is no time to wait.
+                return Refused(call.call_id, Reason.KEY_REUSED, 0)
             return self._repeat(slot, call, send, known)
         return self._claim(slot, call, known)
 
--- a/linnetwind/side_daemon.py
+++ b/linnetwind/side_daemon.py
@@ -103,6 +103,11 @@
                 self._keyed.handle,
             ),
         )
+        self._revision = Gauge(
+            'linnetwind_config_revision',
+            'The configuration revision in force.',
+            registry=self._registry,
+        )
         self._draining = False
         self._host_leaving = False
         self._drained: frozenset[str] = frozenset()
@@ -170,6 +175,7 @@
         self._drained = frozenset(base.drained)
         self._apply_leaving()
         self._groups.take_base(base)
+        self._revision.set(state.revision)
         logger.info('configuration revision {} in force', state.revision)
 
     def _read_hosts(self) -> None:
