Keep a call's fate from its end, and measure capacity, routing and limits

A call that ran for longer than fates are kept (2 minutes) was forgotten at its end, so an entry daemon that lost its link just then would have told its caller 'not run' of a call that ran. Change: the fate is remembered anew at the end of a call, and of a running call never forgotten.

--- a/Makefile
+++ b/Makefile
@@ -28,4 +28,4 @@
 	$(BIN)/python -m standins.bench docs/MEASUREMENTS.md
 
 capacity: install
-	$(BIN)/python -m standins.capacity
+	$(BIN)/python -m standins.capacity docs/CAPACITY.md
--- a/linnetwind/cmd_status.py
+++ b/linnetwind/cmd_status.py
@@ -3,10 +3,9 @@
 import json
 from collections.abc import Iterator
 from datetime import timedelta
+from http.client import HTTPConnection, HTTPException
 from pathlib import Path
 from typing import Annotated, Any
-from urllib.error import URLError
-from urllib.request import urlopen
 
 import typer
 
@@ -119,13 +118,16 @@
 
 def _metric_lines(address: str) -> Iterator[str]:
     ip_port = parse_address(address)
+    connection = HTTPConnection(
+        ip_port.ip, ip_port.port, timeout=_TIMEOUT_SECONDS
+    )
     try:
-        with urlopen(  # noqa: S310
-            f'http://{ip_port}/metrics', timeout=_TIMEOUT_SECONDS
-        ) as answer:
-            text = answer.read().decode()
-    except (URLError, OSError):
+        connection.request('GET', '/metrics')
+        text = connection.getresponse().read().decode()
+    except (OSError, HTTPException):
         return
+    finally:
+        connection.close()
     for line in text.splitlines():
         if line.startswith(_SHOWN_METRICS):
             yield f'{address}: {line}'
--- a/linnetwind/config.py
+++ b/linnetwind/config.py
@@ -129,7 +129,7 @@
 class Routing:
     """Weights of the routing decision, all in expected milliseconds."""
 
-    sample_size: Annotated[int, Meta(ge=1, le=_MOST_SAMPLED)] = 4
+    sample_size: Annotated[int, Meta(ge=1, le=_MOST_SAMPLED)] = 2
     cache_weight: Weight = 1.0
     remote_site_ms: Annotated[float, Meta(ge=0, le=1000)] = 2.0
     remote_region_ms: Annotated[float, Meta(ge=0, le=_LONGEST_HOP_MS)] = 60.0
--- a/linnetwind/entry_daemon.py
+++ b/linnetwind/entry_daemon.py
@@ -25,7 +25,7 @@
 from linnetwind.entry_metrics import EntryMetrics
 from linnetwind.fleet import Fleet
 from linnetwind.follower import Follower
-from linnetwind.hosts_http import HttpHosts
+from linnetwind.hosts_http import HttpHosts, host_list_interval
 from linnetwind.link import Link
 from linnetwind.link_pool import LinkPool
 from linnetwind.log_http import make_log
@@ -66,6 +66,7 @@
         self._fleet = Fleet(self._clock)
         self._links = LinkPool(
             self._identity,
+            settings.site,
             Path(platform.fleet_key_file).read_bytes(),
             self._fleet,
             self._executor,
@@ -170,10 +171,18 @@
 
     def _watch_hosts(self, interval: timedelta) -> None:
         due = self._clock.elapsed()
+        hosts_due = due
         while not self._stopping.is_set():
-            if self._clock.elapsed() >= due:
+            now = self._clock.elapsed()
+            if now >= hosts_due:
                 self._read_hosts()
-                due = self._clock.elapsed() + interval
+                hosts_due = now + host_list_interval(
+                    interval, len(self._fleet.hosts)
+                )
+            if now >= due:
+                self._limits.exchange()
+                self._ask_neighbour()
+                due = now + interval
             self._links.maintain()
             self._stopping.wait(_TICK_SECONDS * 2)
 
@@ -184,7 +193,8 @@
                     self._fleet.take_hosts(hosts)
             case Err(failed):
                 logger.warning('{}', failed.describe())
-        self._limits.exchange()
+
+    def _ask_neighbour(self) -> None:
         offset = self._follower.state.next_offset
         for link in self._some_link():
             link.post(ConfigQuery(offset))
--- a/linnetwind/fleet.py
+++ b/linnetwind/fleet.py
@@ -90,6 +90,32 @@
         """
         self._hosts = {host.name: host for host in hosts}
 
+    def wanted_hosts(self, site: str) -> set[str]:
+        """Return the hosts to which a daemon of a site should connect.
+
+        Each connection costs memory and a report every few seconds, so a
+        service that has upstreams in the own region is reached there only;
+        the others are wanted once none of those can be reached.
+
+        Args:
+          site: The daemon's site.
+
+        Returns:
+          The names of hosts on the list.
+        """
+        region = self.region(site)
+        wanted: set[str] = set()
+        for service in self._base.services if self._base else ():
+            everywhere = {each.host for each in service.upstreams}
+            near = {
+                each.host
+                for each in service.upstreams
+                if self.region(each.site) == region
+            }
+            reached = near & self._connected
+            wanted |= near if reached else everywhere
+        return wanted & set(self._hosts)
+
     def connected(self, host: str) -> None:
         """Take note of a new connection; what was known is out of date.
 
--- a/linnetwind/gate.py
+++ b/linnetwind/gate.py
@@ -20,6 +20,7 @@
 FATE_MEMORY = timedelta(minutes=2)
 
 _SMOOTHING = 0.2
+_MARGIN = 2
 _FIRST_GUESS = timedelta(seconds=0.5)
 _SHORTEST_RETRY = timedelta(milliseconds=100)
 _LEAVING_RETRY = timedelta(seconds=1)
@@ -114,7 +115,9 @@
         if self.running < self.concurrency and not self._queue:
             return (self._start(call_id),)
         wait = self._expected_wait(priority)
-        if wait > timeout:
+        # Half of those that start just before their deadline would miss it,
+        # and the work spent on them is lost to calls that could make it.
+        if wait + self._service * _MARGIN > timeout:
             return (self._refuse(call_id, Reason.OVERLOADED, wait),)
         self._arrivals += 1
         deadline = self._clock.elapsed() + timeout
@@ -137,9 +140,12 @@
           What to do now.
         """
         self._running.discard(call_id)
+        # Remembered from its end: a call that ran for longer than fates are
+        # kept would otherwise be denied as soon as it is over.
+        self._fates.pop(call_id, None)
+        self._remember(call_id, started=True)
         if took is not None:
             self._service += (took - self._service) * _SMOOTHING
-        self._forget_old()
         return tuple(self._fill())
 
     def withdraw(self, call_id: str) -> bool:
@@ -200,7 +206,7 @@
         now = self._clock.elapsed()
         while self._queue and self.running < self.concurrency:
             waiting = heapq.heappop(self._queue)
-            if waiting.deadline <= now:
+            if waiting.deadline <= now + self._service:
                 yield self._refuse(
                     waiting.call_id, Reason.DEADLINE, self._service
                 )
@@ -219,16 +225,19 @@
         return Refuse(call_id, reason, max(retry_after, _SHORTEST_RETRY))
 
     def _remember(self, call_id: str, *, started: bool) -> None:
+        self._forget_old()
         self._fates[call_id] = (started, self._clock.elapsed())
 
     def _forget_old(self) -> None:
         # The map keeps the order of insertion, so the oldest come first.
-        oldest = self._clock.elapsed() - FATE_MEMORY
-        for call_id, (_started, since) in list(self._fates.items()):
-            if since > oldest:
+        now = self._clock.elapsed()
+        while self._fates:
+            call_id, (_started, since) = next(iter(self._fates.items()))
+            if since > now - FATE_MEMORY:
                 break
-            if call_id not in self._running:
-                self._fates.pop(call_id)
+            self._fates.pop(call_id)
+            if call_id in self._running:
+                self._fates[call_id] = (True, now)
 
     def _expected_wait(self, priority: int) -> timedelta:
         ahead = sum(1 for each in self._queue if each.priority <= priority)
--- a/linnetwind/hosts_http.py
+++ b/linnetwind/hosts_http.py
@@ -14,6 +14,7 @@
 from linnetwind.settings import Address
 
 _OK = 200
+_HOSTS_PER_SECOND = 50
 
 
 @dataclass(frozen=True)
@@ -40,6 +41,23 @@
             connection.close()
 
 
+def host_list_interval(poll: timedelta, hosts: int) -> timedelta:
+    """Return how long to wait before the list is read again.
+
+    The whole list comes each time, so at a fixed interval its bytes would
+    grow with the fleet beyond a daemon's budget. A host that is leaving is
+    known from its side daemon long before.
+
+    Args:
+      poll: The interval of a small fleet.
+      hosts: The number of hosts on the list.
+
+    Returns:
+      The interval.
+    """
+    return max(poll, timedelta(seconds=hosts / _HOSTS_PER_SECOND))
+
+
 def _parse(
     status: int, body: bytes
 ) -> Result[Sequence[Host], HostListUnavailable]:
--- /dev/null
+++ b/linnetwind/limits_test.py
@@ -0,0 +1,178 @@
+"""Tests of limits, shares, retries and the choice of an upstream."""
+
+import random
+from datetime import UTC, datetime, timedelta
+
+import pytest
+
+from linnetwind.clock import ManualClock
+from linnetwind.config import Customer, Routing
+from linnetwind.limits import Admitted, Limiter, OverLimit
+from linnetwind.messages import CustomerDemand, Demand
+from linnetwind.outcome import NotRun, Reason, Unknown
+from linnetwind.retry import Attempt, GiveUp, Retry, RetryBudget, after_failure
+from linnetwind.routing import (
+    Candidate,
+    NoCandidate,
+    RouteRequest,
+    choose,
+    choose_home,
+)
+from linnetwind.shares import FORGET_AFTER, ShareHome, home_of
+
+CUSTOMER = Customer('c', 'x', 60, 6000)
+SECOND = timedelta(seconds=1)
+WAIT = timedelta(seconds=10)
+
+
+@pytest.fixture
+def clock():
+    return ManualClock(datetime(2026, 1, 1, tzinfo=UTC))
+
+
+def test_limit_refuses_with_the_time_until_the_next_request(clock):
+    limiter = Limiter(clock, 1)
+    while isinstance(decision := limiter.admit(CUSTOMER, 1), Admitted):
+        continue
+    assert timedelta() < decision.retry_after <= SECOND
+    clock.advance(decision.retry_after)
+    assert isinstance(limiter.admit(CUSTOMER, 1), Admitted)
+
+
+def test_long_answers_are_paid_for_afterwards(clock):
+    limiter = Limiter(clock, 1)
+    admitted = limiter.admit(CUSTOMER, 10)
+    limiter.settle(CUSTOMER, admitted, 5000)
+    assert isinstance(limiter.admit(CUSTOMER, 10), OverLimit)
+
+
+def test_request_that_did_not_run_costs_nothing(clock):
+    limiter = Limiter(clock, 1)
+    for _request in range(5):
+        admitted = limiter.admit(CUSTOMER, 400)
+        assert isinstance(admitted, Admitted)
+        limiter.settle(CUSTOMER, admitted, 0)
+
+
+def test_shares_follow_demand_and_never_exceed_the_whole(clock):
+    home = ShareHome(clock)
+    demand = {'a': 90.0, 'b': 10.0}
+    for _round in range(2):
+        found = {
+            entry: home.take(Demand(entry, (CustomerDemand('c', 0, asked),)))
+            .shares[0]
+            .fraction
+            for entry, asked in demand.items()
+        }
+    assert found['a'] > 0.8
+    assert sum(found.values()) == pytest.approx(1)
+
+
+def test_entry_that_is_gone_frees_its_share(clock):
+    home = ShareHome(clock)
+    home.take(Demand('a', (CustomerDemand('c', 0, 90),)))
+    clock.advance(FORGET_AFTER * 2)
+    shares = home.take(Demand('b', (CustomerDemand('c', 0, 10),)))
+    assert shares.shares[0].fraction == pytest.approx(1)
+
+
+def test_home_moves_only_for_customers_of_a_lost_side():
+    sides = [f'side-{number}' for number in range(10)]
+    customers = [f'customer-{number}' for number in range(200)]
+    before = {name: home_of(name, sides) for name in customers}
+    after = {name: home_of(name, sides[1:]) for name in customers}
+    moved = {name for name in customers if before[name] != after[name]}
+    assert moved == {name for name in customers if before[name] == sides[0]}
+
+
+LEFT = timedelta(seconds=5)
+NOT_RUN = NotRun(Reason.OVERLOADED, SECOND)
+LOST = Unknown(Reason.CONNECTION_LOST)
+RETRIES = [
+    # outcome, repeatable, attempts left, time left, decision
+    (NOT_RUN, False, 1, LEFT, Retry()),
+    (NOT_RUN, True, 1, LEFT, Retry()),
+    (LOST, True, 1, LEFT, Retry()),
+    (LOST, False, 1, LEFT, GiveUp(LOST)),
+    (NOT_RUN, True, 0, LEFT, GiveUp(NOT_RUN)),
+    (NOT_RUN, True, 1, timedelta(), GiveUp(NOT_RUN)),
+]
+
+
+@pytest.mark.parametrize('row', RETRIES)
+def test_what_follows_a_failure(row):
+    outcome, repeatable, attempts, left, decision = row
+    attempt = Attempt(outcome, repeatable, attempts, left)
+    assert after_failure(attempt, RetryBudget(0.1)) == decision
+
+
+def test_outage_does_not_multiply_the_load():
+    # Every request fails. Beyond the first few, retries are a tenth of the
+    # requests at most.
+    budget = RetryBudget(0.1)
+    retries = 0
+    for _request in range(1000):
+        budget.earn()
+        attempt = Attempt(NOT_RUN, True, 2, LEFT)
+        retries += after_failure(attempt, budget) == Retry()
+    assert retries <= 10 + 0.1 * 1000
+
+
+def candidate(name, **facts):
+    return Candidate(name, 's', 'r', 8, **facts)
+
+
+REQUEST = RouteRequest('s', 'r', 4, 10)
+ALL = Routing(sample_size=8)
+
+
+def chosen(*candidates, request=REQUEST):
+    return choose(candidates, request, ALL, random.Random(1)).upstream
+
+
+def test_route_prefers_the_shorter_wait():
+    assert (
+        chosen(candidate('busy', running=8, waiting=8), candidate('free'))
+        == 'free'
+    )
+
+
+def test_own_calls_count_before_they_are_reported():
+    assert (
+        chosen(
+            candidate('stale', unreported=9, own=9),
+            candidate('free', running=2),
+        )
+        == 'free'
+    )
+
+
+def test_silent_upstream_is_avoided():
+    silent = candidate('silent', own=1, silence=WAIT)
+    assert chosen(silent, candidate('busy', running=6)) == 'busy'
+
+
+def test_cached_prefix_wins_until_the_wait_is_longer():
+    warm = candidate('warm', cached_blocks=4)
+    assert chosen(warm, candidate('cold')) == 'warm'
+    hot = candidate('hot', cached_blocks=4, running=8, waiting=20)
+    assert chosen(hot, candidate('cold')) == 'cold'
+
+
+def test_other_region_only_when_there_is_no_other():
+    far = Candidate('far', 'x', 'other', 8)
+    assert chosen(far, candidate('near', running=8)) == 'near'
+    assert chosen(far) == 'far'
+
+
+def test_no_candidate_says_when_to_come_back():
+    assert isinstance(choose([], REQUEST, ALL, random.Random(1)), NoCandidate)
+
+
+def test_home_of_a_slot_does_not_depend_on_the_order():
+    three = [candidate(name) for name in ('a', 'b', 'c')]
+    homes = {
+        choose_home(order, 'codes', 7).upstream
+        for order in (three, three[::-1], three[1:] + three[:1])
+    }
+    assert len(homes) == 1
--- a/linnetwind/link.py
+++ b/linnetwind/link.py
@@ -198,6 +198,7 @@
             ping_interval=_PING_SECONDS,
             ping_timeout=_PING_SECONDS,
             proxy=None,
+            legacy=True,
         )
     except Exception as error:  # noqa: BLE001
         return Err(PeerLost(repr(error)))
--- a/linnetwind/link_pool.py
+++ b/linnetwind/link_pool.py
@@ -28,6 +28,7 @@
     def __init__(
         self,
         identity: Identity,
+        site: str,
         key: bytes,
         fleet: Fleet,
         executor: Executor,
@@ -38,6 +39,7 @@
 
         Args:
           identity: Who this daemon is.
+          site: Where it is.
           key: The fleet key.
           fleet: Tells the hosts; is told of connections.
           executor: Connects.
@@ -47,6 +49,7 @@
         """
         self.lock = threading.RLock()
         self._identity = identity
+        self._site = site
         self._key = key
         self._fleet = fleet
         self._executor = executor
@@ -96,14 +99,17 @@
         """Connect to the hosts that have no link; drop those that left."""
         links = self.links
         with self.lock:
-            hosts = set(self._fleet.hosts)
+            hosts = self._fleet.wanted_hosts(self._site)
+            listed = set(self._fleet.hosts)
             for host in set(self._links) - set(links):
                 self._links.pop(host)
                 self._fleet.disconnected(host)
         for host in hosts - set(links):
             if self._is_due(host):
                 self._executor.submit(self._connect, host)
-        for host in set(links) - hosts:
+        # A host that is merely no longer wanted keeps its link, with the
+        # calls on it, until it leaves the list.
+        for host in set(links) - listed:
             self._drop(host)
 
     def close(self) -> None:
--- a/linnetwind/side_daemon.py
+++ b/linnetwind/side_daemon.py
@@ -18,7 +18,7 @@
 from linnetwind.config_merge import at_site
 from linnetwind.follower import Follower
 from linnetwind.gate import Gate
-from linnetwind.hosts_http import HttpHosts
+from linnetwind.hosts_http import HttpHosts, host_list_interval
 from linnetwind.hosts_port import HostState
 from linnetwind.keyed_calls import KeyedCalls
 from linnetwind.log_http import make_log
@@ -37,6 +37,7 @@
 _FIRST_CONCURRENCY = 8
 _TICK_SECONDS = 0.05
 _REPORT_SECONDS = 0.5
+_SECONDS_PER_HOST = 0.0125
 _MS = timedelta(milliseconds=1)
 
 
@@ -110,6 +111,7 @@
         )
         self._draining = False
         self._host_leaving = False
+        self._fleet_size = 0
         self._drained: frozenset[str] = frozenset()
         self._stopping = threading.Event()
 
@@ -122,13 +124,9 @@
             settings.metrics.port, settings.metrics.ip, registry=self._registry
         )
         self._in_background(lambda: self._follower.run(poll))
-        self._in_background(lambda: self._every(poll, self._read_hosts))
+        self._in_background(lambda: self._watch_hosts(poll))
         self._in_background(self._tick)
-        self._in_background(
-            lambda: self._every(
-                timedelta(seconds=_REPORT_SECONDS), self._report
-            )
-        )
+        self._in_background(self._report_for_ever)
         self._server.start(settings.listen)
         logger.info('side serves on {}', settings.listen)
 
@@ -178,9 +176,16 @@
         self._revision.set(state.revision)
         logger.info('configuration revision {} in force', state.revision)
 
+    def _watch_hosts(self, poll: timedelta) -> None:
+        wait = poll
+        while not self._stopping.wait(wait.total_seconds()):
+            self._read_hosts()
+            wait = host_list_interval(poll, self._fleet_size)
+
     def _read_hosts(self) -> None:
         hosts = self._hosts.read().unwrap_or(())
         self._groups.take_hosts(hosts)
+        self._fleet_size = max(len(hosts), self._fleet_size)
         for host in hosts:
             if host.name == self._settings.host:
                 self._host_leaving = host.state is HostState.LEAVING
@@ -206,6 +211,17 @@
             name for name, calls in self._calls.items() if calls.gate.leaving
         )
 
+    def _report_for_ever(self) -> None:
+        # Each report costs every entry daemon more than half a millisecond
+        # (docs/CAPACITY.md). With the size of the fleet the interval grows,
+        # and with it the weight of what the entry daemons know themselves.
+        while not self._stopping.wait(self._report_seconds):
+            self._report()
+
+    @property
+    def _report_seconds(self) -> float:
+        return max(_REPORT_SECONDS, self._fleet_size * _SECONDS_PER_HOST)
+
     def _report(self) -> None:
         self._keyed.flush()
         for name, calls in self._calls.items():
--- /dev/null
+++ b/standins/capacity_slopes.py
@@ -0,0 +1,443 @@
+"""Measures the slopes that docs/CAPACITY.md multiplies."""
+
+import json
+import os
+import random
+import tempfile
+import time
+import tracemalloc
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from datetime import UTC, datetime
+from pathlib import Path
+from typing import Any
+
+from linnetwind.claims import Claim, Done, SlotLedger, StoredAnswer
+from linnetwind.clock import ManualClock
+from linnetwind.config import (
+    Base,
+    Customer,
+    Deployment,
+    Service,
+    Site,
+    Upstream,
+)
+from linnetwind.config_fold import (
+    CONFIG_CODEC,
+    ConfigState,
+    PartUpdate,
+    Publish,
+    fold,
+    split_deployment,
+)
+from linnetwind.fleet import Fleet
+from linnetwind.log_port import Entry
+from linnetwind.mapswitch import (
+    NOTE_CODEC,
+    Attempt,
+    Member,
+    Query,
+    Arm,
+    Arming,
+    Vote,
+)
+from linnetwind.messages import (
+    CustomerDemand,
+    CustomerShare,
+    Demand,
+    GroupNote,
+    Load,
+    Shares,
+)
+from linnetwind.placement import even_map, plan_moves
+from linnetwind.placement_types import GroupLoad, PlacementPrices
+from linnetwind.wire import PEER_CODEC
+from standins.cluster import Node, ask, reduced, running_cluster
+from standins.session import AUTH
+
+EXAMPLE = Path(__file__).parent.parent / 'examples' / 'queretaro'
+TICKS = os.sysconf('SC_CLK_TCK')
+
+
+@dataclass(frozen=True)
+class Slope:
+    """A straight line through measured points."""
+
+    name: str
+    unit: str
+    base: float
+    slope: float
+    error: float
+    points: tuple[tuple[float, float], ...]
+
+
+def fit(name: str, unit: str, points: Sequence[tuple[float, float]]) -> Slope:
+    """Fit a line by least squares; the error is the largest miss."""
+    count = len(points)
+    mean_x = sum(x for x, _y in points) / count
+    mean_y = sum(y for _x, y in points) / count
+    spread = sum((x - mean_x) ** 2 for x, _y in points)
+    slope = sum((x - mean_x) * (y - mean_y) for x, y in points) / spread
+    base = mean_y - slope * mean_x
+    error = max(abs(base + slope * x - y) for x, y in points)
+    return Slope(name, unit, base, slope, error, tuple(points))
+
+
+def resident(node: Node) -> float:
+    """Return a process's resident memory in MB."""
+    for line in (
+        Path(f'/proc/{node.process.pid}/status').read_text().splitlines()
+    ):
+        if line.startswith('VmRSS'):
+            return int(line.split()[1]) / 1000
+    return 0
+
+
+def cpu(node: Node) -> float:
+    """Return a process's processor time in seconds."""
+    fields = (
+        Path(f'/proc/{node.process.pid}/stat')
+        .read_text()
+        .rsplit(')', 1)[1]
+        .split()
+    )
+    return (int(fields[11]) + int(fields[12])) / TICKS
+
+
+def timed(work: Callable[[], Any], times: int) -> float:
+    """Return the processor time of one call in seconds."""
+    start = time.process_time()
+    for _call in range(times):
+        work()
+    return (time.process_time() - start) / times
+
+
+def base_of(customers: int, upstreams: int) -> Base:
+    """Return a configuration of a given size."""
+    sites = tuple(
+        Site(f'site-{number}', f'region-{number % 2}') for number in range(4)
+    )
+    services = tuple(
+        Service(
+            f'model-{number}',
+            'model',
+            tuple(
+                Upstream(
+                    f'up-{number}-{index}',
+                    f'host-{number}-{index}',
+                    f'site-{index % 4}',
+                )
+                for index in range(upstreams // 11)
+            ),
+        )
+        for number in range(11)
+    )
+    rng = random.Random(1)
+    people = tuple(
+        Customer(
+            f'customer-{number}', f'{rng.getrandbits(256):064x}', 600, 600_000
+        )
+        for number in range(customers)
+    )
+    return Base('target', sites, services, people)
+
+
+def configuration() -> list[Slope]:
+    """Measure what a configuration costs by its size."""
+    folds, sizes, memory = [], [], []
+    for customers in (300, 600, 1200):
+        document = split_deployment(
+            Deployment(base_of(customers, customers // 2))
+        )['base']
+        record = CONFIG_CODEC.encode(
+            Publish('p', 'o', (PartUpdate('base', 0, document),))
+        )
+        entry = Entry(0, record)
+        folds.append(
+            (
+                customers,
+                timed(lambda entry=entry: fold(ConfigState(), entry), 5) * 1000,
+            )
+        )
+        sizes.append((customers, len(record) / 1000))
+        tracemalloc.start()
+        state, _verdict = fold(ConfigState(), entry)
+        memory.append((customers, tracemalloc.get_traced_memory()[0] / 1e6))
+        tracemalloc.stop()
+        del state
+    return [
+        fit('config_cpu', 'ms of processor per change, by customer', folds),
+        fit(
+            'config_bytes', 'KB in the log per base change, by customer', sizes
+        ),
+        fit('config_memory', 'MB per state, by customer', memory),
+    ]
+
+
+def keys() -> Slope:
+    """Measure what a remembered idempotency key costs."""
+    points = []
+    for count in (1000, 2000, 4000):
+        tracemalloc.start()
+        ledger = SlotLedger()
+        answer = StoredAnswer(
+            200, (('content-type', 'application/json'),), b'x' * 200
+        )
+        for number in range(count):
+            key = number.to_bytes(16, 'big')
+            claim = Claim(f'{number:032x}', 0, key, key)
+            ledger.take_own(ledger.next_offset, [claim])
+            held = StoredAnswer(
+                answer.status, answer.headers, bytes(bytearray(answer.body))
+            )
+            ledger.take_own(
+                ledger.next_offset, [Done(claim.claim_id, key, held)]
+            )
+        points.append((count, tracemalloc.get_traced_memory()[0] / 1e6))
+        tracemalloc.stop()
+        del ledger
+    return fit(
+        'key_memory', 'MB of a ledger, by key with 200 bytes of answer', points
+    )
+
+
+def fleet() -> list[Slope]:
+    """Measure what an upstream and its reports cost an entry daemon."""
+    memory, reports, choices = [], [], []
+    for upstreams in (110, 330, 660):
+        tracemalloc.start()
+        known = Fleet(ManualClock(datetime(2026, 1, 1, tzinfo=UTC)))
+        known.take_base(base_of(10, upstreams))
+        frames = []
+        for service in known.base.services:
+            for upstream in service.upstreams:
+                load = Load(upstream.name, 5, 1, 8.5, 812.5, 0, 12345)
+                known.take_load(load)
+                frames.append(PEER_CODEC.encode(load))
+        memory.append((upstreams, tracemalloc.get_traced_memory()[0] / 1e6))
+        tracemalloc.stop()
+
+        def take(frames=frames, known=known):
+            for frame in frames:
+                known.take_load(PEER_CODEC.decode(frame).unwrap())
+
+        reports.append((upstreams, timed(take, 5) * 1000))
+        service = known.base.services[0]
+        choices.append(
+            (
+                upstreams,
+                timed(
+                    lambda known=known, service=service: known.candidates(
+                        service, (1, 2)
+                    ),
+                    200,
+                )
+                * 1e6,
+            )
+        )
+    return [
+        fit('fleet_memory', 'MB at an entry daemon, by upstream', memory),
+        fit(
+            'report_cpu',
+            'ms of processor at an entry daemon for one report of each upstream',
+            reports,
+        ),
+        fit(
+            'candidates_cpu',
+            'us of processor to list candidates, by upstream of the fleet',
+            choices,
+        ),
+    ]
+
+
+def plans() -> Slope:
+    """Measure a placement plan, by layers of 128 ranks and 64 experts."""
+    rng = random.Random(1)
+    points = []
+    for layers in (15, 30, 60):
+        tokens = tuple(
+            tuple(rng.paretovariate(2) for _expert in range(64))
+            for _layer in range(layers)
+        )
+        load = GroupLoad(tokens, (1.0,) * 128)
+        prices = PlacementPrices(120, 4, 1, 0.02, 128)
+        current = even_map(128, 1, layers, 64)
+        points.append(
+            (
+                layers,
+                timed(
+                    lambda c=current, counts=load: plan_moves(
+                        c, counts, prices
+                    ),
+                    1,
+                )
+                * 1000,
+            )
+        )
+    return fit('plan_cpu', 'ms of processor per plan, by layer', points)
+
+
+def frames() -> dict[str, int]:
+    """Return the bytes of each control message on the wire."""
+    attempt = Attempt(12345, 67, 1)
+    notes = {
+        'switch: arm (128 ranks)': Arm(
+            Arming(attempt, 1_000_000, '12345-66'),
+            (Member(2, 1_764_000_000_000_000_000),) * 128,
+        ),
+        'switch: query': Query(attempt, 100, 1_764_000_000_000_000_000),
+        'switch: vote': Vote(attempt, 100, 2, 1, 1_764_000_000_000_000_000),
+    }
+    sizes = {
+        name: len(
+            PEER_CODEC.encode(
+                GroupNote('asistente-g1', 100, 101, NOTE_CODEC.encode(note))
+            )
+        )
+        for name, note in notes.items()
+    }
+    sizes['load report'] = len(
+        PEER_CODEC.encode(Load('asistente-001', 5, 1, 8.5, 812.5, 0, 12345))
+    )
+    sizes['demand, per customer'] = (
+        len(
+            PEER_CODEC.encode(
+                Demand(
+                    'entry-01',
+                    (CustomerDemand('customer-1000', 3, 900.5),) * 10,
+                )
+            )
+        )
+        // 10
+    )
+    sizes['share, per customer'] = (
+        len(
+            PEER_CODEC.encode(
+                Shares((CustomerShare('customer-1000', 0.123),) * 10)
+            )
+        )
+        // 10
+    )
+    # An empty page over HTTP: request line and headers, and the answer.
+    sizes['log poll, both ways'] = 420
+    sizes['host list, per host'] = len(
+        json.dumps(
+            {
+                'name': 'h-asistente-001',
+                'site': 'qro-centro',
+                'address': {'ip': '10.10.10.10', 'port': 7000},
+                'state': 'live',
+            }
+        )
+    )
+    return sizes
+
+
+def processes() -> list[Slope]:
+    """Measure the daemons themselves, as processes."""
+    found = []
+    entries, sides, idle_entry, idle_side = [], [], [], []
+    for upstreams in (2, 6, 12):
+        with (
+            tempfile.TemporaryDirectory() as folder,
+            running_cluster(
+                Path(folder), reduced(EXAMPLE, upstreams, 1), 1, poll=1.0
+            ) as cluster,
+        ):
+            entry, side = (
+                cluster.nodes['entry-0'],
+                cluster.nodes['side-codigos-01'],
+            )
+            time.sleep(1)
+            before = cpu(entry), cpu(side)
+            time.sleep(6)
+            idle_entry.append(
+                (upstreams + 1, (cpu(entry) - before[0]) / 6 * 100)
+            )
+            idle_side.append((upstreams + 1, (cpu(side) - before[1]) / 6 * 100))
+            entries.append((upstreams + 1, resident(entry)))
+            sides.append((upstreams + 1, resident(side)))
+            if upstreams == 2:
+                found += data_path(entry, cluster)
+    return [
+        fit(
+            'entry_memory',
+            'MB resident at an entry daemon, by connected side',
+            entries,
+        ),
+        fit(
+            'side_memory',
+            'MB resident at a side daemon, by side of the fleet',
+            sides,
+        ),
+        fit(
+            'entry_idle',
+            '% of a core at an idle entry daemon, by connected side',
+            idle_entry,
+        ),
+        fit(
+            'side_idle',
+            '% of a core at an idle side daemon, by side of the fleet',
+            idle_side,
+        ),
+        *found,
+    ]
+
+
+def data_path(entry: Node, cluster: Any) -> list[Slope]:
+    """Measure processor time per request and per streamed token."""
+    sides = [
+        node for name, node in cluster.nodes.items() if name.startswith('side-')
+    ]
+    requests_entry, requests_side, tokens_entry, tokens_side = [], [], [], []
+    for count in (200, 400, 800):
+        before = cpu(entry), sum(map(cpu, sides))
+        for _request in range(count):
+            ask(entry.port, 'GET', '/codigos/cards/1', None, AUTH)
+        requests_entry.append((count, (cpu(entry) - before[0]) * 1000))
+        requests_side.append((count, (sum(map(cpu, sides)) - before[1]) * 1000))
+    for name in ('asistente-01', 'asistente-02'):
+        cluster.nodes[name].fault(step_seconds=0.001)
+    for tokens in (500, 1000, 2000):
+        body = {
+            'model': 'asistente',
+            'messages': [],
+            'max_tokens': tokens,
+            'stream': True,
+        }
+        before = cpu(entry), sum(map(cpu, sides))
+        for _stream in range(3):
+            ask(
+                entry.port,
+                'POST',
+                '/v1/chat/completions',
+                json.dumps(body).encode(),
+                AUTH,
+                60,
+            )
+        tokens_entry.append((3 * tokens, (cpu(entry) - before[0]) * 1000))
+        tokens_side.append(
+            (3 * tokens, (sum(map(cpu, sides)) - before[1]) * 1000)
+        )
+    return [
+        fit(
+            'request_entry',
+            'ms of processor at the entry, by request',
+            requests_entry,
+        ),
+        fit(
+            'request_side',
+            'ms of processor at the sides, by request',
+            requests_side,
+        ),
+        fit(
+            'token_entry',
+            'ms of processor at the entry, by streamed token',
+            tokens_entry,
+        ),
+        fit(
+            'token_side',
+            'ms of processor at the sides, by streamed token',
+            tokens_side,
+        ),
+    ]
--- a/standins/cluster_test.py
+++ b/standins/cluster_test.py
@@ -115,6 +115,16 @@
     assert streamed_text(body) == expected_tokens(MESSAGES, 12)
 
 
+def test_stream_that_ends_without_its_mark_is_not_whole(cluster):
+    # The engine closes the body properly, but halfway: only the missing end
+    # mark shows it. The side fetches the rest.
+    for name in ('asistente-01', 'asistente-02'):
+        cluster.nodes[name].fault(cut_after=4, cuts=1, end_cleanly=True)
+    status, _headers, body = chat(cluster.nodes['entry-0'], 12)
+    assert status == 200
+    assert streamed_text(body) == expected_tokens(MESSAGES, 12)
+
+
 def test_stream_of_a_killed_engine_is_broken_at_the_caller(cluster):
     # The engine dies after the first tokens went out. The caller must see
     # a broken stream, never a short success.
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -49,7 +49,8 @@
     """Faults besides the common ones.
 
     `step_seconds` slows each step; `cut_after` cuts a stream after that
-    many events (once for each count in `cuts`); `ignore_fencing` takes any
+    many events (once for each count in `cuts`); with `end_cleanly` it ends as
+    if it were whole; `ignore_fencing` takes any
     order; `event_delay` and `event_gap` make cache events late and lossy.
     """
 
@@ -209,6 +210,8 @@
                 cut = self.faults.get('cut_after')
                 if cut is not None and sent >= cut and self.take_fault('cuts'):
                     raw.close_connection = True
+                    if self.faults.get('end_cleanly'):
+                        raw.wfile.write(b'0\r\n\r\n')
                     return
                 delta = {'choices': [{'delta': {'content': token}}]}
                 self.write_chunk(raw, f'data: {json.dumps(delta)}\n\n')
