--- a/linnetwind/fleet.py
+++ b/linnetwind/fleet.py
@@ -20,6 +20,7 @@
 FIRST_EJECTION = timedelta(seconds=1)
 LONGEST_EJECTION = timedelta(minutes=0.5)
 CACHE_BLOCKS = 4096
+FIRST_HOSTS = 3
 
 _NONE = timedelta()
 
@@ -103,9 +104,12 @@
         Returns:
           The names of hosts on the list.
         """
+        if self._base is None:
+            # Without a configuration any side will do to get one from.
+            return set(list(self._hosts)[:FIRST_HOSTS])
         region = self.region(site)
         wanted: set[str] = set()
-        for service in self._base.services if self._base else ():
+        for service in self._base.services:
             everywhere = {each.host for each in service.upstreams}
             near = {
                 each.host
--- a/linnetwind/mapswitch_test.py
+++ b/linnetwind/mapswitch_test.py
@@ -9,6 +9,21 @@
 
 import pytest
 
+from linnetwind.mapswitch import (
+    Arming,
+    Attempt,
+    JoinQuery,
+    OrderConfirm,
+    OrderDisarm,
+    Prepare,
+    Query,
+    RankStatus,
+    Verdict,
+    Vote,
+    handle_note,
+    handle_status,
+    make_participant,
+)
 from standins.explorer import Explorer, Scenario, attempt
 
 LONG_WAIT = 30
@@ -73,3 +88,64 @@
     explorer = Explorer(scenario)
     world = explorer.settle(explorer.start(), LONG_WAIT)
     assert {rank.map_id for rank in world.ranks} == {'last'}
+
+
+ATTEMPT = Attempt(1, 1, 0)
+ARMING = Arming(ATTEMPT, 5, 'new')
+ARMED = RankStatus(1, step=5, map_id='old', armed=ARMING)
+FREE = RankStatus(1, step=3, map_id='old')
+
+
+def side_at(status):
+    return handle_status(make_participant(0, 2, 7), status)[0]
+
+
+def vote(verdict, generation=1, asked_by=7):
+    return Vote(ATTEMPT, 1, generation, verdict, asked_by)
+
+
+def test_verdict_of_an_older_generation_is_passed_over():
+    # Rank 1 voted, restarted, and joined while this rank was asked. Its old
+    # vote is still on the way; counted, it would confirm a switch of which
+    # the new generation knows nothing.
+    side, _actions = handle_note(side_at(ARMED), JoinQuery(1, 2))
+    _side, actions = handle_note(side, vote(Verdict.ARMED, generation=1))
+    assert actions == ()
+    _side, actions = handle_note(side, vote(Verdict.REFUSED, generation=1))
+    assert actions == ()
+    _side, actions = handle_note(side, vote(Verdict.ARMED, generation=2))
+    assert OrderConfirm(ATTEMPT) in actions
+
+
+def test_verdict_for_a_former_incarnation_is_passed_over():
+    _side, actions = handle_note(
+        side_at(ARMED), vote(Verdict.ARMED, asked_by=6)
+    )
+    assert actions == ()
+
+
+def test_refusal_stands_though_a_late_order_arms_the_rank():
+    # This side has said "refused"; its engine is armed by an order that was
+    # on the way. It must not vote for the attempt, nor confirm it.
+    side, actions = handle_note(side_at(FREE), Query(ATTEMPT, 1, 9))
+    assert actions[0].note.verdict is Verdict.REFUSED
+    side, actions = handle_status(side, ARMED)
+    assert OrderDisarm(ATTEMPT) in actions
+    side, actions = handle_note(side, Query(ATTEMPT, 1, 9))
+    assert actions[0].note.verdict is Verdict.REFUSED
+    _side, actions = handle_note(side, vote(Verdict.ARMED))
+    assert actions == ()
+
+
+def test_restarted_rank_does_not_refuse():
+    new = side_at(RankStatus(2))
+    _side, actions = handle_note(new, Query(ATTEMPT, 1, 9))
+    assert actions == ()
+
+
+def test_replaced_coordinator_is_not_followed():
+    side, _actions = handle_note(
+        side_at(FREE), Prepare(Attempt(3, 1, 1), 'new')
+    )
+    _side, actions = handle_note(side, Prepare(Attempt(2, 9, 0), 'older'))
+    assert actions == ()
--- a/standins/capacity.py
+++ b/standins/capacity.py
@@ -223,7 +223,9 @@
     yield ''
 
 
-def page(slopes: list[Slope], sizes: dict[str, int]) -> Iterator[str]:
+def page(
+    slopes: list[Slope], sizes: dict[str, int], delays: list[float]
+) -> Iterator[str]:
     """Yield the lines of the page."""
     by = {each.name: each for each in slopes}
     yield "# Capacity at the letter's size"
@@ -266,6 +268,7 @@
     yield from over_budget(by)
     yield from data_path(by)
     yield from log_service()
+    yield from in_force_times(delays)
     yield from failures(by)
 
 
@@ -343,6 +346,15 @@
     yield ''
 
 
+def in_force_times(delays: list[float]) -> Iterator[str]:
+    """Yield what was measured from a publish to each daemon's log line."""
+    ordered = sorted(delays)
+    yield f'Measured here, polls of 1 s, {len(delays)} pairs of change and daemon, from the start of the'
+    yield f'append to the daemon\'s line "in force": median {ordered[len(ordered) // 2]:.2f} s,'
+    yield f'longest {ordered[-1]:.2f} s.'
+    yield ''
+
+
 def failures(by: dict[str, Slope]) -> Iterator[str]:
     """Yield the fault rates and what carries them."""
     size = by['config_bytes'].slope * CUSTOMERS
@@ -362,8 +374,9 @@
 
 def main() -> None:
     """Measure, and write the page."""
-    slopes = [*configuration(), keys(), *fleet(), plans(), *processes()]
-    text = '\n'.join(page(slopes, frames())) + '\n'
+    measured, delays = processes()
+    slopes = [*configuration(), keys(), *fleet(), plans(), *measured]
+    text = '\n'.join(page(slopes, frames(), delays)) + '\n'
     print(text)
     if len(sys.argv) > 1:
         Path(sys.argv[1]).write_text(text, 'utf-8')
--- a/standins/capacity_slopes.py
+++ b/standins/capacity_slopes.py
@@ -7,8 +7,8 @@
 import time
 import tracemalloc
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
-from datetime import UTC, datetime
+from dataclasses import dataclass, replace
+from datetime import UTC, datetime, timedelta
 from pathlib import Path
 from typing import Any
 
@@ -32,6 +32,9 @@
 )
 from linnetwind.fleet import Fleet
 from linnetwind.log_port import Entry
+from linnetwind.log_http import make_log
+from linnetwind.publisher import prepare, publish_once, read_state
+from linnetwind.settings import Address
 from linnetwind.mapswitch import (
     NOTE_CODEC,
     Attempt,
@@ -52,8 +55,16 @@
 from linnetwind.placement import even_map, plan_moves
 from linnetwind.placement_types import GroupLoad, PlacementPrices
 from linnetwind.wire import PEER_CODEC
-from standins.cluster import Node, ask, reduced, running_cluster
-from standins.session import AUTH
+from standins.cluster import (
+    IP,
+    Cluster,
+    Node,
+    ask,
+    reduced,
+    running_cluster,
+    wait_until,
+)
+from standins.session import AUTH, in_force
 
 EXAMPLE = Path(__file__).parent.parent / 'examples' / 'queretaro'
 TICKS = os.sysconf('SC_CLK_TCK')
@@ -333,9 +344,41 @@
     return sizes
 
 
-def processes() -> list[Slope]:
+def in_force_delays(cluster: Cluster, changes: int) -> list[float]:
+    """Publish changes; return the seconds until each daemon has each."""
+    log = make_log(Address(IP, cluster.log.port), timedelta(seconds=2))
+    daemons = [node for node in cluster.nodes.values() if node.is_daemon]
+    delays = []
+    for number in range(changes):
+        state = read_state(log).unwrap()
+        base = replace(
+            state.deployment.base, drained=('codigos-01',) * (number % 2)
+        )
+        wanted = replace(state.deployment, base=base)
+        change = prepare(wanted, state, None, f'change-{number}', 'capacity')
+        started = datetime.now(UTC)
+        verdict = publish_once(log, change, [0.1] * 50, time.sleep)
+        for node in daemons:
+            wait_until(
+                lambda node=node, verdict=verdict: (
+                    in_force(node) >= verdict.revision
+                )
+            )
+            line = next(
+                line
+                for line in reversed(node.lines())
+                if line['event']
+                == f'configuration revision {verdict.revision} in force'
+            )
+            seen = datetime.fromisoformat(line['time'])
+            delays.append((seen - started).total_seconds())
+    return delays
+
+
+def processes() -> tuple[list[Slope], list[float]]:
     """Measure the daemons themselves, as processes."""
-    found = []
+    found: list[Slope] = []
+    delays: list[float] = []
     entries, sides, idle_entry, idle_side = [], [], [], []
     for upstreams in (2, 6, 12):
         with (
@@ -358,6 +401,7 @@
             entries.append((upstreams + 1, resident(entry)))
             sides.append((upstreams + 1, resident(side)))
             if upstreams == 2:
+                delays = in_force_delays(cluster, 8)
                 found += data_path(entry, cluster)
     return [
         fit(
@@ -381,7 +425,7 @@
             idle_side,
         ),
         *found,
-    ]
+    ], delays
 
 
 def data_path(entry: Node, cluster: Any) -> list[Slope]:
--- a/standins/cluster_test.py
+++ b/standins/cluster_test.py
@@ -20,6 +20,7 @@
     wait_until,
 )
 from standins.engine import expected_tokens
+from standins.session import in_force
 
 EXAMPLE = Path(__file__).parent.parent / 'examples' / 'queretaro'
 AUTH = {'Authorization': f'Bearer {CUSTOMER_KEY}'}
@@ -339,6 +340,22 @@
     assert ask(entry.port, 'GET', '/codigos/cards/1', None, AUTH)[0] == 200
 
 
+def test_paused_daemon_that_wakes_does_not_bring_an_old_state_back(cluster):
+    # An entry daemon is stopped while a drain is published. It wakes with
+    # the old configuration and must not send work by it.
+    entry = cluster.nodes['entry-0']
+    entry.signal(signal.SIGSTOP)
+    cluster.deployment['drained'] = ['codigos-01']
+    assert cluster.publish().returncode == 0
+    wait_until(lambda: in_force(cluster.nodes['side-codigos-01']) == 2)
+    entry.signal(signal.SIGCONT)
+    for _call in range(10):
+        assert ask(entry.port, 'GET', '/codigos/cards/3', None, AUTH)[0] == 200
+    port = cluster.nodes['codigos-01'].port
+    assert json.loads(ask(port, 'GET', '/record')[2]) == []
+    wait_until(lambda: in_force(entry) == 2)
+
+
 def test_lost_reply_of_a_publish_is_resolved(cluster):
     # The append is stored and its reply lost. The command looks for its
     # record before it would append again, and tells the verdict.
--- a/standins/session.py
+++ b/standins/session.py
@@ -156,7 +156,7 @@
         folder = self.cluster.write_deployment()
         log = f'127.0.0.1:{self.cluster.log.port}'
         self.command('publish a drain', 'publish', str(folder), '--log', log)
-        wait_until(lambda: all(revision(entry) >= 2 for entry in self.entries))
+        wait_until(lambda: all(in_force(entry) >= 2 for entry in self.entries))
         self.command('show what is in force', 'status', '--log', log)
         for entry in self.entries:
             self.send(
@@ -164,7 +164,7 @@
             )
 
 
-def revision(node: Node) -> int:
+def in_force(node: Node) -> int:
     """Return the latest configuration revision that a daemon logged."""
     found = [0]
     for line in node.lines():
