Charge prompts and whole answers; part the switch's types and call runs

Cause, from reading as a newcomer: an answer that was not streamed cost a customer no tokens, and no prompt was charged after settling, so a token limit could be passed by. Change: prompts count, whole answers are charged by length.

--- a/linnetwind/dispatch.py
+++ b/linnetwind/dispatch.py
@@ -1,28 +1,16 @@
 """One request's way from the entry daemon to an answer."""
 
-import queue
 import random
-from collections.abc import Iterator
-from dataclasses import dataclass, field
 from datetime import timedelta
 from itertools import count
 
-from linnetwind.answer import (
-    AnswerAssembler,
-    Body,
-    Failed,
-    Finished,
-    Frame,
-    Opened,
-    Step,
-)
+from linnetwind.call_run import CallPlace, CallRun, OpenAnswer
 from linnetwind.clock import Clock
 from linnetwind.decisions import log_decision
 from linnetwind.fleet import Fleet
 from linnetwind.http_request import CheckedRequest
-from linnetwind.link import CallStream, Link
 from linnetwind.link_pool import LinkPool
-from linnetwind.messages import Call, Cancel, Headers
+from linnetwind.messages import Call
 from linnetwind.outcome import NotRun, Reason, Unknown
 from linnetwind.retry import Attempt, GiveUp, RetryBudget, after_failure
 from linnetwind.routing import (
@@ -34,58 +22,11 @@
     without,
 )
 
-FATE_SECONDS = 1.0
-MOST_HELD_BYTES = 65_536
-
-# Failures that say something about the upstream's or its host's health.
-_BLAMED = frozenset(
-    (
-        Reason.CONNECTION_LOST,
-        Reason.UPSTREAM_REFUSED,
-        Reason.INCOMPLETE_ANSWER,
-        Reason.UNREACHABLE,
-    )
-)
 _BLOCK_MS = 2.0
-_SHORTEST_WAIT = 0.001
 _MS = timedelta(milliseconds=1)
 _SECOND = timedelta(seconds=1)
 
 
-@dataclass(frozen=True)
-class OpenAnswer:
-    """An answer whose head and first part have come."""
-
-    status: int
-    headers: Headers
-    body: Iterator[bytes]
-
-
-@dataclass
-class _Run:
-    """One attempt under way."""
-
-    request: CheckedRequest
-    upstream: str
-    link: Link
-    stream: CallStream
-    deadline: timedelta
-    assembler: AnswerAssembler = field(default_factory=AnswerAssembler)
-
-
-class BrokenAnswer(Exception):  # noqa: N818
-    """The answer broke after its head went out to the caller."""
-
-    def __init__(self, outcome: NotRun | Unknown) -> None:
-        """Keep the outcome.
-
-        Args:
-          outcome: What is known of the request.
-        """
-        super().__init__(outcome.reason)
-        self.outcome = outcome
-
-
 class Dispatcher:
     """Routes requests, follows their answers and retries where allowed."""
 
@@ -177,7 +118,7 @@
         run = self._start(request, choice.upstream, deadline)
         if isinstance(run, NotRun):
             return run, choice.upstream
-        opened = self._wait_for_head(run)
+        opened = run.open()
         if isinstance(opened, OpenAnswer):
             return opened
         return opened, choice.upstream
@@ -206,7 +147,7 @@
 
     def _start(
         self, request: CheckedRequest, upstream: str, deadline: timedelta
-    ) -> _Run | NotRun:
+    ) -> CallRun | NotRun:
         call = self._make_call(request, upstream, deadline)
         link = self._links.link_to(upstream)
         if link is None:
@@ -215,9 +156,16 @@
             self._fleet.call_sent(upstream, request.blocks)
         started = link.start(call)
         if started.is_err():
-            self._ended(upstream, Reason.UNREACHABLE)
+            with self._lock:
+                self._fleet.call_ended(upstream, failed=True)
             return NotRun(Reason.UNREACHABLE, _SECOND)
-        return _Run(request, upstream, link, started.unwrap(), deadline)
+        return CallRun(
+            CallPlace(upstream, link, started.unwrap(), deadline),
+            self._fleet,
+            self._links,
+            self._clock,
+            streamed=request.streamed,
+        )
 
     def _make_call(
         self, request: CheckedRequest, upstream: str, deadline: timedelta
@@ -243,97 +191,6 @@
             identity.fingerprint if identity else None,
         )
 
-    def _wait_for_head(self, run: _Run) -> OpenAnswer | NotRun | Unknown:
-        # The head of a stream is held until its first part has come, that
-        # of another answer until it is whole or large: until then nothing
-        # went out to the caller, a repeatable request can still be tried
-        # elsewhere, and a failure has a status of its own.
-        opened: Opened | None = None
-        held: list[bytes] = []
-        most = 1 if run.request.streamed else MOST_HELD_BYTES
-        steps = self._steps(run)
-        for step in steps:
-            match step:
-                case Opened():
-                    opened = step
-                case Failed(outcome):
-                    return outcome
-                case Body(body):
-                    held.append(body)
-            enough = sum(len(body) for body in held) >= most
-            if opened is not None and (enough or isinstance(step, Finished)):
-                rest = self._body(held, steps, run)
-                return OpenAnswer(opened.status, opened.headers, rest)
-        return Unknown(Reason.INTERNAL)
-
-    def _body(
-        self, held: list[bytes], steps: Iterator[Step], run: _Run
-    ) -> Iterator[bytes]:
-        try:
-            yield from held
-            yield from _bodies(steps)
-        finally:
-            if not run.assembler.done:
-                # The caller has gone away.
-                run.link.post(Cancel(run.stream.call_id))
-                self._conclude(run, None)
-
-    def _steps(self, run: _Run) -> Iterator[Step]:
-        while not run.assembler.done:
-            frame = self._next_frame(run)
-            with self._lock:
-                self._fleet.sign_of_life(run.upstream)
-            if frame is None:
-                outcome = self._resolve(run, Reason.DEADLINE)
-                self._conclude(run, outcome.reason)
-                yield Failed(outcome)
-                return
-            for step in run.assembler.accept(frame):
-                yield self._settle(run, step)
-
-    def _settle(self, run: _Run, step: Step) -> Step:
-        match step:
-            case Failed(Unknown(Reason.CONNECTION_LOST)):
-                outcome = self._resolve(run, Reason.CONNECTION_LOST)
-                self._conclude(run, Reason.CONNECTION_LOST)
-                return Failed(outcome)
-            case Failed(outcome):
-                self._conclude(run, outcome.reason)
-            case Finished():
-                self._conclude(run, None)
-        return step
-
-    def _next_frame(self, run: _Run) -> Frame | None:
-        left = run.deadline - self._clock.elapsed()
-        try:
-            return run.stream.frames.get(
-                timeout=max(left.total_seconds(), _SHORTEST_WAIT)
-            )
-        except queue.Empty:
-            return None
-
-    def _resolve(self, run: _Run, reason: Reason) -> NotRun | Unknown:
-        """Find out whether a call whose answer is missing has started."""
-        call_id = run.stream.call_id
-        link = self._links.fresh_link_to(run.upstream)
-        # Only the very process that took the call can say that it did not
-        # start it; one that was restarted meanwhile knows nothing.
-        if link is None or link.peer.incarnation != run.link.peer.incarnation:
-            return Unknown(reason)
-        fate = link.ask_fate(call_id, FATE_SECONDS)
-        if fate is None or fate.started:
-            link.post(Cancel(call_id))
-            return Unknown(reason)
-        return NotRun(reason, _SECOND)
-
-    def _conclude(self, run: _Run, reason: Reason | None) -> None:
-        run.link.forget(run.stream.call_id)
-        self._ended(run.upstream, reason)
-
-    def _ended(self, upstream: str, reason: Reason | None) -> None:
-        with self._lock:
-            self._fleet.call_ended(upstream, failed=reason in _BLAMED)
-
 
 def make_dispatcher(
     site: str,
@@ -358,15 +215,6 @@
     return Dispatcher(site, incarnation, fleet, links, clock, rng)
 
 
-def _bodies(steps: Iterator[Step]) -> Iterator[bytes]:
-    for step in steps:
-        match step:
-            case Body(body):
-                yield body
-            case Failed(outcome):
-                raise BrokenAnswer(outcome)
-
-
 def _log_choice(request: CheckedRequest, choice: Choice | NoCandidate) -> None:
     facts = {
         'request': request.request_id,
--- a/linnetwind/engine_orders.py
+++ b/linnetwind/engine_orders.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from linnetwind.mapswitch import (
+from linnetwind.mapswitch_types import (
     Order,
     OrderArm,
     OrderConfirm,
--- a/linnetwind/entry_app.py
+++ b/linnetwind/entry_app.py
@@ -12,11 +12,18 @@
 from loguru import logger
 from result import Err, Ok
 
+from linnetwind.call_run import BrokenAnswer, OpenAnswer
+from linnetwind.config import ServiceKind
 from linnetwind.decisions import log_decision
-from linnetwind.dispatch import BrokenAnswer, Dispatcher, OpenAnswer
+from linnetwind.dispatch import Dispatcher
 from linnetwind.entry_metrics import EntryMetrics
 from linnetwind.fleet import Fleet
-from linnetwind.http_request import CheckedRequest, HttpRequest, check_request
+from linnetwind.http_request import (
+    CHARACTERS_PER_TOKEN,
+    CheckedRequest,
+    HttpRequest,
+    check_request,
+)
 from linnetwind.outcome import NotRun, Reason, Unknown
 
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
@@ -164,10 +171,10 @@
     ) -> Iterator[bytes]:
         headers = [*opened.headers, ('X-Request-Id', checked.request_id)]
         start_response(_status_line(opened.status), headers)
-        tokens = 0
+        tokens = checked.prompt_tokens
         try:
             for body in opened.body:
-                tokens += body.count(_EVENT_START)
+                tokens += _generated(checked, body)
                 yield body
         except BrokenAnswer as broken:
             self._report(checked.request_id, broken.outcome)
@@ -234,6 +241,14 @@
                 done()
 
 
+def _generated(checked: CheckedRequest, body: bytes) -> int:
+    if checked.service.kind is not ServiceKind.MODEL:
+        return 0
+    if checked.streamed:
+        return body.count(_EVENT_START)
+    return len(body) // CHARACTERS_PER_TOKEN
+
+
 def _headers(environ: dict[str, Any]) -> dict[str, str]:
     headers = {
         name.removeprefix('HTTP_').replace('_', '-').lower(): text
--- a/linnetwind/entry_daemon.py
+++ b/linnetwind/entry_daemon.py
@@ -24,11 +24,9 @@
 from linnetwind.entry_limits import EntryLimits
 from linnetwind.entry_metrics import EntryMetrics
 from linnetwind.fleet import Fleet
-from linnetwind.follower import Follower
-from linnetwind.hosts_http import HttpHosts, host_list_interval
+from linnetwind.hosts_http import host_list_interval
 from linnetwind.link import Link
 from linnetwind.link_pool import LinkPool
-from linnetwind.log_http import make_log
 from linnetwind.messages import (
     Challenge,
     ConfigCopy,
@@ -38,9 +36,9 @@
     Shares,
 )
 from linnetwind.peer import Identity
+from linnetwind.platform_clients import make_follower, make_hosts
 from linnetwind.settings import EntrySettings
 
-PLATFORM_TIMEOUT = timedelta(seconds=2)
 LARGEST_BODY = 16_777_216
 
 _CONNECTORS = 8
@@ -73,13 +71,8 @@
             self._clock,
             self._notice,
         )
-        self._hosts = HttpHosts(platform.host_list, PLATFORM_TIMEOUT)
-        self._follower = Follower(
-            make_log(platform.log_service, PLATFORM_TIMEOUT),
-            self._clock,
-            timedelta(seconds=platform.snapshot_seconds),
-            random.Random(incarnation),  # noqa: S311
-        )
+        self._hosts = make_hosts(platform)
+        self._follower = make_follower(platform, self._clock, incarnation)
         self._metrics = EntryMetrics()
         self._limits = EntryLimits(settings.name, self._links, self._clock)
         self._app = EntryApp(
--- a/linnetwind/group_planner.py
+++ b/linnetwind/group_planner.py
@@ -27,7 +27,7 @@
 )
 from linnetwind.log_port import LogPort, read_to_end
 from linnetwind.mapcoordinator import Coordination, begin, take_prepared
-from linnetwind.mapswitch import (
+from linnetwind.mapswitch_types import (
     Attempt,
     Note,
     Prepare,
--- a/linnetwind/group_runner.py
+++ b/linnetwind/group_runner.py
@@ -17,17 +17,19 @@
 from linnetwind.decisions import log_decision
 from linnetwind.group_planner import GroupPlanner
 from linnetwind.mapswitch import (
-    NOTE_CODEC,
-    Action,
     Handled,
+    handle_note,
+    handle_status,
+    make_participant,
+)
+from linnetwind.mapswitch_types import (
+    Action,
     JoinQuery,
+    NOTE_CODEC,
     Note,
     Order,
     Prepared,
     Send,
-    handle_note,
-    handle_status,
-    make_participant,
 )
 from linnetwind.messages import GroupNote
 from linnetwind.rank_engine import RankEngine
--- a/linnetwind/http_request.py
+++ b/linnetwind/http_request.py
@@ -18,11 +18,11 @@
 MODEL_PREFIX = '/v1/'
 SLOTS = 64
 BLOCK_CHARACTERS = 256
+CHARACTERS_PER_TOKEN = 4
 
 _MOST_KEY_CHARACTERS = 255
 _SAFE_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS'))
 _NO_WAIT = timedelta()
-_CHARACTERS_PER_TOKEN = 4
 _DIGEST_BYTES = 16
 _DEFAULT_MAX_TOKENS = 512
 _MS = timedelta(milliseconds=1)
@@ -66,8 +66,9 @@
 class CheckedRequest:
     """A request that may be routed.
 
-    `tokens` is the most that it can cost a customer: the prompt and the
-    longest answer. `blocks` are the running hashes of its prompt's blocks.
+    `tokens` is the most that it can cost a customer, the prompt and the
+    longest answer; `prompt_tokens` the prompt's part. `blocks` are the
+    running hashes of its prompt's blocks.
     """
 
     request_id: str
@@ -81,6 +82,7 @@
     repeatable: bool
     streamed: bool = False
     tokens: int = 0
+    prompt_tokens: int = 0
     blocks: tuple[int, ...] = ()
     idempotency: Idempotency | None = None
 
@@ -132,6 +134,7 @@
         return _refuse(Reason.TOO_LARGE)
     prompt = json.dumps(parsed['messages'], sort_keys=True)
     longest = parsed.get('max_tokens') or _DEFAULT_MAX_TOKENS
+    prompt_tokens = len(prompt) // CHARACTERS_PER_TOKEN
     return Ok(
         CheckedRequest(
             request_id,
@@ -144,7 +147,8 @@
             _timeout(request.headers, service),
             repeatable=True,
             streamed=bool(parsed.get('stream')),
-            tokens=len(prompt) // _CHARACTERS_PER_TOKEN + longest,
+            tokens=prompt_tokens + longest,
+            prompt_tokens=prompt_tokens,
             blocks=prompt_blocks(prompt),
         )
     )
@@ -179,6 +183,7 @@
             _timeout(request.headers, service),
             repeatable=repeatable,
             tokens=1,
+            prompt_tokens=1,
             idempotency=idempotency,
         )
     )
--- a/linnetwind/mapcoordinator.py
+++ b/linnetwind/mapcoordinator.py
@@ -7,7 +7,7 @@
 
 from dataclasses import dataclass, replace
 
-from linnetwind.mapswitch import (
+from linnetwind.mapswitch_types import (
     Arm,
     Arming,
     Attempt,
--- a/linnetwind/mapswitch_test.py
+++ b/linnetwind/mapswitch_test.py
@@ -10,6 +10,11 @@
 import pytest
 
 from linnetwind.mapswitch import (
+    handle_note,
+    handle_status,
+    make_participant,
+)
+from linnetwind.mapswitch_types import (
     Arming,
     Attempt,
     JoinQuery,
@@ -20,9 +25,6 @@
     RankStatus,
     Verdict,
     Vote,
-    handle_note,
-    handle_status,
-    make_participant,
 )
 from standins.explorer import Explorer, Scenario, attempt
 
--- a/linnetwind/rank_engine.py
+++ b/linnetwind/rank_engine.py
@@ -8,7 +8,10 @@
 from result import Err, Ok, Result
 
 from linnetwind.engine_orders import encode_order, status_from_body
-from linnetwind.mapswitch import Order, RankStatus
+from linnetwind.mapswitch_types import (
+    Order,
+    RankStatus,
+)
 from linnetwind.settings import Address
 
 TIMEOUT_SECONDS = 1.0
--- a/linnetwind/side_daemon.py
+++ b/linnetwind/side_daemon.py
@@ -1,6 +1,5 @@
 """The side daemon: the only process that speaks to its upstreams."""
 
-import random
 import threading
 import time
 import uuid
@@ -16,23 +15,24 @@
 from linnetwind.config import Base, Upstream
 from linnetwind.config_fold import ConfigState
 from linnetwind.config_merge import at_site
-from linnetwind.follower import Follower
 from linnetwind.gate import Gate
-from linnetwind.hosts_http import HttpHosts, host_list_interval
+from linnetwind.hosts_http import host_list_interval
 from linnetwind.hosts_port import HostState
 from linnetwind.keyed_calls import KeyedCalls
-from linnetwind.log_http import make_log
 from linnetwind.messages import Leaving, Load
 from linnetwind.peer import Identity
+from linnetwind.platform_clients import (
+    make_claim_log,
+    make_follower,
+    make_hosts,
+    make_platform_log,
+)
 from linnetwind.settings import SideSettings
 from linnetwind.shares import ShareHome
 from linnetwind.side_calls import UpstreamCalls
 from linnetwind.side_groups import SideGroups
 from linnetwind.side_server import SideHandlers, SideServer
 
-PLATFORM_TIMEOUT = timedelta(seconds=2)
-CLAIM_TIMEOUT = timedelta(seconds=1)
-
 _WORKERS = 256
 _FIRST_CONCURRENCY = 8
 _TICK_SECONDS = 0.05
@@ -65,15 +65,10 @@
             )
             for served in settings.upstreams
         }
-        self._hosts = HttpHosts(platform.host_list, PLATFORM_TIMEOUT)
-        self._follower = Follower(
-            make_log(platform.log_service, PLATFORM_TIMEOUT),
-            self._clock,
-            timedelta(seconds=platform.snapshot_seconds),
-            random.Random(incarnation),  # noqa: S311
-        )
+        self._hosts = make_hosts(platform)
+        self._follower = make_follower(platform, self._clock, incarnation)
         self._keyed = KeyedCalls(
-            make_log(platform.log_service, CLAIM_TIMEOUT),
+            make_claim_log(platform),
             incarnation,
             self._executor,
             self._clock,
@@ -84,7 +79,7 @@
             settings.upstreams,
             self._executor,
             self._clock,
-            make_log(platform.log_service, PLATFORM_TIMEOUT),
+            make_platform_log(platform),
         )
         self._registry = CollectorRegistry()
         self._running = Gauge(
--- a/standins/capacity_slopes.py
+++ b/standins/capacity_slopes.py
@@ -35,13 +35,13 @@
 from linnetwind.log_http import make_log
 from linnetwind.publisher import prepare, publish_once, read_state
 from linnetwind.settings import Address
-from linnetwind.mapswitch import (
-    NOTE_CODEC,
+from linnetwind.mapswitch_types import (
+    Arm,
+    Arming,
     Attempt,
     Member,
+    NOTE_CODEC,
     Query,
-    Arm,
-    Arming,
     Vote,
 )
 from linnetwind.messages import (
--- a/standins/explorer.py
+++ b/standins/explorer.py
@@ -15,6 +15,12 @@
 
 from linnetwind.mapcoordinator import Coordination, begin, take_prepared
 from linnetwind.mapswitch import (
+    Participant,
+    handle_note,
+    handle_status,
+    make_participant,
+)
+from linnetwind.mapswitch_types import (
     Action,
     Arm,
     Arming,
@@ -22,14 +28,10 @@
     JoinQuery,
     Member,
     Note,
-    Participant,
     Prepare,
     Prepared,
     RankStatus,
     Send,
-    handle_note,
-    handle_status,
-    make_participant,
 )
 from standins.rank_model import (
     apply_order,
--- a/standins/rank_group.py
+++ b/standins/rank_group.py
@@ -13,7 +13,9 @@
 
 
 from linnetwind.engine_orders import decode_order, status_to_plain
-from linnetwind.mapswitch import RankStatus
+from linnetwind.mapswitch_types import (
+    RankStatus,
+)
 from standins.http_base import (
     Reply,
     Request,
--- a/standins/rank_model.py
+++ b/standins/rank_model.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, replace
 
-from linnetwind.mapswitch import (
+from linnetwind.mapswitch_types import (
     OrderArm,
     OrderConfirm,
     OrderDisarm,
