Use the engines' hints, and load experts from a rate-limited store

Cause: routing knew an engine's slow steps only from calls that had ended, and cached prefixes only from its own calls. Change: sides read the engine's step time and cache events and pass them on with their reports; the score counts the tokens asked for at that step time. The rank group stand-in loads a map's experts from a weight store stand-in of limited rate. Ruled out: adding the engine's own queue to the side's, which has counted those calls as running already.

--- a/linnetwind/dispatch.py
+++ b/linnetwind/dispatch.py
@@ -135,6 +135,7 @@
             self._fleet.region(self._site),
             len(request.blocks),
             _BLOCK_MS,
+            request.tokens - request.prompt_tokens,
         )
         fresh = without(candidates, tried)
         identity = request.idempotency
--- /dev/null
+++ b/linnetwind/engine_feed_test.py
@@ -0,0 +1,57 @@
+"""Tests of the engine's hints, against the stand-in engine."""
+
+import json
+
+import pytest
+
+from linnetwind.engine_feed import EngineFeed, EngineNews
+from linnetwind.http_request import prompt_blocks
+from linnetwind.settings import Address
+from standins.cluster import IP, ask
+from standins.engine import Engine
+
+MESSAGES = [{'role': 'user', 'content': 'a' * 600}]
+
+
+@pytest.fixture
+def engine():
+    running = Engine().start()
+    yield running
+    running.stop()
+
+
+def complete(engine):
+    body = {'messages': MESSAGES, 'max_tokens': 1}
+    path = '/v1/chat/completions'
+    ask(engine.port, 'POST', path, json.dumps(body).encode())
+
+
+def test_news_hold_the_blocks_that_the_engine_stored(engine):
+    feed = EngineFeed(Address(IP, engine.port))
+    complete(engine)
+    blocks = prompt_blocks(json.dumps(MESSAGES, sort_keys=True))
+    assert set(feed.news().cached) == set(blocks)
+    assert feed.news().cached == ()
+
+
+def test_late_events_come_with_a_later_read(engine):
+    # The engine publishes its events a while after the fact.
+    feed = EngineFeed(Address(IP, engine.port))
+    engine.faults['event_delay'] = 60
+    complete(engine)
+    assert feed.news().cached == ()
+    engine.faults['event_delay'] = 0
+    assert feed.news().cached
+
+
+def test_lost_events_are_passed_over(engine):
+    feed = EngineFeed(Address(IP, engine.port))
+    engine.faults['event_gap'] = 2
+    complete(engine)
+    assert len(feed.news().cached) == 1
+
+
+def test_engine_that_does_not_answer_gives_no_news(engine):
+    feed = EngineFeed(Address(IP, engine.port))
+    engine.faults['down'] = True
+    assert feed.news() == EngineNews()
--- a/linnetwind/limits_test.py
+++ b/linnetwind/limits_test.py
@@ -152,6 +152,14 @@
     assert chosen(silent, candidate('busy', running=6)) == 'busy'
 
 
+def test_group_with_a_straggler_is_avoided():
+    # The slow rank holds back every step of its group.
+    request = RouteRequest('s', 'r', 0, 0, 100)
+    slow = candidate('slow', step_ms=20)
+    busy = candidate('busy', running=6, step_ms=8)
+    assert chosen(slow, busy, request=request) == 'busy'
+
+
 def test_cached_prefix_wins_until_the_wait_is_longer():
     warm = candidate('warm', cached_blocks=4)
     assert chosen(warm, candidate('cold')) == 'warm'
--- a/linnetwind/routing.py
+++ b/linnetwind/routing.py
@@ -51,13 +51,14 @@
     """What matters of a request for its route.
 
     `block_ms` is what the engine spends on one block of the prompt that is
-    not in its cache.
+    not in its cache; `tokens` the most tokens that it may generate.
     """
 
     site: str
     region: str
     blocks: int = 0
     block_ms: float = 0
+    tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,6 +70,7 @@
     wait_ms: float
     hop_ms: float
     prefill_ms: float
+    decode_ms: float = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -150,8 +152,17 @@
     hits = min(candidate.cached_blocks, request.blocks)
     misses = request.blocks - weights.cache_weight * hits
     prefill_ms = misses * request.block_ms
-    total_ms = wait_ms + hop_ms + prefill_ms
-    return Scored(candidate.upstream, total_ms, wait_ms, hop_ms, prefill_ms)
+    # A step takes as long as the slowest rank of the group, so a straggler
+    # shows here before the calls that it slows down have ended.
+    decode_ms = request.tokens * candidate.step_ms
+    return Scored(
+        candidate.upstream,
+        wait_ms + hop_ms + prefill_ms + decode_ms,
+        wait_ms,
+        hop_ms,
+        prefill_ms,
+        decode_ms,
+    )
 
 
 def _wait_ms(candidate: Candidate) -> float:
--- a/linnetwind/side_daemon.py
+++ b/linnetwind/side_daemon.py
@@ -12,9 +12,10 @@
 from prometheus_client import CollectorRegistry, Gauge, start_http_server
 
 from linnetwind.clock import SystemClock
-from linnetwind.config import Base, Upstream
+from linnetwind.config import Base, ServiceKind, Upstream
 from linnetwind.config_fold import ConfigState
 from linnetwind.config_merge import at_site
+from linnetwind.engine_feed import EngineFeed, EngineNews
 from linnetwind.gate import Gate
 from linnetwind.hosts_http import host_list_interval
 from linnetwind.hosts_port import HostState
@@ -39,6 +40,7 @@
 _REPORT_SECONDS = 0.5
 _SECONDS_PER_HOST = 0.0125
 _MS = timedelta(milliseconds=1)
+_NONE = EngineNews()
 
 
 class SideDaemon:
@@ -65,6 +67,11 @@
             )
             for served in settings.upstreams
         }
+        self._feeds = {
+            served.name: EngineFeed(served.address)
+            for served in settings.upstreams
+        }
+        self._models: frozenset[str] = frozenset()
         self._hosts = make_hosts(platform)
         self._follower = make_follower(platform, self._clock, incarnation)
         self._keyed = KeyedCalls(
@@ -165,6 +172,7 @@
             calls = self._calls.get(upstream.name)
             if calls is not None:
                 calls.gate.concurrency = upstream.concurrency
+        self._models = _model_upstreams(base)
         self._drained = frozenset(base.drained)
         self._apply_leaving()
         self._groups.take_base(base)
@@ -221,16 +229,19 @@
         self._keyed.flush()
         for name, calls in self._calls.items():
             gate = calls.gate
+            news = self._feeds[name].news() if name in self._models else _NONE
             self._running.labels(name).set(gate.running)
             self._server.report(
                 Load(
                     name,
                     gate.running,
                     gate.waiting,
-                    0,
+                    news.step_ms,
                     gate.service_time / _MS,
                     0,
                     0,
+                    news.cached,
+                    news.uncached,
                 )
             )
 
@@ -239,3 +250,12 @@
     return [
         upstream for service in base.services for upstream in service.upstreams
     ]
+
+
+def _model_upstreams(base: Base) -> frozenset[str]:
+    return frozenset(
+        upstream.name
+        for service in base.services
+        if service.kind is ServiceKind.MODEL
+        for upstream in service.upstreams
+    )
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -221,9 +221,14 @@
 
     def start_groups(self) -> None:
         """Start a rank group for each group of the deployment."""
-        for group in self.deployment.get('groups', []):
+        groups = self.deployment.get('groups', [])
+        store = (
+            self.start_standin('weights', 'weight_store') if groups else None
+        )
+        for group in groups:
             size = str(len(group['ranks']))
-            self.start_standin(group['name'], 'rank_group', '--size', size)
+            options = ['--size', size, '--store', str(store.port)]
+            self.start_standin(group['name'], 'rank_group', *options)
 
     def start_entry(self, name: str, site: str, threads: int = 64) -> Node:
         """Start an entry daemon."""
--- a/standins/rank_group.py
+++ b/standins/rank_group.py
@@ -7,15 +7,15 @@
 """
 
 import argparse
+import contextlib
 import threading
 import time
 from typing import Any
 
 
 from linnetwind.engine_orders import decode_order, status_to_plain
-from linnetwind.mapswitch_types import (
-    RankStatus,
-)
+from linnetwind.mapswitch_types import OrderStage, RankStatus
+from standins.cluster import ask
 from standins.http_base import (
     Reply,
     Request,
@@ -37,13 +37,13 @@
 class RankGroup(Standin):
     """All ranks of one group; their steps run in one thread."""
 
-    def __init__(self, port: int, size: int, layers: int, experts: int) -> None:
+    def __init__(self, port: int, size: int, store: int) -> None:
         """Start with new ranks, which wait for a map."""
         super().__init__(port)
+        self.store = store
         self.ranks = tuple(RankStatus(1) for _rank in range(size))
-        self.shape = (layers, experts)
-        self.maps: dict[str, Any] = {}
         self.bad_steps: list[Any] = []
+        self.loading: set[tuple[int, str]] = set()
         self.used: dict[str, int] = {}
         self.steps = 0
         threading.Thread(target=self.run, daemon=True).start()
@@ -97,10 +97,26 @@
         """Apply an order, late if the fault says so."""
         order = decode_order(request.body)
         time.sleep(self.faults.get('order_seconds') or 0)
+        if isinstance(order, OrderStage) and self.store:
+            threading.Thread(
+                target=self.stage, args=(number, order), daemon=True
+            ).start()
+            return json_reply(status_to_plain(self.ranks[number]))
         with self.lock:
             self.put(number, apply_order(self.ranks[number], order))
             return json_reply(status_to_plain(self.ranks[number]))
 
+    def stage(self, number: int, order: OrderStage) -> None:
+        """Load experts from the weight store; a map is staged after that."""
+        if (number, order.map_id) in self.loading:
+            return
+        self.loading.add((number, order.map_id))
+        with contextlib.suppress(OSError):
+            ask(self.store, 'GET', '/experts?count=4')
+            with self.lock:
+                self.put(number, apply_order(self.ranks[number], order))
+        self.loading.discard((number, order.map_id))
+
     def put(self, number: int, status: RankStatus) -> None:
         """Replace one rank."""
         ranks = list(self.ranks)
@@ -113,12 +129,9 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--port', type=int, default=0)
     parser.add_argument('--size', type=int, default=4)
-    parser.add_argument('--layers', type=int, default=2)
-    parser.add_argument('--experts', type=int, default=8)
+    parser.add_argument('--store', type=int, default=0)
     options = parser.parse_args()
-    run_until_signal(
-        RankGroup(options.port, options.size, options.layers, options.experts)
-    )
+    run_until_signal(RankGroup(options.port, options.size, options.store))
 
 
 if __name__ == '__main__':
