Keep background threads alive, and take odd answers of the log as none

Cause, from reading: an answer of the log that is not of the right form raised in the follower's thread and ended it; the daemon would have kept its old configuration for ever without a sign. Also: on connecting, an entry daemon dropped a leaving notice that had come just before. Change: such answers are typed errors; a round that raises is logged and the next one follows; leaving notices end with the connection. Contract tests of the log's client, tests of the follower (retention, outages).

--- a/linnetwind/entry_daemon.py
+++ b/linnetwind/entry_daemon.py
@@ -5,7 +5,6 @@
 import threading
 import time
 import uuid
-from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from datetime import timedelta
 from pathlib import Path
@@ -16,6 +15,7 @@
 from result import Err, Ok
 from waitress.server import create_server
 
+from linnetwind.background import guarded, in_background
 from linnetwind.clock import SystemClock
 from linnetwind.config_fold import ConfigState
 from linnetwind.config_merge import at_site
@@ -101,8 +101,8 @@
             settings.metrics.ip,
             registry=self._metrics.registry,
         )
-        self._in_background(lambda: self._follower.run(poll))
-        self._in_background(lambda: self._watch_hosts(poll))
+        in_background(lambda: self._follower.run(poll), 'follower')
+        in_background(lambda: self._watch_hosts(poll), 'hosts')
         self._server = create_server(
             self._app,
             host=settings.listen.ip,
@@ -113,7 +113,7 @@
             ident='linnetwind',
             clear_untrusted_proxy_headers=False,
         )
-        self._in_background(self._server.run)
+        in_background(self._server.run, 'http')
         logger.info('entry serves on {}', settings.listen)
 
     def shut_down(self) -> None:
@@ -150,9 +150,6 @@
             for channel in channels
         )
 
-    def _in_background(self, work: Callable[[], None]) -> None:
-        threading.Thread(target=work, daemon=True).start()
-
     def _take_state(self, state: ConfigState) -> None:
         if state.deployment is None:
             return
@@ -168,15 +165,15 @@
         while not self._stopping.is_set():
             now = self._clock.elapsed()
             if now >= hosts_due:
-                self._read_hosts()
+                guarded(self._read_hosts)
                 hosts_due = now + host_list_interval(
                     interval, len(self._fleet.hosts)
                 )
             if now >= due:
-                self._limits.exchange()
-                self._ask_neighbour()
+                guarded(self._limits.exchange)
+                guarded(self._ask_neighbour)
                 due = now + interval
-            self._links.maintain()
+            guarded(self._links.maintain)
             self._stopping.wait(_TICK_SECONDS * 2)
 
     def _read_hosts(self) -> None:
--- a/linnetwind/fleet.py
+++ b/linnetwind/fleet.py
@@ -127,7 +127,6 @@
           host: The host's name.
         """
         self._connected.add(host)
-        self._leaving.pop(host, None)
         for upstream in self._upstreams_of(host):
             seen = self._of(upstream.name)
             seen.report = None
@@ -141,6 +140,8 @@
           host: The host's name.
         """
         self._connected.discard(host)
+        # Not on connecting: the new side's notice may have come before.
+        self._leaving.pop(host, None)
 
     def take_leaving(self, host: str, upstreams: Sequence[str]) -> None:
         """Take note that a side refuses new calls for these upstreams.
--- a/linnetwind/follower.py
+++ b/linnetwind/follower.py
@@ -15,6 +15,7 @@
 from loguru import logger
 from result import Err, Ok, Result
 
+from linnetwind.background import guarded
 from linnetwind.clock import Clock
 from linnetwind.config_fold import (
     CONFIG_CODEC,
@@ -123,12 +124,7 @@
           interval: The time between polls; each wait is spread around it.
         """
         while not self._stopped.is_set():
-            outcome = self.poll()
-            if outcome.is_err():
-                problem = outcome.unwrap_err().describe()
-                logger.warning('configuration not refreshed: {}', problem)
-            else:
-                self._keep_snapshot()
+            guarded(self._round)
             spread = self._rng.uniform(1 - _JITTER, 1 + _JITTER)
             self._stopped.wait(interval.total_seconds() * spread)
 
@@ -136,6 +132,14 @@
         """End `run` after its current poll."""
         self._stopped.set()
 
+    def _round(self) -> None:
+        outcome = self.poll()
+        if outcome.is_err():
+            problem = outcome.unwrap_err().describe()
+            logger.warning('configuration not refreshed: {}', problem)
+        else:
+            self._keep_snapshot()
+
     def _take_page(self, page: Page) -> Result[None, Expired]:
         if page.first > self._state.next_offset:
             # Records expired unseen, as after a long pause. What they held
--- a/linnetwind/group_runner.py
+++ b/linnetwind/group_runner.py
@@ -12,6 +12,7 @@
 from loguru import logger
 from result import Ok
 
+from linnetwind.background import guarded
 from linnetwind.clock import Clock
 from linnetwind.config import Group
 from linnetwind.decisions import log_decision
@@ -102,9 +103,9 @@
         """Take part until stopped."""
         time.sleep(SETTLING.total_seconds())
         while not self._stopped:
-            self._look()
-            self._coordinate()
-            self._take_notes()
+            guarded(self._look)
+            guarded(self._coordinate)
+            guarded(self._take_notes)
 
     def stop(self) -> None:
         """End `run` after its current round."""
--- a/linnetwind/log_http.py
+++ b/linnetwind/log_http.py
@@ -1,6 +1,6 @@
 """The log service over HTTP, with CBOR bodies."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from datetime import timedelta
 from http.client import HTTPConnection, HTTPException
 from typing import Any
@@ -14,6 +14,16 @@
 
 _OK = 200
 
+# What is not of the right form counts as no answer, like a lost one.
+_ERRORS = (
+    OSError,
+    HTTPException,
+    cbor2.CBORDecodeError,
+    KeyError,
+    TypeError,
+    ValueError,
+)
+
 
 class HttpLog:
     """A client of the log service; safe for use by several threads.
@@ -37,18 +47,19 @@
     ) -> Result[int, LogUnavailable]:
         """Append records in one go; see `LogPort`."""
         body = cbor2.dumps(list(records))
-        return self._ask('POST', f'/streams/{stream}', body).map(
-            lambda answer: answer['first_offset'],
-        )
+        return self._ask('POST', f'/streams/{stream}', body, _offset)
 
     def read(self, stream: str, start: int) -> Result[Page, LogUnavailable]:
         """Read records in offset order; see `LogPort`."""
-        return self._ask('GET', f'/streams/{stream}?from={start}', None).map(
-            _page_from_plain,
-        )
+        path = f'/streams/{stream}?from={start}'
+        return self._ask('GET', path, None, _page_from_plain)
 
     def _ask(
-        self, method: str, path: str, body: bytes | None
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+        parse: Callable[[Any], Any],
     ) -> Result[Any, LogUnavailable]:
         connection = HTTPConnection(
             self._address.ip,
@@ -58,8 +69,8 @@
         try:
             connection.request(method, path, body)
             response = connection.getresponse()
-            return _parse(response.status, response.read())
-        except (OSError, HTTPException) as error:
+            return _parse(response.status, response.read(), parse)
+        except _ERRORS as error:
             return Err(LogUnavailable(repr(error)))
         finally:
             connection.close()
@@ -78,13 +89,16 @@
     return HttpLog(address, timeout)
 
 
-def _parse(status: int, body: bytes) -> Result[Any, LogUnavailable]:
+def _parse(
+    status: int, body: bytes, parse: Callable[[Any], Any]
+) -> Result[Any, LogUnavailable]:
     if status != _OK:
         return Err(LogUnavailable(f'status {status}'))
-    try:
-        return Ok(cbor2.loads(body))
-    except cbor2.CBORDecodeError as error:
-        return Err(LogUnavailable(repr(error)))
+    return Ok(parse(cbor2.loads(body)))
+
+
+def _offset(plain: Any) -> int:
+    return int(plain['first_offset'])
 
 
 def _page_from_plain(plain: Any) -> Page:
--- a/linnetwind/side_daemon.py
+++ b/linnetwind/side_daemon.py
@@ -3,7 +3,6 @@
 import threading
 import time
 import uuid
-from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from datetime import timedelta
 from pathlib import Path
@@ -11,6 +10,7 @@
 from loguru import logger
 from prometheus_client import CollectorRegistry, Gauge, start_http_server
 
+from linnetwind.background import guarded, in_background
 from linnetwind.clock import SystemClock
 from linnetwind.config import Base, ServiceKind, Upstream
 from linnetwind.config_fold import ConfigState
@@ -125,10 +125,10 @@
         start_http_server(
             settings.metrics.port, settings.metrics.ip, registry=self._registry
         )
-        self._in_background(lambda: self._follower.run(poll))
-        self._in_background(lambda: self._watch_hosts(poll))
-        self._in_background(self._tick)
-        self._in_background(self._report_for_ever)
+        in_background(lambda: self._follower.run(poll), 'follower')
+        in_background(lambda: self._watch_hosts(poll), 'hosts')
+        in_background(self._tick, 'deadlines')
+        in_background(self._report_for_ever, 'reports')
         self._server.start(settings.listen)
         logger.info('side serves on {}', settings.listen)
 
@@ -151,18 +151,11 @@
         self._server.stop()
         logger.info('drained')
 
-    def _in_background(self, work: Callable[[], None]) -> None:
-        threading.Thread(target=work, daemon=True).start()
-
-    def _every(self, interval: timedelta, work: Callable[[], None]) -> None:
-        while not self._stopping.wait(interval.total_seconds()):
-            work()
-
     def _tick(self) -> None:
         while not self._stopping.wait(_TICK_SECONDS):
             for calls in self._calls.values():
                 if calls.gate.waiting:
-                    calls.expire()
+                    guarded(calls.expire)
 
     def _take_state(self, state: ConfigState) -> None:
         if state.deployment is None:
@@ -182,7 +175,7 @@
     def _watch_hosts(self, poll: timedelta) -> None:
         wait = poll
         while not self._stopping.wait(wait.total_seconds()):
-            self._read_hosts()
+            guarded(self._read_hosts)
             wait = host_list_interval(poll, self._fleet_size)
 
     def _read_hosts(self) -> None:
@@ -219,7 +212,7 @@
         # (docs/CAPACITY.md). With the size of the fleet the interval grows,
         # and with it the weight of what the entry daemons know themselves.
         while not self._stopping.wait(self._report_seconds):
-            self._report()
+            guarded(self._report)
 
     @property
     def _report_seconds(self) -> float:
--- a/linnetwind/side_groups.py
+++ b/linnetwind/side_groups.py
@@ -1,9 +1,9 @@
 """The groups in which a side daemon's upstreams take part."""
 
-import threading
 from collections.abc import Sequence
 from concurrent.futures import Executor
 
+from linnetwind.background import in_background
 from linnetwind.clock import Clock
 from linnetwind.config import Base, Group
 from linnetwind.group_planner import GroupPlanner
@@ -102,9 +102,7 @@
             return
         runner = self._make_runner(group, rank, served, hosts)
         self._runners[group.name, rank] = runner
-        threading.Thread(
-            target=runner.run, name=f'group-{group.name}', daemon=True
-        ).start()
+        in_background(runner.run, f'group-{group.name}')
 
     def _make_runner(
         self,
