Carry a group's role and map over the retention of its stream

Cause, from reading: the group's stream had nothing that repeats old records. A side that started after they had expired knew neither epoch nor map, and its taking over was passed over by all others, and theirs by it. Change: the coordinator repeats its role and the map wanted every 10 minutes; a higher epoch than the known one is gone along with, since only a reader that lacks records meets it. Conclusion: proved in the fold and the planner, not over hours.

--- a/linnetwind/group_log.py
+++ b/linnetwind/group_log.py
@@ -33,7 +33,15 @@
     packed: bytes
 
 
-GROUP_CODEC = Codec((Coordinate, Target))
+@dataclass(frozen=True, slots=True)
+class Held:
+    """The coordinator repeats its role, before the older records expire."""
+
+    holder: str
+    epoch: int
+
+
+GROUP_CODEC = Codec((Coordinate, Target, Held))
 
 
 @dataclass(frozen=True)
@@ -60,11 +68,15 @@
         record = GROUP_CODEC.decode(entry.record).unwrap_or(None)
         epoch = entry.offset + 1
         match record:
-            case Coordinate(holder, after) if after == role.epoch:
-                # Of two sides that take over after the same epoch the
-                # second in offset order is passed over.
+            # A higher epoch than the known one is met only by a reader whose
+            # earlier records have expired; it goes along with it. A lower
+            # one is of a coordinator that was replaced, or of the second of
+            # two sides that took over at once.
+            case Coordinate(holder, after) if after >= role.epoch:
                 role = replace(role, holder=holder, epoch=epoch)
-            case Target(epoch=wanted_by) if wanted_by == role.epoch:
+            case Held(holder, held) if held >= role.epoch:
+                role = replace(role, holder=holder, epoch=held)
+            case Target(epoch=wanted_by) if wanted_by >= role.epoch:
                 role = replace(role, target=record)
         role = replace(role, next_offset=entry.offset + 1)
     return role
--- a/linnetwind/group_planner.py
+++ b/linnetwind/group_planner.py
@@ -19,6 +19,7 @@
     GROUP_CODEC,
     Coordinate,
     GroupRole,
+    Held,
     Target,
     fold_role,
     pack_map,
@@ -41,6 +42,10 @@
 SILENCE = timedelta(seconds=5)
 SILENCE_PER_RANK = timedelta(seconds=1)
 SIGN_INTERVAL = timedelta(seconds=2)
+
+# The role and the map wanted are repeated in the log this often, which has
+# to be well below its retention.
+RENEW_INTERVAL = timedelta(minutes=10)
 LEAD_STEPS = 100
 
 # The part of the weight store's rate that one group counts on.
@@ -78,6 +83,7 @@
         self._next_look = now
         self._next_plan = now
         self._next_sign = now
+        self._next_renewal = now + RENEW_INTERVAL
         self._estimate = LoadEstimate()
         self._coordination: Coordination | None = None
         self._begun = now
@@ -118,6 +124,7 @@
         if self._role.holder != self._name:
             self._coordination = None
             return ()
+        self._maybe_renew(now)
         if self._coordination is not None:
             return self._go_on(status, now)
         if now < self._next_plan:
@@ -168,6 +175,17 @@
             {'group': self._group.name, 'holder': self._role.holder},
         )
 
+    def _maybe_renew(self, now: timedelta) -> None:
+        # A side that starts after the older records have expired would not
+        # know the coordinator and the map wanted.
+        if now < self._next_renewal:
+            return
+        self._next_renewal = now + RENEW_INTERVAL
+        role = self._role
+        records = [Held(role.holder, role.epoch), role.target]
+        frames = [GROUP_CODEC.encode(each) for each in records if each]
+        self._log.append(stream_of_group(self._group.name), frames)
+
     def _go_on(self, status: RankStatus, now: timedelta) -> tuple[Send, ...]:
         coordination = self._coordination
         if coordination is None:
