Take out settings and functions that nothing uses

Cause, from reading as a newcomer: an operator could set checks_fencing or weight_store and nothing changed; three functions had no caller; a docstring named a field that does not exist; the same assertion stood three times in the map switch. Change: they are gone, or say what is so. Unknown keys are errors, so an old file with them is told. Behaviour is otherwise the same. Conclusion: what an operator can set has an effect.

--- a/linnetwind/answer.py
+++ b/linnetwind/answer.py
@@ -46,7 +46,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Failed:
-    """There is no whole answer; `started` tells if the caller saw any."""
+    """There will be no whole answer."""
 
     outcome: NotRun | Unknown
 
--- a/linnetwind/config.py
+++ b/linnetwind/config.py
@@ -68,8 +68,6 @@
 
     `unrepeatable` lists the calls that may run at most once. Calls of a
     model service may always be repeated until their first token went out.
-    `checks_fencing` says that the upstreams refuse an order with an old
-    fencing number.
     """
 
     name: Name
@@ -78,7 +76,6 @@
     timeout_seconds: Seconds = 30.0
     max_body_bytes: PositiveInt = 1_048_576
     unrepeatable: tuple[CallPattern, ...] = ()
-    checks_fencing: bool = False
 
 
 @dataclass(frozen=True)
--- a/linnetwind/config_loader.py
+++ b/linnetwind/config_loader.py
@@ -8,7 +8,7 @@
 import yaml
 
 from linnetwind.config import Base, Deployment, Overlay
-from linnetwind.convert import structure, unstructure
+from linnetwind.convert import structure
 from linnetwind.errors import (
     ConfigError,
     DanglingReference,
@@ -78,7 +78,7 @@
     """Rebuild a deployment from its published form, and check it.
 
     Args:
-      plain: What `unstructure` gave for a deployment.
+      plain: Maps, lists and scalars, as `config_fold` unpacks them.
 
     Returns:
       The deployment, or None when there are errors; and the errors.
@@ -90,18 +90,6 @@
     return (None if errors else deployment), errors
 
 
-def deployment_to_plain(deployment: Deployment) -> Any:
-    """Return the published form of a deployment.
-
-    Args:
-      deployment: The deployment.
-
-    Returns:
-      Maps, lists and scalars.
-    """
-    return unstructure(deployment)
-
-
 def check_deployment(deployment: Deployment) -> list[ConfigError]:
     """Check the references of a base together with all its overlays.
 
--- a/linnetwind/convert.py
+++ b/linnetwind/convert.py
@@ -1,4 +1,4 @@
-"""Checked conversion between plain data and frozen data classes.
+"""Checked conversion of plain data to frozen data classes.
 
 `msgspec` checks types and ranges; it passes over unknown keys of data
 classes, so those are found here by walking the type next to the data.
@@ -20,18 +20,6 @@
 _STEP = re.compile(r'([^.\[\]]+)')
 
 
-def unstructure(record: Any) -> Any:
-    """Turn a data class into maps, lists and scalars.
-
-    Args:
-      record: A data class made of data classes, tuples, enums and scalars.
-
-    Returns:
-      Plain data that CBOR and YAML can carry.
-    """
-    return msgspec.to_builtins(record)
-
-
 def structure(
     plain: Any,
     target: type[Converted],
--- a/linnetwind/link.py
+++ b/linnetwind/link.py
@@ -1,6 +1,5 @@
 """An entry daemon's connection to one side daemon, shared by many calls."""
 
-import itertools
 import queue
 import threading
 from collections.abc import Callable
@@ -205,16 +204,3 @@
     return greet(socket, identity, key).map(
         lambda peer: Link(socket, peer, notice),
     )
-
-
-def call_ids(incarnation: str) -> 'itertools.chain[str]':
-    """Return an endless series of call ids.
-
-    Args:
-      incarnation: Differs after each restart of the daemon.
-
-    Returns:
-      Ids that no other call of any daemon has.
-    """
-    numbers = itertools.count()
-    return itertools.chain(f'{incarnation}:{number}' for number in numbers)
--- a/linnetwind/mapswitch.py
+++ b/linnetwind/mapswitch.py
@@ -161,6 +161,12 @@
     return (OrderArm(status.generation, pledged),)
 
 
+def _status_of(side: Participant) -> RankStatus:
+    # Notes are only handled once the engine has answered; see `handle_note`.
+    assert side.status is not None
+    return side.status
+
+
 def _prepare(side: Participant, note: Prepare) -> Handled:
     if note.attempt.epoch < side.epoch:
         # A coordinator that was replaced while it was paused.
@@ -222,12 +228,12 @@
 def _may_arm(
     side: Participant, arming: Arming, members: tuple[Member, ...]
 ) -> bool:
-    assert side.status is not None
+    status = _status_of(side)
     if side.armed is not None or arming.attempt in side.refused:
         return False
     # A former incarnation of this side may have refused the attempt, or
     # another generation of the rank may have voted for it.
-    if members[side.rank] != Member(side.status.generation, side.incarnation):
+    if members[side.rank] != Member(status.generation, side.incarnation):
         return False
     # A peer that was restarted after it had prepared has joined on the word
     # that this rank is not armed; it must not be armed afterwards.
@@ -293,11 +299,11 @@
 
 
 def _verdict(side: Participant, query: Query, verdict: Verdict) -> Send:
-    assert side.status is not None
+    status = _status_of(side)
     vote = Vote(
         query.attempt,
         side.rank,
-        side.status.generation,
+        status.generation,
         verdict,
         query.incarnation,
     )
@@ -305,11 +311,10 @@
 
 
 def _join_query(side: Participant, rank: int, generation: int) -> Handled:
-    assert side.status is not None
+    status = _status_of(side)
     generations = list(side.generations)
     generations[rank] = max(generations[rank], generation)
     side = replace(side, generations=tuple(generations))
-    status = side.status
     reply = JoinReply(
         side.rank,
         generation,
--- a/linnetwind/routing.py
+++ b/linnetwind/routing.py
@@ -10,7 +10,7 @@
 
 import random
 from collections.abc import Sequence
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from datetime import timedelta
 
 import xxhash
@@ -241,4 +241,4 @@
       The candidates that remain.
     """
     fresh = [each for each in candidates if each.upstream not in tried]
-    return fresh or [replace(each) for each in candidates]
+    return fresh or list(candidates)
--- a/linnetwind/settings.py
+++ b/linnetwind/settings.py
@@ -79,7 +79,6 @@
     metrics: Address
     platform: PlatformSettings
     upstreams: tuple[ServedUpstream, ...]
-    weight_store: Address | None = None
     drain_notice_seconds: Annotated[
         float, Meta(ge=0, le=_LONGEST_NOTICE_SECONDS)
     ] = 5.0
