--- /dev/null
+++ b/linnetwind/gateway_events.py
@@ -0,0 +1,171 @@
+"""All events that the gateway and the rank agents log, with their fields."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class Started:
+    """A daemon has started; `start_id` names this life of its process."""
+
+    role: str
+    address: str
+    site: str
+    start_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class Stopping:
+    """A signal asked the daemon to stop."""
+
+    open_requests: int
+
+
+@dataclass(frozen=True, slots=True)
+class Stopped:
+    """The daemon ends now."""
+
+    open_requests: int
+    waited: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class SettingsReloaded:
+    """SIGHUP was received and the settings were read anew."""
+
+    changed: bool
+
+
+@dataclass(frozen=True, slots=True)
+class DependencyLost:
+    """Something that the daemon needs has stopped answering."""
+
+    dependency: str
+    problem: str
+
+
+@dataclass(frozen=True, slots=True)
+class DependencyBack:
+    """Something that the daemon needs answers again."""
+
+    dependency: str
+    away: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationApplied:
+    """A newer configuration is in force here."""
+
+    version: int
+    before: int
+    source: str
+    routes: int
+    customers: int
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamsChanged:
+    """The list of upstreams that may be given work has changed."""
+
+    source: str
+    offset: int
+    added: tuple[str, ...]
+    removed: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class RequestEnded:
+    """How a caller's request ended, and what decided it."""
+
+    request: str
+    route: str
+    outcome: str
+    status: int
+    reason: str
+    config_version: int
+    upstreams: tuple[str, ...]
+    queued: timedelta
+    first_byte: timedelta | None
+    took: timedelta
+    time_limit: timedelta
+    longest_pause: timedelta
+    running: int
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptFailed:
+    """An upstream did not give a whole answer, and what follows."""
+
+    request: str
+    upstream: str
+    failure: str
+    problem: str
+    events_passed_on: int
+    next_step: str
+
+
+@dataclass(frozen=True, slots=True)
+class PeerSeen:
+    """Another gateway daemon was heard of for the first time."""
+
+    peer: str
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class PeerLost:
+    """Another gateway daemon has been silent for too long."""
+
+    peer: str
+    silent: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class LeaderChanged:
+    """This daemon begins or ends to plan the expert maps."""
+
+    leads: bool
+
+
+@dataclass(frozen=True, slots=True)
+class MapPlanned:
+    """A new expert map was planned, or why none was."""
+
+    group: str
+    version: int
+    moves: int
+    skew_before: float
+    skew_after: float
+    tokens: float
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class MapStep:
+    """The rollout of an expert map has moved on."""
+
+    group: str
+    version: int
+    stage: str
+    step: int
+    ranks: int
+    took: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class OrderFailed:
+    """An engine refused an order or did not answer it."""
+
+    rank: int
+    order: str
+    problem: str
+
+
+@dataclass(frozen=True, slots=True)
+class GroupChanged:
+    """A rank group has opened, broken, or formed anew."""
+
+    group: str
+    epoch: int
+    is_open: bool
+    ranks: int
--- /dev/null
+++ b/linnetwind/gateway_state.py
@@ -0,0 +1,332 @@
+"""What the requests of one gateway daemon share: counts, records, budgets."""
+
+import threading
+from collections import deque
+from collections.abc import Callable
+from datetime import timedelta
+
+from linnetwind.clock import Clock
+from linnetwind.pass_meter import PassMeter, Pause
+from linnetwind.peer_book import GroupBrief, PeerBook, PeerState
+from linnetwind.repeat_budget import BudgetTerms, RepeatBudget
+from linnetwind.routes import RouteTable, RoutedService
+from linnetwind.stream_gate import GroupView, WaitingLine
+from linnetwind.upstream_choice import (
+    Record,
+    choose_plain,
+    choose_rank,
+    note_answer,
+    note_miss,
+)
+from linnetwind.upstream_list import Address, Upstream, UpstreamList
+
+# Ended streams that count for the rate at which places become free.
+_ENDS_WINDOW = timedelta(seconds=1)
+# A brief of the planner is used this long.
+_BRIEF_AGE = timedelta(seconds=2)
+
+
+class GatewayState:
+    """The shared state; every method may be called from any thread."""
+
+    def __init__(self, clock: Clock, own: Address, terms: BudgetTerms) -> None:
+        """Start without configuration, upstreams and peers.
+
+        Args:
+          clock: The daemon's clock.
+          own: The address at which peers reach this daemon.
+          terms: The shared budget of repeats.
+        """
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._terms = terms
+        self._table: RouteTable | None = None
+        self._upstreams = UpstreamList()
+        self._book = PeerBook(own)
+        self._running: dict[str, int] = {}
+        self._records: dict[str, Record] = {}
+        self._budgets: dict[str, RepeatBudget] = {}
+        self._meters: dict[str, PassMeter] = {}
+        self._lines: dict[str, WaitingLine] = {}
+        self._ends: dict[str, deque[timedelta]] = {}
+        self._briefs: dict[str, tuple[timedelta, GroupBrief]] = {}
+        self._on_change: Callable[[], None] = _nothing
+
+    @property
+    def table(self) -> RouteTable | None:
+        """Return the configuration in force, or None before the first."""
+        return self._table
+
+    @property
+    def upstreams(self) -> UpstreamList:
+        """Return the list of upstreams."""
+        return self._upstreams
+
+    @property
+    def book(self) -> PeerBook:
+        """Return what is known of the peers."""
+        return self._book
+
+    @property
+    def running(self) -> dict[str, int]:
+        """Return a copy of this daemon's own counts by instance."""
+        with self._lock:
+            return dict(self._running)
+
+    @property
+    def waiting(self) -> int:
+        """Return the streams that wait at this daemon."""
+        return sum(line.length for line in list(self._lines.values()))
+
+    def call_on_change(self, tell: Callable[[], None]) -> None:
+        """Have something called when the counts have changed.
+
+        Args:
+          tell: It must return at once.
+        """
+        self._on_change = tell
+
+    def apply_table(self, table: RouteTable) -> bool:
+        """Put a configuration in force unless it is older.
+
+        A reader that is served an old copy would bring back routes and keys
+        that were taken away; versions only ever rise within a process.
+
+        Args:
+          table: The configuration.
+
+        Returns:
+          Whether it is in force now and was not before.
+        """
+        with self._lock:
+            if self._table is not None and table.version <= self._table.version:
+                return False
+            self._table = table
+            return True
+
+    def change_upstreams(
+        self, change: Callable[[UpstreamList], UpstreamList]
+    ) -> UpstreamList:
+        """Replace the list of upstreams.
+
+        Args:
+          change: Given the list, returns the new one.
+
+        Returns:
+          The list before.
+        """
+        with self._lock:
+            before = self._upstreams
+            self._upstreams = change(before)
+        for line in list(self._lines.values()):
+            line.wake()
+        return before
+
+    def hear(self, state: PeerState) -> None:
+        """Take in a peer's message.
+
+        Args:
+          state: What the peer sent.
+        """
+        now = self._clock.elapsed()
+        with self._lock:
+            self._book = self._book.hear(state, now).forget(now)
+            for brief in state.groups:
+                self._briefs[brief.service] = (now, brief)
+        for line in list(self._lines.values()):
+            line.wake()
+
+    def take_brief(self, brief: GroupBrief) -> None:
+        """Take in what this daemon itself found out as the planner.
+
+        Args:
+          brief: The state of a group.
+        """
+        with self._lock:
+            self._briefs[brief.service] = (self._clock.elapsed(), brief)
+
+    def line(self, service: str) -> WaitingLine:
+        """Return the waiting line of a service.
+
+        Args:
+          service: The service's name.
+
+        Returns:
+          The line.
+        """
+        with self._lock:
+            found = self._lines.get(service)
+            if found is None:
+                found = WaitingLine(self._clock)
+                self._lines[service] = found
+            return found
+
+    def note_pause(self, service: str, length: timedelta) -> None:
+        """Take note of a pause between two events of a stream.
+
+        Args:
+          service: The stream's service.
+          length: The pause.
+        """
+        now = self._clock.elapsed()
+        running = self.group_running(service)
+        with self._lock:
+            meter = self._meters.setdefault(service, PassMeter())
+            meter.note(Pause(now, length, running))
+
+    def group_running(self, service: str) -> int:
+        """Return the requests that all daemons have at a service.
+
+        Args:
+          service: The service's name.
+
+        Returns:
+          Their number.
+        """
+        counts = self._counts()
+        usable = self._upstreams.usable(service, self._clock.elapsed())
+        return sum(counts.get(each.instance, 0) for each in usable)
+
+    def group_view(self, service: RoutedService, gap: timedelta) -> GroupView:
+        """Return what is known of a rank group.
+
+        Args:
+          service: The service, which has engines.
+          gap: The longest pause that is in time.
+
+        Returns:
+          The view.
+        """
+        now = self._clock.elapsed()
+        usable = self._upstreams.usable(service.name, now)
+        running = self.group_running(service.name)
+        with self._lock:
+            meter = self._meters.setdefault(service.name, PassMeter())
+            limit = meter.limit(service.engine, len(usable), gap, now)
+            ends = self._ends.setdefault(service.name, deque())
+            while ends and now - ends[0] > _ENDS_WINDOW:
+                ends.popleft()
+            rate = len(ends) / _ENDS_WINDOW.total_seconds()
+            opens_in = self._opens_in(service.name, now)
+            peers = 1 + len(self._book.live(now))
+        return GroupView(running, limit, rate * peers, opens_in)
+
+    def take_upstream(
+        self, service: RoutedService, tried: frozenset[str]
+    ) -> Upstream | None:
+        """Choose an upstream and count a request there.
+
+        Args:
+          service: The service.
+          tried: Instances that are left out.
+
+        Returns:
+          The upstream, or None if there is none. `give_back` ends the count.
+        """
+        now = self._clock.elapsed()
+        usable = [
+            each
+            for each in self._upstreams.usable(service.name, now)
+            if each.instance not in tried
+        ]
+        counts = self._counts()
+        with self._lock:
+            if service.engine is None:
+                chosen = choose_plain(usable, counts, self._records, now)
+            else:
+                chosen = choose_rank(usable, counts)
+            if chosen is not None:
+                before = self._running.get(chosen.instance, 0)
+                self._running[chosen.instance] = before + 1
+        self._on_change()
+        return chosen
+
+    def give_back(self, upstream: Upstream) -> None:
+        """End the count of a request at an upstream.
+
+        Args:
+          upstream: What `take_upstream` returned.
+        """
+        now = self._clock.elapsed()
+        with self._lock:
+            left = self._running.get(upstream.instance, 1) - 1
+            if left:
+                self._running[upstream.instance] = left
+            else:
+                self._running.pop(upstream.instance, None)
+            ends = self._ends.setdefault(upstream.service, deque())
+            ends.append(now)
+        self._on_change()
+        self.line(upstream.service).wake()
+
+    def note_answer(
+        self, upstream: Upstream, took: timedelta, *, failed: bool
+    ) -> None:
+        """Take note of how an upstream answered.
+
+        Args:
+          upstream: The upstream.
+          took: How long the answer took.
+          failed: Whether it was a failure.
+        """
+        now = self._clock.elapsed()
+        with self._lock:
+            record = self._records.get(upstream.instance, Record(now))
+            self._records[upstream.instance] = note_answer(
+                record, now, took, failed=failed
+            )
+
+    def note_miss(self, upstream: Upstream) -> None:
+        """Take note that an upstream could not be reached.
+
+        Args:
+          upstream: The upstream.
+        """
+        now = self._clock.elapsed()
+        with self._lock:
+            record = self._records.get(upstream.instance, Record(now))
+            self._records[upstream.instance] = note_miss(record, now)
+
+    def count_request(self, service: str) -> None:
+        """Count a caller's request for the budget of repeats.
+
+        Args:
+          service: The service that it goes to.
+        """
+        with self._lock:
+            self._budget(service).count_request(self._clock.elapsed())
+
+    def spend_repeat(self, service: str) -> bool:
+        """Take a repeat from the shared budget.
+
+        Args:
+          service: The service that gets the repeat.
+
+        Returns:
+          Whether there was one left.
+        """
+        now = self._clock.elapsed()
+        with self._lock:
+            daemons = 1 + len(self._book.heard)
+            return self._budget(service).spend(now, daemons)
+
+    def _budget(self, service: str) -> RepeatBudget:
+        return self._budgets.setdefault(service, RepeatBudget(self._terms))
+
+    def _counts(self) -> dict[str, int]:
+        counts = self._book.running(self._clock.elapsed())
+        with self._lock:
+            for instance, count in self._running.items():
+                counts[instance] = counts.get(instance, 0) + count
+        return counts
+
+    def _opens_in(self, service: str, now: timedelta) -> timedelta | None:
+        at, brief = self._briefs.get(service, (now, None))
+        if brief is None or brief.is_open or now - at > _BRIEF_AGE:
+            return None
+        left = timedelta(milliseconds=brief.opens_in_ms) - (now - at)
+        return max(left, timedelta())
+
+
+def _nothing() -> None:
+    """Do nothing, until a listener is set."""
--- /dev/null
+++ b/linnetwind/peer_book.py
@@ -0,0 +1,173 @@
+"""What the gateway daemons know of each other, as pure functions.
+
+Each daemon sends its state to all others several times a second. From it
+the others count the streams that run at each upstream, learn that a newer
+configuration exists, and agree on who plans the expert maps: the daemon
+whose name comes first. Two that think so at once do no harm, since the
+rollout of a map is safe with any number of planners.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field, replace
+from datetime import timedelta
+from typing import Self
+
+from linnetwind.upstream_list import Address
+
+# Some datagrams are lost; three in a row hardly ever.
+PEER_SILENCE = timedelta(milliseconds=700)
+# After this a peer is dropped from the list of addresses to send to, so that
+# replaced hosts do not collect there.
+PEER_FORGOTTEN = timedelta(seconds=30)
+
+
+@dataclass(frozen=True, slots=True)
+class GroupBrief:
+    """What the planner tells all of a rank group.
+
+    `skew` is the slowest rank's expert load over the mean, `opens_in_ms` the
+    time until a broken group is expected to open.
+    """
+
+    service: str
+    epoch: int
+    is_open: bool
+    skew: float
+    opens_in_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class PeerState:
+    """The state that a daemon sends to the others.
+
+    `running` counts the requests that it has at each upstream instance;
+    `waiting` the streams that wait for a place; `members` are the addresses
+    it knows of; `can_plan` says that it reaches all ranks. `counter` grows with each message of one `start_id`.
+    """
+
+    name: str
+    start_id: str
+    counter: int
+    address: Address
+    config_version: int
+    leaving: bool
+    can_plan: bool
+    running: dict[str, int]
+    waiting: int
+    members: tuple[Address, ...]
+    groups: tuple[GroupBrief, ...]
+
+
+@dataclass(frozen=True)
+class Heard:
+    """A peer's newest state and when it came."""
+
+    state: PeerState
+    at: timedelta
+
+
+@dataclass(frozen=True)
+class PeerBook:
+    """The newest state of each peer, and addresses to send to."""
+
+    own: Address
+    heard: Mapping[str, Heard] = field(default_factory=dict)
+    known: frozenset[Address] = frozenset()
+
+    def hear(self, state: PeerState, now: timedelta) -> Self:
+        """Return the book after a message.
+
+        Args:
+          state: What a peer sent.
+          now: The monotonic time.
+
+        Returns:
+          The book; unchanged by a message that was overtaken.
+        """
+        before = self.heard.get(state.name)
+        if before is not None and _overtaken(before.state, state):
+            return self
+        addresses = {state.address, *state.members} - {self.own}
+        return replace(
+            self,
+            heard={**self.heard, state.name: Heard(state, now)},
+            known=self.known | addresses,
+        )
+
+    def live(self, now: timedelta) -> list[PeerState]:
+        """Return the states of the peers that were heard just now.
+
+        Args:
+          now: The monotonic time.
+
+        Returns:
+          Their states.
+        """
+        return [
+            each.state
+            for each in self.heard.values()
+            if now - each.at < PEER_SILENCE
+        ]
+
+    def running(self, now: timedelta) -> dict[str, int]:
+        """Count the requests that live peers have at each upstream.
+
+        Args:
+          now: The monotonic time.
+
+        Returns:
+          The counts by instance.
+        """
+        counts: dict[str, int] = {}
+        for state in self.live(now):
+            for instance, count in state.running.items():
+                counts[instance] = counts.get(instance, 0) + count
+        return counts
+
+    def forget(self, now: timedelta) -> Self:
+        """Return the book without peers that have been silent for long.
+
+        Args:
+          now: The monotonic time.
+
+        Returns:
+          The book.
+        """
+        heard = {
+            name: each
+            for name, each in self.heard.items()
+            if now - each.at < PEER_FORGOTTEN
+        }
+        gone = {
+            each.state.address
+            for name, each in self.heard.items()
+            if name not in heard
+        }
+        return replace(self, heard=heard, known=self.known - gone)
+
+
+def leader(
+    book: PeerBook, own_name: str, now: timedelta, *, can_plan: bool
+) -> str:
+    """Return the daemon that plans the expert maps.
+
+    Args:
+      book: What is known of the peers.
+      own_name: This daemon's name.
+      now: The monotonic time.
+      can_plan: Whether this daemon reaches all ranks.
+
+    Returns:
+      The first name among the daemons that stay and reach all ranks, or
+      among all that stay if none does.
+    """
+    staying = [each for each in book.live(now) if not each.leaving]
+    able = [each.name for each in staying if each.can_plan]
+    if can_plan:
+        able.append(own_name)
+    return min(able or (own_name, *(each.name for each in staying)))
+
+
+def _overtaken(before: PeerState, state: PeerState) -> bool:
+    same_life = before.start_id == state.start_id
+    return same_life and state.counter <= before.counter
--- a/linnetwind/placement.py
+++ b/linnetwind/placement.py
@@ -10,7 +10,7 @@
 from collections.abc import Sequence
 from dataclasses import replace
 
-from linnetwind.placement_layer import Change, LayerState
+from linnetwind.placement_layer import Change, CopyRoom, LayerState
 from linnetwind.placement_types import (
     ExpertMap,
     GroupLoad,
@@ -100,8 +100,11 @@
     Returns:
       The plan; without moves if nothing is worth it.
     """
+    room = CopyRoom(prices.copies) if prices.copies else None
     layers = [
-        LayerState(number, layer, current.slots_per_rank, tokens, load.slowness)
+        LayerState(
+            number, layer, current.slots_per_rank, tokens, load.slowness, room
+        )
         for number, (layer, tokens) in enumerate(
             zip(current.layers, load.tokens, strict=True)
         )
--- a/linnetwind/placement_layer.py
+++ b/linnetwind/placement_layer.py
@@ -12,7 +12,7 @@
 from itertools import product
 
 from linnetwind.placement_pack import repack
-from linnetwind.placement_types import LayerMap, Move
+from linnetwind.placement_types import CopyLimits, LayerMap, Move
 
 # The lightest ranks that are tried as a target for a part of the slowest
 # rank's work; more make a plan slower and hardly better.
@@ -32,6 +32,32 @@
         return self.gain / len(self.moves)
 
 
+class CopyRoom:
+    """The copies that a plan may still bring to each rank, in all layers."""
+
+    def __init__(self, limits: CopyLimits) -> None:
+        """Start with the whole room.
+
+        Args:
+          limits: The limits of one plan.
+        """
+        self.limits = limits
+        self._by_rank: Counter[int] = Counter()
+        self._by_layer: Counter[tuple[int, int]] = Counter()
+
+    def allows(self, rank: int, layer: int) -> bool:
+        """Return whether one more expert may be copied to a rank."""
+        return (
+            self._by_rank[rank] < self.limits.per_rank
+            and self._by_layer[rank, layer] < self.limits.per_layer
+        )
+
+    def take(self, rank: int, layer: int) -> None:
+        """Take note of a copy."""
+        self._by_rank[rank] += 1
+        self._by_layer[rank, layer] += 1
+
+
 _Candidate = tuple[tuple[Move, ...], dict[int, float]]
 
 
@@ -45,6 +71,7 @@
         size: int,
         tokens: Sequence[float],
         slowness: Sequence[float],
+        room: CopyRoom | None = None,
     ) -> None:
         """Add up the loads.
 
@@ -54,7 +81,13 @@
           size: The slots of a rank.
           tokens: The load of each expert.
           slowness: The factor of each rank.
+          room: What may be copied, shared with the other layers; None if
+            there is no limit.
         """
+        self._room = room
+        self._first = frozenset(
+            (slot // size, expert) for slot, expert in enumerate(layer)
+        )
         self._number = number
         self._slots = list(layer)
         self._size = size
@@ -84,6 +117,8 @@
         """
         for move in change.moves:
             rank = move.slot // self._size
+            if self._room is not None and self._is_copy(rank, move.expert):
+                self._room.take(rank, self._number)
             gone = self._slots[move.slot]
             self._slots[move.slot] = move.expert
             self._counts[gone] -= 1
@@ -100,7 +135,10 @@
         """
         ranks = range(len(self._loads))
         slowest = max(ranks, key=self._loads.__getitem__)
-        lightest = heapq.nsmallest(TARGETS, ranks, key=self._loads.__getitem__)
+        open_ranks = [rank for rank in ranks if self._has_room(rank)]
+        lightest = heapq.nsmallest(
+            TARGETS, open_ranks, key=self._loads.__getitem__
+        )
         # The slowest ranks in order, to find one that a change leaves alone.
         order = sorted(ranks, key=self._loads.__getitem__, reverse=True)
         changes = (
@@ -115,7 +153,10 @@
 
     def _repacked(self, slowest: float) -> Change | None:
         # Changing one expert after the other ends where no single change
-        # helps, some per cent above what packing from scratch reaches.
+        # helps, some per cent above what packing from scratch reaches. That
+        # moves most experts, so it is out of the question under a limit.
+        if self._room is not None:
+            return None
         slots = repack(self.layer, self._size, self._tokens, self._slowness)
         moves = tuple(
             Move(self._number, slot, expert)
@@ -157,11 +198,21 @@
             there = Move(self._number, other, heavy)
             if self._counts[light] > 1:
                 yield (there,), self._replicated(heavy, light, rank)
-            if light not in own:
+            if light not in own and self._may_go(slowest, light):
                 back = Move(self._number, slot, light)
                 deltas = self._exchanged(heavy, light, slowest, rank)
                 yield (there, back), deltas
 
+    def _has_room(self, rank: int) -> bool:
+        return self._room is None or self._room.allows(rank, self._number)
+
+    def _may_go(self, rank: int, expert: int) -> bool:
+        return self._has_room(rank) or not self._is_copy(rank, expert)
+
+    def _is_copy(self, rank: int, expert: int) -> bool:
+        blank = self._room.limits.blank if self._room else None
+        return expert != blank and (rank, expert) not in self._first
+
     def _slots_of(self, rank: int) -> range:
         return range(rank * self._size, (rank + 1) * self._size)
 
--- a/linnetwind/placement_types.py
+++ b/linnetwind/placement_types.py
@@ -32,6 +32,20 @@
     slowness: tuple[float, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class CopyLimits:
+    """How many experts that are new to a rank one plan may bring there.
+
+    `per_rank` bounds the time that copying takes, `per_layer` is what the
+    engine accepts at once. `blank` is the number that stands for an empty
+    slot, which needs no copy.
+    """
+
+    per_rank: int
+    per_layer: int
+    blank: int
+
+
 @dataclass(frozen=True)
 class PlacementPrices:
     """What a move is worth and what it costs.
@@ -46,6 +60,7 @@
     cost_weight: float
     seconds_per_move: float
     max_moves: int
+    copies: CopyLimits | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/linnetwind/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The users' platform: its names, formats and calls. Nothing here decides."""
--- /dev/null
+++ b/linnetwind/platform/__main__.py
@@ -0,0 +1,24 @@
+"""Starts a daemon on the users' platform: `entry` or `rank`."""
+
+import sys
+
+
+def main(role: str) -> None:
+    """Run a daemon until it is told to stop.
+
+    Args:
+      role: `entry` for callers' hosts, `rank` beside an upstream. Each role
+        imports only what it needs; memory is the rank agents' main cost.
+    """
+    if role == 'entry':
+        from linnetwind.platform.entry import run_entry
+
+        run_entry()
+    else:
+        from linnetwind.platform.rank import run_rank
+
+        run_rank()
+
+
+if __name__ == '__main__':
+    main(sys.argv[1])
--- /dev/null
+++ b/linnetwind/platform/rank.py
@@ -0,0 +1,22 @@
+"""Wires the rank agent to the platform."""
+
+from linnetwind.clock import SystemClock
+from linnetwind.platform.rank_client import RankClient
+from linnetwind.platform.settings import read_settings
+from linnetwind.rank_agent import RankAgent
+from linnetwind.step_log import stdout_log
+from linnetwind.upstream_list import Address
+
+
+def run_rank() -> None:
+    """Run the rank agent until it is told to stop."""
+    settings = read_settings()
+    clock = SystemClock()
+    agent = RankAgent(
+        settings.name,
+        Address(settings.ip, settings.first_port),
+        lambda: RankClient(settings.upstream),
+        clock,
+        stdout_log(settings.name, clock),
+    )
+    agent.run()
--- /dev/null
+++ b/linnetwind/platform/rank_client.py
@@ -0,0 +1,183 @@
+"""Calls to a worker of the platform about its rank."""
+
+import json
+from http.client import HTTPConnection, HTTPException
+from typing import Any
+
+from linnetwind.rank_types import (
+    ArmMap,
+    DisarmMap,
+    HoldPass,
+    OrderResult,
+    PrepareMap,
+    RankCounts,
+    RankExperts,
+    RankOrder,
+    RankReport,
+    ReleasePass,
+)
+from linnetwind.upstream_list import Address
+
+# A worker answers in a few milliseconds; an order that it leaves unanswered
+# is given again after this.
+_TIMEOUT_S = 0.15
+_OK = 200
+_ACCEPTED = 202
+_JSON = {'Content-Type': 'application/json'}
+
+
+class RankClient:
+    """One connection to a worker, for one thread at a time."""
+
+    def __init__(self, address: Address) -> None:
+        """Connect later, with the first call.
+
+        Args:
+          address: Where the worker listens.
+        """
+        self._address = address
+        self._connection: HTTPConnection | None = None
+
+    def report(self) -> RankReport | None:
+        """Return the rank's state, or None if there is no answer."""
+        fields = self._json('/-/report')
+        if fields is None or 'group' not in fields:
+            return None
+        return _report(fields)
+
+    def counts(self) -> RankCounts | None:
+        """Return the experts' counts, or None if there is no answer."""
+        fields = self._json('/-/picked')
+        if fields is None or 'counts' not in fields:
+            return None
+        return RankCounts(
+            fields['epoch'], fields['step'], tuple(fields['counts'])
+        )
+
+    def experts(self) -> RankExperts | None:
+        """Return the experts that the rank holds, or None."""
+        fields = self._json('/-/picked?lists=1')
+        if fields is None or 'mapping' not in fields:
+            return None
+        mapping = fields['mapping']
+        return RankExperts(
+            fields['epoch'],
+            mapping['version'],
+            tuple(tuple(layer) for layer in mapping['experts']),
+        )
+
+    def order(self, order: RankOrder) -> OrderResult:
+        """Give an order.
+
+        Args:
+          order: The order.
+
+        Returns:
+          What became of it.
+        """
+        body = json.dumps(_order(order), separators=(',', ':')).encode()
+        answer = self._call('POST', '/-/order', body)
+        if answer is None:
+            return OrderResult.NO_ANSWER
+        match answer[0]:
+            case 200:
+                return OrderResult.DONE
+            case 202:
+                return OrderResult.BEGUN
+        return OrderResult.REFUSED
+
+    def _json(self, path: str) -> dict[str, Any] | None:
+        answer = self._call('GET', path, None)
+        if answer is None or answer[0] != _OK:
+            return None
+        try:
+            return json.loads(answer[1])
+        except ValueError:
+            return None
+
+    def _call(
+        self, method: str, path: str, body: bytes | None
+    ) -> tuple[int, bytes] | None:
+        if self._connection is None:
+            self._connection = HTTPConnection(
+                self._address.ip, self._address.port, timeout=_TIMEOUT_S
+            )
+        headers = _JSON if body else {}
+        try:
+            self._connection.request(method, path, body, headers)
+            response = self._connection.getresponse()
+            return response.status, response.read()
+        except (OSError, HTTPException):
+            # The answer is lost with the connection; callers are told so by
+            # None and log what it means to them.
+            self._connection.close()
+            self._connection = None
+            return None
+
+
+def _report(fields: dict[str, Any]) -> RankReport:
+    group = fields['group']
+    armed, armed_step = _armed(fields.get('armed'))
+    return RankReport(
+        group=group['name'],
+        rank=group['rank'],
+        size=fields['size'],
+        epoch=group['epoch'],
+        is_open=group['state'] == 'open',
+        step=fields['step'],
+        sequence=fields['sequence'],
+        is_copying=bool(fields['busy']),
+        map_version=fields['mapping'],
+        prepared=fields.get('preloaded'),
+        armed=armed,
+        armed_step=armed_step,
+        held=fields.get('held'),
+        pace=float(fields.get('pace') or 1),
+        running=fields['activeRequests'],
+        waiting=fields['queueDepth'],
+    )
+
+
+def _armed(found: Any) -> tuple[int | None, int | None]:
+    """Return version and step of what the worker calls armed."""
+    match found:
+        case [version, step]:
+            return version, step
+        case {'version': version, 'step': step}:
+            return version, step
+    return found, None
+
+
+def _order(order: RankOrder) -> dict[str, Any]:
+    match order:
+        case PrepareMap(version, epoch, expect, maps):
+            return {
+                'operation': 'prepare',
+                'version': version,
+                'mapping': maps,
+                'epoch': epoch,
+                'expect': expect,
+            }
+        case ArmMap(version, step, epoch, expect):
+            return {
+                'operation': 'arm',
+                'version': version,
+                'step': step,
+                'epoch': epoch,
+                'expect': expect,
+            }
+        case DisarmMap(version, epoch):
+            return {
+                'operation': 'disarm',
+                'version': version,
+                'epoch': epoch,
+            }
+        case HoldPass(step, epoch, expect):
+            return {
+                'operation': 'hold',
+                'step': step,
+                'epoch': epoch,
+                'expect': expect,
+            }
+        case ReleasePass(step, epoch):
+            return {'operation': 'go', 'step': step, 'epoch': epoch}
--- /dev/null
+++ b/linnetwind/rank_agent.py
@@ -0,0 +1,104 @@
+"""The small daemon beside a rank: its planner's hands on the rank's host.
+
+Reading a rank's counts from another host is dear, and makes its whole group
+pause; on the rank's own host it is free. The agent keeps nothing and decides
+nothing, so that it may be killed and started at any time.
+"""
+
+import signal
+import socket
+import threading
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from datetime import timedelta
+
+from result import Err, Ok
+
+from linnetwind.background import guarded
+from linnetwind.clock import Clock
+from linnetwind.frames import receive_frame, send_frame
+from linnetwind.gateway_events import Started, Stopped, Stopping
+from linnetwind.rank_messages import RANK_CODEC, Look, Obeyed, Seen
+from linnetwind.rank_types import RankPort
+from linnetwind.step_log import StepLog
+from linnetwind.upstream_list import Address
+
+# Planners that ask at once: one, or a few while they change.
+_MOST_PLANNERS = 8
+_STACK_BYTES = 131_072
+# A planner that asks nothing for this long has gone without a word.
+_IDLE_S = 20
+
+
+class RankAgent:
+    """Answers planners from the engine on its own host."""
+
+    def __init__(
+        self,
+        name: str,
+        listen: Address,
+        open_rank: Callable[[], RankPort],
+        clock: Clock,
+        log: StepLog,
+    ) -> None:
+        """Open the socket.
+
+        Args:
+          name: The daemon's name.
+          listen: Where planners reach it.
+          open_rank: Returns a client of the engine, one for each planner.
+          clock: The clock.
+          log: The log.
+        """
+        threading.stack_size(_STACK_BYTES)
+        self._name = name
+        self._address = listen
+        self._open_rank = open_rank
+        self._clock = clock
+        self._log = log
+        self._listener = socket.create_server((listen.ip, listen.port))
+        self._stop = threading.Event()
+
+    def run(self) -> None:
+        """Serve until SIGTERM."""
+        signal.signal(signal.SIGTERM, self._on_stop)
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
+        self._log.event(Started('rank', str(self._address), '', self._name))
+        threading.Thread(target=self._accept, daemon=True).start()
+        self._stop.wait()
+        self._log.event(Stopping(0))
+        self._log.event(Stopped(0, timedelta()))
+
+    def _accept(self) -> None:
+        pool = ThreadPoolExecutor(_MOST_PLANNERS, 'planner')
+        while True:
+            sock, _peer = self._listener.accept()
+            pool.submit(guarded, lambda sock=sock: self._serve(sock))
+
+    def _serve(self, sock: socket.socket) -> None:
+        rank = self._open_rank()
+        with sock:
+            sock.settimeout(_IDLE_S)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            try:
+                while True:
+                    _answer_one(sock, rank)
+            except OSError:
+                # The planner has gone; nothing here depends on it.
+                return
+
+    def _on_stop(self, _number: int, _frame: object) -> None:
+        self._stop.set()
+
+
+def _answer_one(sock: socket.socket, rank: RankPort) -> None:
+    match RANK_CODEC.decode(receive_frame(sock)):
+        case Ok(Look(with_counts, with_experts)):
+            counts = rank.counts() if with_counts else None
+            experts = rank.experts() if with_experts else None
+            answer = Seen(rank.report(), counts, experts)
+        case Ok(order):
+            answer = Obeyed(rank.order(order))
+        case Err(problem):
+            raise ConnectionError(problem.describe())
+    send_frame(sock, RANK_CODEC.encode(answer))
--- /dev/null
+++ b/linnetwind/rank_link.py
@@ -0,0 +1,149 @@
+"""The planner's connections to all ranks of a group.
+
+Each rank is reached through the agent on its host, or directly if the agent
+does not answer; that is dearer and gives no counts, but an agent's death must
+not leave a map half rolled out.
+"""
+
+import socket
+from collections.abc import Callable, Iterable, Mapping
+from concurrent.futures import ThreadPoolExecutor
+from datetime import timedelta
+
+from result import Ok
+
+from linnetwind.clock import Clock
+from linnetwind.frames import receive_frame, send_frame
+from linnetwind.rank_messages import RANK_CODEC, Look, Obeyed, Seen
+from linnetwind.rank_types import OrderResult, RankOrder, RankPort
+from linnetwind.upstream_list import Address
+
+# The agent asks its engine on the same host; both answer in milliseconds. An
+# engine that leaves an order unanswered shows after the shorter time.
+_AGENT_TIMEOUT_S = 0.35
+# An agent that failed is passed over for this long.
+_REST = timedelta(seconds=1)
+_THREADS = 16
+
+
+class RankLink:
+    """One rank: its agent, and its engine directly."""
+
+    def __init__(
+        self, agent: Address, engine: RankPort, clock: Clock
+    ) -> None:
+        """Connect later.
+
+        Args:
+          agent: Where the agent listens.
+          engine: The rank's engine, called from here.
+          clock: For rests.
+        """
+        self._agent = agent
+        self._engine = engine
+        self._clock = clock
+        self._sock: socket.socket | None = None
+        self._rests_until = timedelta()
+
+    def look(self, wanted: Look) -> Seen:
+        """Return the rank's state, and its counts if the agent answers."""
+        answer = self._ask(wanted)
+        if isinstance(answer, Seen) and answer.report is not None:
+            return answer
+        experts = self._engine.experts() if wanted.with_experts else None
+        return Seen(self._engine.report(), None, experts)
+
+    def command(self, order: RankOrder) -> OrderResult:
+        """Give an order."""
+        answer = self._ask(order)
+        if isinstance(answer, Obeyed):
+            return answer.result
+        return self._engine.order(order)
+
+    def close(self) -> None:
+        """Close the connection to the agent."""
+        if self._sock is not None:
+            self._sock.close()
+        self._sock = None
+
+    def _ask(self, message: Look | RankOrder) -> Seen | Obeyed | None:
+        if self._clock.elapsed() < self._rests_until:
+            return None
+        try:
+            return self._exchange(message)
+        except OSError:
+            # Asked directly from now on; the caller sees what is missing.
+            self.close()
+            self._rests_until = self._clock.elapsed() + _REST
+            return None
+
+    def _exchange(self, message: Look | RankOrder) -> Seen | Obeyed | None:
+        if self._sock is None:
+            self._sock = socket.create_connection(
+                (self._agent.ip, self._agent.port), _AGENT_TIMEOUT_S
+            )
+            self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        send_frame(self._sock, RANK_CODEC.encode(message))
+        match RANK_CODEC.decode(receive_frame(self._sock)):
+            case Ok(Seen() | Obeyed() as answer):
+                return answer
+        raise ConnectionError('not an answer of a rank agent')
+
+
+class GroupLinks:
+    """The links to all upstreams of one group."""
+
+    def __init__(self, open_link: Callable[[str], RankLink]) -> None:
+        """Start without links.
+
+        Args:
+          open_link: Returns a link to an instance.
+        """
+        self._open_link = open_link
+        self._links: dict[str, RankLink] = {}
+        self._pool = ThreadPoolExecutor(_THREADS, 'rank')
+
+    def look(
+        self, instances: Iterable[str], wanted: Look
+    ) -> dict[str, Seen]:
+        """Ask all instances at once.
+
+        Args:
+          instances: The instances to ask.
+          wanted: What is wanted of each.
+
+        Returns:
+          What each of them said.
+        """
+        asked = list(instances)
+        for gone in set(self._links) - set(asked):
+            self._links.pop(gone).close()
+        jobs = {
+            each: self._pool.submit(self._link(each).look, wanted)
+            for each in asked
+        }
+        return {each: job.result() for each, job in jobs.items()}
+
+    def command(
+        self, orders: Mapping[str, RankOrder]
+    ) -> dict[str, OrderResult]:
+        """Give orders to several instances at once.
+
+        Args:
+          orders: The order for each instance.
+
+        Returns:
+          What became of each.
+        """
+        jobs = {
+            each: self._pool.submit(self._link(each).command, order)
+            for each, order in orders.items()
+        }
+        return {each: job.result() for each, job in jobs.items()}
+
+    def _link(self, instance: str) -> RankLink:
+        link = self._links.get(instance)
+        if link is None:
+            link = self._open_link(instance)
+            self._links[instance] = link
+        return link
--- /dev/null
+++ b/linnetwind/record_store.py
@@ -0,0 +1,54 @@
+"""The port to the platform's store, as far as the gateway reads it."""
+
+import enum
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Protocol
+
+
+class Topic(enum.Enum):
+    """What the store keeps a newest record of for each key."""
+
+    CONFIGURATION = 'configuration'
+    UPSTREAMS = 'upstreams'
+
+
+@dataclass(frozen=True, slots=True)
+class KeyedRecord:
+    """A record; `content` is None if it drops the key."""
+
+    key: str
+    offset: int
+    content: bytes | None
+
+
+@dataclass(frozen=True, slots=True)
+class Records:
+    """Records in the order of their offsets, and the offset after the last."""
+
+    records: tuple[KeyedRecord, ...]
+    end: int
+
+
+@dataclass(frozen=True, slots=True)
+class Trimmed:
+    """The records asked for are deleted; the newest ones are to be read."""
+
+
+@dataclass(frozen=True, slots=True)
+class StoreUnavailable:
+    """The store did not answer, or refused."""
+
+    problem: str
+
+
+class RecordStore(Protocol):
+    """Reads records of the store."""
+
+    def newest(self, topic: Topic) -> Records | StoreUnavailable:
+        """Return the newest record of each key."""
+
+    def read(
+        self, topic: Topic, start: int, wait: timedelta
+    ) -> Records | Trimmed | StoreUnavailable:
+        """Return the records from an offset on, waiting for the first."""
--- /dev/null
+++ b/linnetwind/step_log.py
@@ -0,0 +1,110 @@
+"""Structured log lines that never block the work they tell of.
+
+Lines go through a bounded queue to one writing thread. If standard output
+is not read, the queue fills; further lines are dropped and counted, and the
+count is written as soon as there is room. loguru is not used here: with its
+queue it needs a semaphore that the hosts do not allow, without it a full
+pipe would hold up requests; it also costs about 5 MB in every daemon.
+"""
+
+import json
+import sys
+import threading
+from collections import deque
+from dataclasses import asdict, dataclass
+from datetime import timedelta
+from enum import Enum
+from typing import Any, TextIO
+
+from linnetwind.clock import Clock
+
+# Lines that wait for the writer; about 1 MB at 250 bytes a line.
+MOST_WAITING = 4_000
+
+
+@dataclass(frozen=True, slots=True)
+class LinesDropped:
+    """The reader of the log was too slow for so many lines."""
+
+    count: int
+
+
+class StepLog:
+    """Writes typed events as JSON lines, from a thread of its own."""
+
+    def __init__(self, daemon: str, clock: Clock, stream: TextIO) -> None:
+        """Start the writing thread.
+
+        Args:
+          daemon: The daemon's name, for each line.
+          clock: For the time of each line.
+          stream: Where lines go.
+        """
+        self._daemon = daemon
+        self._clock = clock
+        self._stream = stream
+        self._lines: deque[str] = deque()
+        self._dropped = 0
+        self._wake = threading.Condition()
+        threading.Thread(target=self._write, name='log', daemon=True).start()
+
+    def event(self, event: Any) -> None:
+        """Write an event; drop it if too many lines wait.
+
+        Args:
+          event: A data class; its type's name and fields make the line.
+        """
+        with self._wake:
+            if len(self._lines) >= MOST_WAITING:
+                self._dropped += 1
+                return
+            if self._dropped:
+                self._lines.append(self._line(LinesDropped(self._dropped)))
+                self._dropped = 0
+            self._lines.append(self._line(event))
+            self._wake.notify()
+
+    def _line(self, event: Any) -> str:
+        line = {
+            'time': self._clock.now().isoformat(timespec='milliseconds'),
+            'daemon': self._daemon,
+            'event': type(event).__name__,
+            **asdict(event),
+        }
+        return f'{json.dumps(line, default=_plain)}\n'
+
+    def _write(self) -> None:
+        while True:
+            with self._wake:
+                while not self._lines:
+                    self._wake.wait()
+                text = ''.join(self._lines)
+                self._lines.clear()
+            try:
+                self._stream.write(text)
+                self._stream.flush()
+            except OSError:
+                # Nobody can be told: standard output itself is gone.
+                return
+
+
+def stdout_log(daemon: str, clock: Clock) -> StepLog:
+    """Return a log that writes to standard output.
+
+    Args:
+      daemon: The daemon's name.
+      clock: For the time of each line.
+
+    Returns:
+      The log.
+    """
+    return StepLog(daemon, clock, sys.stdout)
+
+
+def _plain(found: Any) -> Any:
+    match found:
+        case timedelta():
+            return round(found.total_seconds(), 4)
+        case Enum():
+            return found.value
+    return str(found)
