--- a/linnetwind/call_policy.py
+++ b/linnetwind/call_policy.py
@@ -7,12 +7,14 @@
 
 from dataclasses import dataclass
 from datetime import timedelta
+from http import HTTPStatus
 
 from linnetwind.call_types import CallFacts
 from linnetwind.routes import Route, RouteTable, find_route
 
 # Less time than this is not enough for another attempt.
-LEAST_TIME = timedelta(milliseconds=30)
+_LEAST_TIME_MS = 30
+LEAST_TIME = timedelta(milliseconds=_LEAST_TIME_MS)
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,10 +45,10 @@
     """
     route = find_route(table, facts.host, facts.path)
     if route is None:
-        return Denied(404, 'no route')
+        return Denied(HTTPStatus.NOT_FOUND, 'no route')
     customer = table.customers_by_key.get(facts.api_key or '')
     if customer is None and table.customers_by_key and not route.anonymous:
-        return Denied(401, 'unknown key')
+        return Denied(HTTPStatus.UNAUTHORIZED, 'unknown key')
     return Allowed(route, customer)
 
 
@@ -123,6 +125,10 @@
 
 def _final(lost: AttemptLost, *, may_have_run: bool) -> GiveUp:
     if not may_have_run:
-        return GiveUp(503, not_run=True, reason=lost.reason)
-    status = 504 if lost.out_of_time else 502
+        status = HTTPStatus.SERVICE_UNAVAILABLE
+        return GiveUp(status, not_run=True, reason=lost.reason)
+    if lost.out_of_time:
+        status = HTTPStatus.GATEWAY_TIMEOUT
+    else:
+        status = HTTPStatus.BAD_GATEWAY
     return GiveUp(status, not_run=False, reason=lost.reason)
--- a/linnetwind/caller_connection.py
+++ b/linnetwind/caller_connection.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
+from http import HTTPStatus
 
 import h11
 
@@ -21,9 +22,12 @@
 # full and the thread that serves it is wanted elsewhere.
 _SEND_TIMEOUT = timedelta(seconds=5)
 # How often an idle connection looks whether its limits have changed.
-_LOOK = timedelta(milliseconds=500)
+_LOOK_MS = 500
+_LOOK = timedelta(milliseconds=_LOOK_MS)
 # Bytes that the head's limit leaves for the request line.
 _LINE_BYTES = 8_192
+_HEAD_TOO_LONG = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+_BODY_TOO_LONG = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
 _LEFT_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
@@ -167,7 +171,7 @@
         received = self._clock.elapsed()
         limits = self._limits()
         if _head_size(head) > limits.head_bytes:
-            return BadRequest(431, 'the head is too long')
+            return BadRequest(_HEAD_TOO_LONG, 'the head is too long')
         if self._http.they_are_waiting_for_100_continue:
             self._send(h11.InformationalResponse(status_code=100, headers=[]))
         body = bytearray()
@@ -175,7 +179,7 @@
         while isinstance(event, h11.Data):
             body += event.data
             if len(body) > limits.body_bytes:
-                return BadRequest(413, 'the body is too long')
+                return BadRequest(_BODY_TOO_LONG, 'the body is too long')
             event = self._next_event()
         if isinstance(event, CallerGone | BadRequest):
             return event
@@ -190,7 +194,9 @@
             if not self._wait_for_bytes():
                 # An idle caller is closed without a word; a slow one is
                 # told why, since it is still there to read it.
-                slow = BadRequest(408, 'the request took too long')
+                slow = BadRequest(
+                    HTTPStatus.REQUEST_TIMEOUT, 'the request took too long'
+                )
                 return slow if self._read_any else CallerGone()
             received = self._sock.recv(_READ_BYTES)
             self._read_any = True
--- a/linnetwind/expert_demand.py
+++ b/linnetwind/expert_demand.py
@@ -10,7 +10,8 @@
 # Half of the demand that was seen is forgotten after this time. The popular
 # experts change within seconds; a tenth of a second holds thousands of
 # choices already.
-HALF_LIFE = timedelta(milliseconds=400)
+_HALF_LIFE_MS = 400
+HALF_LIFE = timedelta(milliseconds=_HALF_LIFE_MS)
 
 
 @dataclass(frozen=True)
--- a/linnetwind/frames.py
+++ b/linnetwind/frames.py
@@ -37,7 +37,7 @@
     Raises:
       OSError: The connection failed, ended, or sent no frame.
     """
-    (length,) = _LENGTH.unpack(_receive(sock, _LENGTH.size))
+    length = _LENGTH.unpack(_receive(sock, _LENGTH.size))[0]
     if length > MOST_BYTES:
         raise ConnectionError(f'a frame of {length} bytes')
     return _receive(sock, length)
--- a/linnetwind/gateway_events.py
+++ b/linnetwind/gateway_events.py
@@ -146,9 +146,9 @@
 
     group: str
     version: int
+    before: str
     stage: str
     step: int
-    ranks: int
     took: timedelta
 
 
@@ -169,3 +169,12 @@
     epoch: int
     is_open: bool
     ranks: int
+
+
+@dataclass(frozen=True, slots=True)
+class BadRecord:
+    """A record of the store that cannot be used; the last good one stays."""
+
+    key: str
+    offset: int
+    problem: str
--- /dev/null
+++ b/linnetwind/gateway_feeds.py
@@ -0,0 +1,166 @@
+"""What a gateway follows in the store: configuration and upstreams."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Any
+
+from linnetwind.clock import Clock
+from linnetwind.daemon_threads import DaemonThreads
+from linnetwind.gateway_events import (
+    BadRecord,
+    ConfigurationApplied,
+    UpstreamsChanged,
+)
+from linnetwind.gateway_state import GatewayState
+from linnetwind.record_follower import News, PeerCopies, RecordFollower
+from linnetwind.record_store import KeyedRecord, Records, RecordStore, Topic
+from linnetwind.routes import RouteTable
+from linnetwind.step_log import StepLog
+from linnetwind.upstream_list import Registered, UpstreamList
+
+# Pauses after each reading of the store, which bound the calls to it. Both
+# topics have to be known within two seconds of a change. A configuration is
+# rare; the list of upstreams changes with every heartbeat.
+_CONFIGURATION_REST_MS = 50
+_CONFIGURATION_REST = timedelta(milliseconds=_CONFIGURATION_REST_MS)
+_UPSTREAMS_REST_MS = 400
+_UPSTREAMS_REST = timedelta(milliseconds=_UPSTREAMS_REST_MS)
+
+
+@dataclass(frozen=True, slots=True)
+class FeedPorts:
+    """How records are read and decoded.
+
+    The decoders return the project's types, or an error type with a
+    `problem` that is logged.
+    """
+
+    open_store: Callable[[], RecordStore]
+    configuration_key: str
+    decode_table: Callable[[bytes], Any]
+    decode_upstream: Callable[[KeyedRecord], Any]
+
+
+class GatewayFeeds:
+    """Follows the store and keeps the gateway's state up to date."""
+
+    def __init__(
+        self,
+        ports: FeedPorts,
+        state: GatewayState,
+        peers: PeerCopies,
+        clock: Clock,
+        log: StepLog,
+    ) -> None:
+        """Start with nothing read.
+
+        Args:
+          ports: How records are read and decoded.
+          state: The state to keep up to date.
+          peers: Asked while the store does not answer.
+          clock: The clock.
+          log: The log.
+        """
+        self._ports = ports
+        self._state = state
+        self._clock = clock
+        self._log = log
+        self._followers = {
+            topic: RecordFollower(
+                topic, ports.open_store(), peers, take, rest, clock, log
+            )
+            for topic, take, rest in (
+                (Topic.CONFIGURATION, self._take_tables, _CONFIGURATION_REST),
+                (Topic.UPSTREAMS, self._take_upstreams, _UPSTREAMS_REST),
+            )
+        }
+
+    def start(self, threads: DaemonThreads) -> None:
+        """Start following.
+
+        Args:
+          threads: Starts threads.
+        """
+        for topic, follower in self._followers.items():
+            threads.for_ever(follower.follow_once, f'store-{topic.value}')
+
+    def copy(self, topic: Topic) -> Records | None:
+        """Return what has been read of a topic, for a peer.
+
+        Args:
+          topic: The topic.
+
+        Returns:
+          The records, or None if nothing was read.
+        """
+        return self._followers[topic].copy()
+
+    def _take_tables(self, news: News) -> None:
+        for record in news.records:
+            wanted = record.key == self._ports.configuration_key
+            if wanted and record.content is not None:
+                self._take_table(record, news.source)
+
+    def _take_table(self, record: KeyedRecord, source: str) -> None:
+        table = self._ports.decode_table(record.content)
+        if not isinstance(table, RouteTable):
+            # The configuration before it stays in force.
+            self._log.event(BadRecord(record.key, record.offset, table.problem))
+            return
+        before = self._state.table
+        if self._state.apply_table(table):
+            self._log.event(
+                ConfigurationApplied(
+                    table.version,
+                    before.version if before else 0,
+                    source,
+                    sum(len(each) for each in table.routes_by_host.values()),
+                    len(table.customers_by_key),
+                )
+            )
+
+    def _take_upstreams(self, news: News) -> None:
+        registered = []
+        for record in news.records:
+            decoded = self._ports.decode_upstream(record)
+            if isinstance(decoded, Registered):
+                registered.append(decoded)
+            else:
+                self._log.event(
+                    BadRecord(record.key, record.offset, decoded.problem)
+                )
+        before = self._state.change_upstreams(
+            lambda known: self._merge(known, registered, news)
+        )
+        self._log_change(before, news)
+
+    def _merge(
+        self, known: UpstreamList, registered: list[Registered], news: News
+    ) -> UpstreamList:
+        if not news.whole:
+            return known.take(registered, news.end)
+        return known.take_whole(
+            registered,
+            news.end,
+            outage=news.after_outage,
+            now=self._clock.elapsed(),
+        )
+
+    def _log_change(self, before: UpstreamList, news: News) -> None:
+        old = _ready(before)
+        new = _ready(self._state.upstreams)
+        if old != new:
+            added = tuple(sorted(new - old))
+            removed = tuple(sorted(old - new))
+            self._log.event(
+                UpstreamsChanged(news.source, news.end, added, removed)
+            )
+
+
+def _ready(upstreams: UpstreamList) -> set[str]:
+    return {
+        each.instance
+        for each in upstreams.records.values()
+        if each.upstream is not None and not each.upstream.draining
+    }
--- a/linnetwind/gateway_state.py
+++ b/linnetwind/gateway_state.py
@@ -1,16 +1,15 @@
 """What the requests of one gateway daemon share: counts, records, budgets."""
 
 import threading
-from collections import deque
 from collections.abc import Callable
 from datetime import timedelta
 
 from linnetwind.clock import Clock
-from linnetwind.pass_meter import PassMeter, Pause
-from linnetwind.peer_book import GroupBrief, PeerBook, PeerState
+from linnetwind.peer_book import PeerBook, PeerState
 from linnetwind.repeat_budget import BudgetTerms, RepeatBudget
 from linnetwind.routes import RouteTable, RoutedService
-from linnetwind.stream_gate import GroupView, WaitingLine
+from linnetwind.stream_gate import GroupView
+from linnetwind.stream_room import StreamRoom
 from linnetwind.upstream_choice import (
     Record,
     choose_plain,
@@ -20,11 +19,6 @@
 )
 from linnetwind.upstream_list import Address, Upstream, UpstreamList
 
-# Ended streams that count for the rate at which places become free.
-_ENDS_WINDOW = timedelta(seconds=1)
-# A brief of the planner is used this long.
-_BRIEF_AGE = timedelta(seconds=2)
-
 
 class GatewayState:
     """The shared state; every method may be called from any thread."""
@@ -46,10 +40,7 @@
         self._running: dict[str, int] = {}
         self._records: dict[str, Record] = {}
         self._budgets: dict[str, RepeatBudget] = {}
-        self._meters: dict[str, PassMeter] = {}
-        self._lines: dict[str, WaitingLine] = {}
-        self._ends: dict[str, deque[timedelta]] = {}
-        self._briefs: dict[str, tuple[timedelta, GroupBrief]] = {}
+        self._room = StreamRoom(clock)
         self._on_change: Callable[[], None] = _nothing
 
     @property
@@ -67,17 +58,17 @@
         """Return what is known of the peers."""
         return self._book
 
+    @property
+    def room(self) -> StreamRoom:
+        """Return the room for streams in each group."""
+        return self._room
+
     @property
     def running(self) -> dict[str, int]:
         """Return a copy of this daemon's own counts by instance."""
         with self._lock:
             return dict(self._running)
 
-    @property
-    def waiting(self) -> int:
-        """Return the streams that wait at this daemon."""
-        return sum(line.length for line in list(self._lines.values()))
-
     def call_on_change(self, tell: Callable[[], None]) -> None:
         """Have something called when the counts have changed.
 
@@ -118,8 +109,7 @@
         with self._lock:
             before = self._upstreams
             self._upstreams = change(before)
-        for line in list(self._lines.values()):
-            line.wake()
+        self._room.wake()
         return before
 
     def hear(self, state: PeerState) -> None:
@@ -131,35 +121,9 @@
         now = self._clock.elapsed()
         with self._lock:
             self._book = self._book.hear(state, now).forget(now)
-            for brief in state.groups:
-                self._briefs[brief.service] = (now, brief)
-        for line in list(self._lines.values()):
-            line.wake()
-
-    def take_brief(self, brief: GroupBrief) -> None:
-        """Take in what this daemon itself found out as the planner.
-
-        Args:
-          brief: The state of a group.
-        """
-        with self._lock:
-            self._briefs[brief.service] = (self._clock.elapsed(), brief)
-
-    def line(self, service: str) -> WaitingLine:
-        """Return the waiting line of a service.
-
-        Args:
-          service: The service's name.
-
-        Returns:
-          The line.
-        """
-        with self._lock:
-            found = self._lines.get(service)
-            if found is None:
-                found = WaitingLine(self._clock)
-                self._lines[service] = found
-            return found
+        for brief in state.groups:
+            self._room.take_brief(brief)
+        self._room.wake()
 
     def note_pause(self, service: str, length: timedelta) -> None:
         """Take note of a pause between two events of a stream.
@@ -168,11 +132,7 @@
           service: The stream's service.
           length: The pause.
         """
-        now = self._clock.elapsed()
-        running = self.group_running(service)
-        with self._lock:
-            meter = self._meters.setdefault(service, PassMeter())
-            meter.note(Pause(now, length, running))
+        self._room.note_pause(service, length, self.group_running(service))
 
     def group_running(self, service: str) -> int:
         """Return the requests that all daemons have at a service.
@@ -200,16 +160,8 @@
         now = self._clock.elapsed()
         usable = self._upstreams.usable(service.name, now)
         running = self.group_running(service.name)
-        with self._lock:
-            meter = self._meters.setdefault(service.name, PassMeter())
-            limit = meter.limit(service.engine, len(usable), gap, now)
-            ends = self._ends.setdefault(service.name, deque())
-            while ends and now - ends[0] > _ENDS_WINDOW:
-                ends.popleft()
-            rate = len(ends) / _ENDS_WINDOW.total_seconds()
-            opens_in = self._opens_in(service.name, now)
-            peers = 1 + len(self._book.live(now))
-        return GroupView(running, limit, rate * peers, opens_in)
+        daemons = 1 + len(self._book.live(now))
+        return self._room.view(service, gap, running, len(usable), daemons)
 
     def take_upstream(
         self, service: RoutedService, tried: frozenset[str]
@@ -247,17 +199,14 @@
         Args:
           upstream: What `take_upstream` returned.
         """
-        now = self._clock.elapsed()
         with self._lock:
             left = self._running.get(upstream.instance, 1) - 1
             if left:
                 self._running[upstream.instance] = left
             else:
                 self._running.pop(upstream.instance, None)
-            ends = self._ends.setdefault(upstream.service, deque())
-            ends.append(now)
         self._on_change()
-        self.line(upstream.service).wake()
+        self._room.note_end(upstream.service)
 
     def note_answer(
         self, upstream: Upstream, took: timedelta, *, failed: bool
@@ -320,13 +269,6 @@
                 counts[instance] = counts.get(instance, 0) + count
         return counts
 
-    def _opens_in(self, service: str, now: timedelta) -> timedelta | None:
-        at, brief = self._briefs.get(service, (now, None))
-        if brief is None or brief.is_open or now - at > _BRIEF_AGE:
-            return None
-        left = timedelta(milliseconds=brief.opens_in_ms) - (now - at)
-        return max(left, timedelta())
-
 
 def _nothing() -> None:
     """Do nothing, until a listener is set."""
--- /dev/null
+++ b/linnetwind/journey.py
@@ -0,0 +1,125 @@
+"""How far a caller's request is, and what every request needs."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from linnetwind.call_policy import AttemptLost
+from linnetwind.call_types import (
+    CallerRequest,
+    CallFacts,
+    Dialect,
+    Headers,
+)
+from linnetwind.caller_connection import CallerConnection
+from linnetwind.clock import Clock
+from linnetwind.gateway_state import GatewayState
+from linnetwind.routes import Route, RoutedService, RouteTable
+from linnetwind.step_log import StepLog
+from linnetwind.upstream_call import (
+    Broken,
+    CallerLeft,
+    CallOpener,
+    Head,
+    OutOfTime,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class GatewayTools:
+    """What every request needs."""
+
+    state: GatewayState
+    dialect: Dialect
+    clock: Clock
+    log: StepLog
+    open_call: CallOpener
+    is_draining: Callable[[], bool]
+
+
+@dataclass(slots=True)
+class Journey:
+    """How far a request is.
+
+    `until` is the monotonic time of its final answer at the latest. `sent_to`
+    are the instances that got it, `tried` those that are not tried again.
+    `last_event` is the id of the last event that the caller has, `started`
+    says that the caller has a part of the answer. `failure` is an upstream's
+    own failure, kept in case no other upstream does better.
+    """
+
+    request: CallerRequest
+    facts: CallFacts
+    table: RouteTable
+    until: timedelta
+    route: Route | None = None
+    customer: str | None = None
+    service: RoutedService | None = None
+    queued: timedelta = timedelta()
+    sent_to: list[str] = field(default_factory=list)
+    tried: set[str] = field(default_factory=set)
+    may_have_run: bool = False
+    first_byte: timedelta | None = None
+    last_event: int | None = None
+    last_event_at: timedelta | None = None
+    longest_pause: timedelta = timedelta()
+    events: int = 0
+    started: bool = False
+    failure: tuple[Head, bytes] | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Done:
+    """The request has ended; what the log says of it."""
+
+    outcome: str
+    status: int
+    reason: str = ''
+
+
+CALLER_LEFT = Done('caller left', 0)
+
+
+def as_lost(failure: Broken | OutOfTime | CallerLeft) -> Done | AttemptLost:
+    """Return what a call that ended early means for its request.
+
+    Args:
+      failure: How the call ended.
+
+    Returns:
+      That the request has ended, or that the attempt is lost.
+    """
+    match failure:
+        case Broken(problem):
+            return AttemptLost(problem, may_have_run=True, reached=True)
+        case OutOfTime():
+            return AttemptLost(
+                'no answer in time',
+                may_have_run=True,
+                reached=True,
+                out_of_time=True,
+            )
+        case CallerLeft():
+            return CALLER_LEFT
+
+
+def answer_caller(
+    tools: GatewayTools,
+    connection: CallerConnection,
+    status: int,
+    headers: Headers,
+    body: bytes = b'',
+) -> None:
+    """Write a whole answer to the caller.
+
+    Args:
+      tools: Says whether the daemon is stopping.
+      connection: The caller's connection.
+      status: The status.
+      headers: The headers, without any that frame the body.
+      body: The body.
+    """
+    if tools.is_draining():
+        # The daemon stops soon; the caller's next request goes elsewhere.
+        headers = (*headers, (b'Connection', b'close'))
+    connection.answer(status, headers, body)
--- /dev/null
+++ b/linnetwind/map_wish.py
@@ -0,0 +1,144 @@
+"""Which expert map is wanted next, from the counts and the map in use.
+
+The load that this answers: every few seconds half of the popular experts
+change. A plan copies few experts to each rank, so that its switch comes
+within half a second, and is made only if it makes passes clearly shorter.
+"""
+
+import random
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from linnetwind.placement import plan_moves
+from linnetwind.placement_types import (
+    CopyLimits,
+    ExpertMap,
+    GroupLoad,
+    PlacementPrices,
+)
+from linnetwind.rank_types import RankMaps, RankReport
+from linnetwind.rollout import MapWish
+from linnetwind.routes import EngineFigures
+
+# Versions are drawn above all seen; so many to a step of the counter.
+_VERSIONS = 1_000_000
+# Experts copied to one rank by one plan. Copies of a rank follow each other,
+# so this bounds the time to the switch.
+COPIES_PER_RANK = 3
+# The time over which a better map pays: the popular experts change every few
+# seconds.
+_HORIZON_S = 2.0
+# The time that one copy costs: passes take 15 in 100 longer while it lasts,
+# and several ranks copy at once.
+_COST_PER_COPY_S = 0.004
+# A gain in skew below this share is not worth a rollout.
+LEAST_GAIN = 0.12
+# The part of the mean demand that every expert is taken to have, so that one
+# that nobody chose lately is not piled up with others.
+_BACKGROUND = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class PlannedMap:
+    """What was planned; `wish` is None if the present map is to stay."""
+
+    wish: MapWish | None
+    moves: int
+    skew_before: float
+    skew_after: float
+    reason: str
+
+
+def plan_map(
+    maps: RankMaps,
+    tokens: tuple[tuple[float, ...], ...],
+    reports: Mapping[int, RankReport],
+    engine: EngineFigures,
+    *,
+    force: bool,
+) -> PlannedMap:
+    """Plan the next map.
+
+    Args:
+      maps: The map in use.
+      tokens: The recent demand of each expert, by layer.
+      reports: The ranks' reports, for their pace and versions.
+      engine: The figures of the engines.
+      force: Whether a new version is needed even without a gain.
+
+    Returns:
+      The plan.
+    """
+    prices = PlacementPrices(
+        horizon=_HORIZON_S,
+        skew_weight=1,
+        cost_weight=1,
+        seconds_per_move=_COST_PER_COPY_S,
+        max_moves=COPIES_PER_RANK * len(reports),
+        copies=CopyLimits(COPIES_PER_RANK, engine.new_experts, engine.experts),
+    )
+    current = _slots(maps, engine)
+    plan = plan_moves(current, _load(tokens, reports), prices)
+    gain = 1 - plan.skew_after / plan.skew_before
+    reason = plan.reason
+    wish = None
+    if force or gain >= LEAST_GAIN:
+        target = _rank_maps(plan.target, engine)
+        wish = MapWish(_new_version(reports), target)
+    else:
+        reason = 'the gain is too small'
+    return PlannedMap(
+        wish, len(plan.moves), plan.skew_before, plan.skew_after, reason
+    )
+
+
+def _new_version(reports: Mapping[int, RankReport]) -> int:
+    """Draw a version above all seen.
+
+    Two planners that draw at once must not name two maps alike; by chance
+    that happens once in a million such races.
+    """
+    seen = max(
+        max(each.map_version, each.prepared or 0, each.armed or 0)
+        for each in reports.values()
+    )
+    counter = seen // _VERSIONS + 1
+    return counter * _VERSIONS + random.randrange(_VERSIONS)
+
+
+def _load(
+    tokens: tuple[tuple[float, ...], ...], reports: Mapping[int, RankReport]
+) -> GroupLoad:
+    smoothed = tuple(_smooth(layer) for layer in tokens)
+    slowness = tuple(reports[rank].pace for rank in range(len(reports)))
+    return GroupLoad(smoothed, slowness)
+
+
+def _smooth(layer: tuple[float, ...]) -> tuple[float, ...]:
+    background = sum(layer) / len(layer) * _BACKGROUND
+    # The number that stands for an empty slot comes last, without demand.
+    return (*(each + background for each in layer), float(0))
+
+
+def _slots(maps: RankMaps, engine: EngineFigures) -> ExpertMap:
+    size = engine.slots_per_rank
+    layers = tuple(
+        tuple(
+            expert
+            for experts in layer
+            for expert in (*experts, *[engine.experts] * (size - len(experts)))
+        )
+        for layer in maps
+    )
+    return ExpertMap(size, layers)
+
+
+def _rank_maps(target: ExpertMap, engine: EngineFigures) -> RankMaps:
+    size = target.slots_per_rank
+    return tuple(
+        tuple(
+            tuple(sorted(set(layer[start : start + size]) - {engine.experts}))
+            for start in range(0, len(layer), size)
+        )
+        for layer in target.layers
+    )
--- a/linnetwind/pass_meter.py
+++ b/linnetwind/pass_meter.py
@@ -16,7 +16,8 @@
 
 # Pauses that count: about five passes, so that a shift of the experts in
 # demand shows within half a second.
-WINDOW = timedelta(milliseconds=500)
+_WINDOW_MS = 500
+WINDOW = timedelta(milliseconds=_WINDOW_MS)
 # The part of the pause allowed that a usual pass may take. The rest is for
 # passes that read long prompts.
 USE_OF_PAUSE = 0.8
--- a/linnetwind/peer_book.py
+++ b/linnetwind/peer_book.py
@@ -15,10 +15,12 @@
 from linnetwind.upstream_list import Address
 
 # Some datagrams are lost; three in a row hardly ever.
-PEER_SILENCE = timedelta(milliseconds=700)
+_PEER_SILENCE_MS = 700
+PEER_SILENCE = timedelta(milliseconds=_PEER_SILENCE_MS)
 # After this a peer is dropped from the list of addresses to send to, so that
 # replaced hosts do not collect there.
-PEER_FORGOTTEN = timedelta(seconds=30)
+_PEER_FORGOTTEN_S = 30
+PEER_FORGOTTEN = timedelta(seconds=_PEER_FORGOTTEN_S)
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,7 +44,8 @@
 
     `running` counts the requests that it has at each upstream instance;
     `waiting` the streams that wait for a place; `members` are the addresses
-    it knows of; `can_plan` says that it reaches all ranks. `counter` grows with each message of one `start_id`.
+    it knows of; `can_plan` says that it reaches all ranks. `counter` grows
+    with each message of one `start_id`.
     """
 
     name: str
--- a/linnetwind/peer_mesh.py
+++ b/linnetwind/peer_mesh.py
@@ -9,14 +9,14 @@
 import socket
 import threading
 from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
+from contextlib import suppress
 from dataclasses import dataclass
 from datetime import timedelta
 
-from result import Err, Ok
+from result import Ok
 
-from linnetwind.background import guarded, in_background
 from linnetwind.clock import Clock
+from linnetwind.daemon_threads import DaemonThreads
 from linnetwind.frames import receive_frame, send_frame
 from linnetwind.gateway_state import GatewayState
 from linnetwind.peer_book import GroupBrief, PeerState, leader
@@ -30,8 +30,10 @@
 from linnetwind.wire import Codec
 
 # A state goes out this often at least, and after a change at most this often.
-SEND_INTERVAL = timedelta(milliseconds=150)
-LEAST_INTERVAL = timedelta(milliseconds=15)
+_SEND_INTERVAL_MS = 150
+SEND_INTERVAL = timedelta(milliseconds=_SEND_INTERVAL_MS)
+_LEAST_INTERVAL_MS = 15
+LEAST_INTERVAL = timedelta(milliseconds=_LEAST_INTERVAL_MS)
 _ASK_TIMEOUT_S = 0.4
 _MOST_DATAGRAM = 60_000
 _SERVER_THREADS = 8
@@ -96,17 +98,24 @@
             (settings.own.ip, settings.own.port), reuse_port=False
         )
 
-    def start(self, copies: Callable[[Topic], Records | None]) -> None:
+    def start(
+        self,
+        threads: DaemonThreads,
+        copies: Callable[[Topic], Records | None],
+    ) -> None:
         """Start the threads.
 
         Args:
+          threads: Starts threads.
           copies: Returns what this daemon has read of a topic.
         """
         self._copies = copies
         self._state.call_on_change(self._changed.set)
-        in_background(self._send_for_ever, 'mesh-send')
-        in_background(self._hear_for_ever, 'mesh-hear')
-        in_background(self._serve_for_ever, 'mesh-copies')
+        threads.for_ever(self._send_next, 'mesh-send')
+        threads.for_ever(self._hear, 'mesh-hear')
+        threads.accept(
+            self._listener, self._serve, 'mesh-copy', _SERVER_THREADS
+        )
 
     def publish(
         self, briefs: tuple[GroupBrief, ...], *, can_plan: bool
@@ -168,17 +177,17 @@
                 answer = _CODEC.decode(receive_frame(sock))
         except OSError as error:
             return StoreUnavailable(f'peer {peer}: {error}')
-        match answer:
-            case Ok(Copy(records, end)) if end >= 0:
-                return Records(records, end)
+        if isinstance(answer, Ok) and isinstance(answer.ok_value, Copy):
+            copy = answer.ok_value
+            if copy.end >= 0:
+                return Records(copy.records, copy.end)
         return StoreUnavailable(f'peer {peer} has no copy')
 
-    def _send_for_ever(self) -> None:
-        while True:
-            guarded(self._send)
-            self._changed.wait(SEND_INTERVAL.total_seconds())
-            self._changed.clear()
-            threading.Event().wait(LEAST_INTERVAL.total_seconds())
+    def _send_next(self) -> timedelta:
+        self._changed.wait(SEND_INTERVAL.total_seconds())
+        self._changed.clear()
+        self._send()
+        return LEAST_INTERVAL
 
     def _send(self) -> None:
         self._counter += 1
@@ -192,51 +201,36 @@
             self._leaving,
             self._can_plan,
             self._state.running,
-            self._state.waiting,
+            self._state.room.waiting,
             tuple(self._state.book.known),
             self._briefs,
         )
         content = _CODEC.encode(message)
         for address in self._addresses():
-            try:
+            # A datagram that cannot be sent is as good as a lost one; the
+            # next state follows soon.
+            with suppress(OSError):
                 self._datagrams.sendto(content, (address.ip, address.port))
-            except OSError:
-                # As good as a lost datagram; the next state follows soon.
-                continue
-
-    def _hear_for_ever(self) -> None:
-        while True:
-            guarded(self._hear)
 
     def _hear(self) -> None:
         content, _sender = self._datagrams.recvfrom(_MOST_DATAGRAM)
-        match _CODEC.decode(content):
-            case Ok(PeerState() as state):
-                if state.name != self._settings.name:
-                    self._state.hear(state)
-            case Ok(_) | Err(_):
-                # Not from a daemon of this version.
-                return
-
-    def _serve_for_ever(self) -> None:
-        pool = ThreadPoolExecutor(_SERVER_THREADS, 'mesh-copy')
-        while True:
-            sock, _peer = self._listener.accept()
-            pool.submit(guarded, lambda sock=sock: self._serve(sock))
+        heard = _CODEC.decode(content)
+        # Anything else is not from a daemon of this version.
+        if isinstance(heard, Ok) and isinstance(heard.ok_value, PeerState):
+            if heard.ok_value.name != self._settings.name:
+                self._state.hear(heard.ok_value)
 
     def _serve(self, sock: socket.socket) -> None:
-        with sock:
-            sock.settimeout(_ASK_TIMEOUT_S)
-            try:
-                query = _CODEC.decode(receive_frame(sock))
-            except OSError:
-                # The peer gave up; it asks again or asks another.
-                return
-            match query:
-                case Ok(CopyQuery(topic)):
-                    found = self._copies(topic) or Records((), -1)
-                    answer = Copy(found.records, found.end)
-                    send_frame(sock, _CODEC.encode(answer))
+        sock.settimeout(_ASK_TIMEOUT_S)
+        try:
+            query = _CODEC.decode(receive_frame(sock))
+        except OSError:
+            # The peer gave up; it asks again or asks another.
+            return
+        if isinstance(query, Ok) and isinstance(query.ok_value, CopyQuery):
+            found = self._copies(query.ok_value.topic) or Records((), -1)
+            answer = Copy(found.records, found.end)
+            send_frame(sock, _CODEC.encode(answer))
 
 
 def _no_copy(topic: Topic) -> Records | None:
--- a/linnetwind/platform/entry.py
+++ b/linnetwind/platform/entry.py
@@ -2,6 +2,7 @@
 
 from linnetwind.clock import SystemClock
 from linnetwind.gateway_daemon import GatewayDaemon, GatewayPorts, GatewaySetup
+from linnetwind.gateway_feeds import FeedPorts
 from linnetwind.platform.formats import (
     CONFIGURATION_KEY,
     decode_table,
@@ -21,10 +22,12 @@
     clock = SystemClock()
     ports = GatewayPorts(
         dialect=PlatformDialect(),
-        open_store=lambda: StoreClient(settings.store),
-        configuration_key=CONFIGURATION_KEY,
-        decode_table=decode_table,
-        decode_upstream=decode_upstream,
+        feeds=FeedPorts(
+            open_store=lambda: StoreClient(settings.store),
+            configuration_key=CONFIGURATION_KEY,
+            decode_table=decode_table,
+            decode_upstream=decode_upstream,
+        ),
         open_rank=lambda upstream: RankClient(upstream.address),
         reload=lambda: _setup(read_settings()),
     )
--- a/linnetwind/platform/formats.py
+++ b/linnetwind/platform/formats.py
@@ -3,6 +3,7 @@
 import json
 from dataclasses import dataclass
 from datetime import timedelta
+from types import MappingProxyType
 from typing import Any
 
 from linnetwind.record_store import KeyedRecord
@@ -21,14 +22,18 @@
 # The key of the newest configuration in the operator's topic.
 CONFIGURATION_KEY = 'config'
 
-_KINDS = {
-    'idempotent': RouteKind.IDEMPOTENT,
-    'non_idempotent': RouteKind.RUN_ONCE,
-    'streaming': RouteKind.STREAM,
-}
+_KINDS = MappingProxyType(
+    {
+        'idempotent': RouteKind.IDEMPOTENT,
+        'non_idempotent': RouteKind.RUN_ONCE,
+        'streaming': RouteKind.STREAM,
+    }
+)
 _BITS_PER_MEGABYTE = 8_000_000
 _BITS_PER_MEGABIT_MS = 1_000
 _PER_THOUSAND = 1_000
+# What reading a record of another shape raises.
+_BAD_FORMAT = (ValueError, KeyError, TypeError, AttributeError)
 _USUAL_GAP = timedelta(seconds=1)
 
 
@@ -67,7 +72,7 @@
     """
     try:
         return _table(json.loads(content))
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except _BAD_FORMAT as error:
         return FormatError(CONFIGURATION_KEY, repr(error))
 
 
@@ -84,7 +89,7 @@
         return Registered(record.key, record.offset, None)
     try:
         upstream = _upstream(record.key, json.loads(record.content))
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except _BAD_FORMAT as error:
         return FormatError(record.key, repr(error))
     return Registered(record.key, record.offset, upstream)
 
--- a/linnetwind/platform/rank_client.py
+++ b/linnetwind/platform/rank_client.py
@@ -2,6 +2,7 @@
 
 import json
 from http.client import HTTPConnection, HTTPException
+from types import MappingProxyType
 from typing import Any
 
 from linnetwind.rank_types import (
@@ -23,7 +24,11 @@
 _TIMEOUT_S = 0.15
 _OK = 200
 _ACCEPTED = 202
-_JSON = {'Content-Type': 'application/json'}
+_RESULTS = MappingProxyType(
+    {_OK: OrderResult.DONE, _ACCEPTED: OrderResult.BEGUN}
+)
+_JSON = MappingProxyType({'Content-Type': 'application/json'})
+_EPOCH = 'epoch'
 
 
 class RankClient:
@@ -51,7 +56,7 @@
         if fields is None or 'counts' not in fields:
             return None
         return RankCounts(
-            fields['epoch'], fields['step'], tuple(fields['counts'])
+            fields[_EPOCH], fields['step'], tuple(fields['counts'])
         )
 
     def experts(self) -> RankExperts | None:
@@ -61,7 +66,7 @@
             return None
         mapping = fields['mapping']
         return RankExperts(
-            fields['epoch'],
+            fields[_EPOCH],
             mapping['version'],
             tuple(tuple(layer) for layer in mapping['experts']),
         )
@@ -79,12 +84,7 @@
         answer = self._call('POST', '/-/order', body)
         if answer is None:
             return OrderResult.NO_ANSWER
-        match answer[0]:
-            case 200:
-                return OrderResult.DONE
-            case 202:
-                return OrderResult.BEGUN
-        return OrderResult.REFUSED
+        return _RESULTS.get(answer[0], OrderResult.REFUSED)
 
     def _json(self, path: str) -> dict[str, Any] | None:
         answer = self._call('GET', path, None)
@@ -102,7 +102,7 @@
             self._connection = HTTPConnection(
                 self._address.ip, self._address.port, timeout=_TIMEOUT_S
             )
-        headers = _JSON if body else {}
+        headers = dict(_JSON) if body else {}
         try:
             self._connection.request(method, path, body, headers)
             response = self._connection.getresponse()
@@ -122,7 +122,7 @@
         group=group['name'],
         rank=group['rank'],
         size=fields['size'],
-        epoch=group['epoch'],
+        epoch=group[_EPOCH],
         is_open=group['state'] == 'open',
         step=fields['step'],
         sequence=fields['sequence'],
@@ -155,7 +155,7 @@
                 'operation': 'prepare',
                 'version': version,
                 'mapping': maps,
-                'epoch': epoch,
+                _EPOCH: epoch,
                 'expect': expect,
             }
         case ArmMap(version, step, epoch, expect):
@@ -163,21 +163,21 @@
                 'operation': 'arm',
                 'version': version,
                 'step': step,
-                'epoch': epoch,
+                _EPOCH: epoch,
                 'expect': expect,
             }
         case DisarmMap(version, epoch):
             return {
                 'operation': 'disarm',
                 'version': version,
-                'epoch': epoch,
+                _EPOCH: epoch,
             }
         case HoldPass(step, epoch, expect):
             return {
                 'operation': 'hold',
                 'step': step,
-                'epoch': epoch,
+                _EPOCH: epoch,
                 'expect': expect,
             }
         case ReleasePass(step, epoch):
-            return {'operation': 'go', 'step': step, 'epoch': epoch}
+            return {'operation': 'go', 'step': step, _EPOCH: epoch}
--- a/linnetwind/platform/store_client.py
+++ b/linnetwind/platform/store_client.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 from datetime import timedelta
 from http.client import HTTPConnection, HTTPException, HTTPResponse
+from types import MappingProxyType
 from urllib.parse import urlencode
 
 from linnetwind.record_store import (
@@ -17,12 +18,15 @@
 )
 from linnetwind.upstream_list import Address
 
-_TOPICS = {Topic.CONFIGURATION: 'keyed.op', Topic.UPSTREAMS: 'keyed.servers'}
+_TOPICS = MappingProxyType(
+    {Topic.CONFIGURATION: 'keyed.op', Topic.UPSTREAMS: 'keyed.servers'}
+)
 _OK = 200
 _GONE = 410
 # The store answers in milliseconds; beyond the time that a read waits there,
 # silence for so long means that the connection is dead.
-_MARGIN = timedelta(milliseconds=600)
+_MARGIN_MS = 600
+_MARGIN = timedelta(milliseconds=_MARGIN_MS)
 _OFFSETS = struct.Struct('>QQ')
 _LENGTH = struct.Struct('>I')
 
@@ -141,7 +145,7 @@
     place = _OFFSETS.size
     offset = start
     while place < len(body):
-        (length,) = _LENGTH.unpack_from(body, place)
+        length = _LENGTH.unpack_from(body, place)[0]
         place += _LENGTH.size
         record = body[place : place + length]
         place += length
--- a/linnetwind/rank_agent.py
+++ b/linnetwind/rank_agent.py
@@ -9,13 +9,13 @@
 import socket
 import threading
 from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
+from contextlib import suppress
 from datetime import timedelta
 
 from result import Err, Ok
 
-from linnetwind.background import guarded
 from linnetwind.clock import Clock
+from linnetwind.daemon_threads import DaemonThreads
 from linnetwind.frames import receive_frame, send_frame
 from linnetwind.gateway_events import Started, Stopped, Stopping
 from linnetwind.rank_messages import RANK_CODEC, Look, Obeyed, Seen
@@ -64,28 +64,21 @@
         signal.signal(signal.SIGTERM, self._on_stop)
         signal.signal(signal.SIGHUP, signal.SIG_IGN)
         self._log.event(Started('rank', str(self._address), '', self._name))
-        threading.Thread(target=self._accept, daemon=True).start()
+        DaemonThreads(self._log).accept(
+            self._listener, self._serve, 'planner', _MOST_PLANNERS
+        )
         self._stop.wait()
         self._log.event(Stopping(0))
         self._log.event(Stopped(0, timedelta()))
 
-    def _accept(self) -> None:
-        pool = ThreadPoolExecutor(_MOST_PLANNERS, 'planner')
-        while True:
-            sock, _peer = self._listener.accept()
-            pool.submit(guarded, lambda sock=sock: self._serve(sock))
-
     def _serve(self, sock: socket.socket) -> None:
         rank = self._open_rank()
-        with sock:
-            sock.settimeout(_IDLE_S)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            try:
-                while True:
-                    _answer_one(sock, rank)
-            except OSError:
-                # The planner has gone; nothing here depends on it.
-                return
+        sock.settimeout(_IDLE_S)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        # A planner that goes ends this; nothing here depends on it.
+        with suppress(OSError):
+            while not self._stop.is_set():
+                _answer_one(sock, rank)
 
     def _on_stop(self, _number: int, _frame: object) -> None:
         self._stop.set()
--- a/linnetwind/rank_link.py
+++ b/linnetwind/rank_link.py
@@ -29,9 +29,7 @@
 class RankLink:
     """One rank: its agent, and its engine directly."""
 
-    def __init__(
-        self, agent: Address, engine: RankPort, clock: Clock
-    ) -> None:
+    def __init__(self, agent: Address, engine: RankPort, clock: Clock) -> None:
         """Connect later.
 
         Args:
@@ -84,9 +82,9 @@
             )
             self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         send_frame(self._sock, RANK_CODEC.encode(message))
-        match RANK_CODEC.decode(receive_frame(self._sock)):
-            case Ok(Seen() | Obeyed() as answer):
-                return answer
+        answer = RANK_CODEC.decode(receive_frame(self._sock))
+        if isinstance(answer, Ok):
+            return answer.ok_value
         raise ConnectionError('not an answer of a rank agent')
 
 
@@ -103,9 +101,7 @@
         self._links: dict[str, RankLink] = {}
         self._pool = ThreadPoolExecutor(_THREADS, 'rank')
 
-    def look(
-        self, instances: Iterable[str], wanted: Look
-    ) -> dict[str, Seen]:
+    def look(self, instances: Iterable[str], wanted: Look) -> dict[str, Seen]:
         """Ask all instances at once.
 
         Args:
--- a/linnetwind/record_follower.py
+++ b/linnetwind/record_follower.py
@@ -1,7 +1,6 @@
 """Keeps up with a topic of the store, from peers while the store is away."""
 
 import random
-import threading
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
@@ -22,10 +21,12 @@
 # How long a read waits for news in the store. A connection that has gone
 # silent shows after this and the client's own margin, so it is kept well
 # below the time in which a configuration has to be in force.
-POLL_WAIT = timedelta(milliseconds=900)
+_POLL_WAIT_MS = 900
+POLL_WAIT = timedelta(milliseconds=_POLL_WAIT_MS)
 # The pause between two tries while the store is away, at random within this,
 # so that all daemons do not return to it together.
-RETRY_PAUSE = timedelta(milliseconds=300)
+_RETRY_PAUSE_MS = 300
+RETRY_PAUSE = timedelta(milliseconds=_RETRY_PAUSE_MS)
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,6 +76,7 @@
           log: Told of outages.
         """
         self._topic = topic
+        self._name = f'store-{topic.value}'
         self._store = store
         self._peers = peers
         self._take = take
@@ -84,7 +86,6 @@
         self._newest: dict[str, KeyedRecord] = {}
         self._end: int | None = None
         self._away_since: timedelta | None = None
-        self._pause = threading.Event()
 
     @property
     def is_away(self) -> bool:
@@ -97,12 +98,6 @@
             return None
         return Records(tuple(self._newest.values()), self._end)
 
-    def run_for_ever(self) -> None:
-        """Follow the topic until the process ends."""
-        while True:
-            pause = self.follow_once()
-            self._pause.wait(pause.total_seconds())
-
     def follow_once(self) -> timedelta:
         """Read once.
 
@@ -132,7 +127,7 @@
         after_outage = self.is_away
         if self._away_since is not None:
             away = self._clock.elapsed() - self._away_since
-            self._log.event(DependencyBack(f'store {self._topic.value}', away))
+            self._log.event(DependencyBack(self._name, away))
             self._away_since = None
         self._keep(records, end, whole=whole)
         if records or whole:
@@ -149,9 +144,7 @@
     def _note_away(self, problem: str) -> None:
         if self._away_since is None:
             self._away_since = self._clock.elapsed()
-            self._log.event(
-                DependencyLost(f'store {self._topic.value}', problem)
-            )
+            self._log.event(DependencyLost(self._name, problem))
 
     def _ask_peers(self) -> None:
         found = self._peers.newest(self._topic)
--- a/linnetwind/stream_gate.py
+++ b/linnetwind/stream_gate.py
@@ -16,12 +16,16 @@
 
 # Time from a stream's start to its first event in a group at its limit: a
 # pass under way, then the pass that reads the prompt and begins to write.
-START_TIME = timedelta(milliseconds=200)
+_START_TIME_MS = 200
+START_TIME = timedelta(milliseconds=_START_TIME_MS)
 # The shortest and longest time after which a refused caller may come back.
-LEAST_RETRY = timedelta(milliseconds=300)
-MOST_RETRY = timedelta(milliseconds=2500)
+_LEAST_RETRY_MS = 300
+LEAST_RETRY = timedelta(milliseconds=_LEAST_RETRY_MS)
+_MOST_RETRY_MS = 2500
+MOST_RETRY = timedelta(milliseconds=_MOST_RETRY_MS)
 # How often a waiting stream looks at the count of other daemons' streams.
-_LOOK = timedelta(milliseconds=25)
+_LOOK_MS = 25
+_LOOK = timedelta(milliseconds=_LOOK_MS)
 
 
 @dataclass(frozen=True, slots=True)
--- a/linnetwind/upstream_call.py
+++ b/linnetwind/upstream_call.py
@@ -20,9 +20,12 @@
 _READ_BYTES = 65_536
 # Data centres are milliseconds apart. A connection that is not there by then
 # stands before a host that is off or cut off; another upstream is tried.
-CONNECT_TIMEOUT = timedelta(milliseconds=250)
+_CONNECT_TIMEOUT_MS = 250
+CONNECT_TIMEOUT = timedelta(milliseconds=_CONNECT_TIMEOUT_MS)
 # Unanswered data makes the kernel give up a connection whose other end has
 # vanished without a word.
+# A timeout of zero would make the connection non-blocking.
+_LEAST_CONNECT_S = 0.001
 _SILENCE = timedelta(seconds=10)
 _CALLER_LEFT = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
@@ -193,8 +196,9 @@
             events = dict(self._poll.poll(left / timedelta(milliseconds=1) + 1))
             if self._caller in events:
                 return CallerLeft()
-            if self._sock.fileno() in events:
-                return events[self._sock.fileno()]
+            ready = events.get(self._sock.fileno())
+            if ready is not None:
+                return ready
 
 
 def open_call(
@@ -213,7 +217,7 @@
     """
     limit = min(most, CONNECT_TIMEOUT).total_seconds()
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    sock.settimeout(max(limit, 0.001))
+    sock.settimeout(max(limit, _LEAST_CONNECT_S))
     try:
         _connect(sock, address)
     except OSError as error:
--- a/linnetwind/upstream_choice.py
+++ b/linnetwind/upstream_choice.py
@@ -22,7 +22,8 @@
 # much.
 FAILURE_WEIGHT = 8.0
 # The first time that an unreachable upstream is left out, and the longest.
-FIRST_REST = timedelta(milliseconds=500)
+_FIRST_REST_MS = 500
+FIRST_REST = timedelta(milliseconds=_FIRST_REST_MS)
 LONGEST_REST = timedelta(seconds=4)
 # Averages older than this say nothing; a slow upstream is tried again.
 RECORD_AGE = timedelta(seconds=5)
--- a/linnetwind/upstream_list.py
+++ b/linnetwind/upstream_list.py
@@ -106,6 +106,20 @@
             if each is not None and each.service == service
         ]
 
+    def upstream(self, instance: str) -> Upstream:
+        """Return a registered upstream.
+
+        Args:
+          instance: Its instance, from `registered`.
+
+        Returns:
+          The upstream.
+        """
+        record = self.records.get(instance)
+        if record is not None and record.upstream is not None:
+            return record.upstream
+        return self.lapsed[instance][1]
+
     def take(self, records: Iterable[Registered], end: int) -> Self:
         """Return the list after newer records.
 
