--- a/linnetwind/call_types.py
+++ b/linnetwind/call_types.py
@@ -74,13 +74,15 @@
 
     `signed` says that an upstream made the answer, `not_executed` that it
     did not run the request, `misdirected` that another instance was expected
-    there. `call_id` is None if the answer names no call.
+    there; `instance` then names the one that answered. `call_id` is None if
+    the answer names no call.
     """
 
     signed: bool
     call_id: str | None
     not_executed: bool
     misdirected: bool
+    instance: str | None
     load: ReportedLoad | None
 
 
--- a/linnetwind/gateway_state.py
+++ b/linnetwind/gateway_state.py
@@ -6,6 +6,7 @@
 
 from linnetwind.clock import Clock
 from linnetwind.peer_book import PeerBook, PeerState
+from linnetwind.refusal_book import Refusals
 from linnetwind.repeat_budget import BudgetTerms, RepeatBudget
 from linnetwind.routes import RouteTable, RoutedService
 from linnetwind.stream_gate import GroupView
@@ -41,6 +42,7 @@
         self._records: dict[str, Record] = {}
         self._budgets: dict[str, RepeatBudget] = {}
         self._room = StreamRoom(clock)
+        self._refusals = Refusals(clock)
         self._on_change: Callable[[], None] = _nothing
 
     @property
@@ -63,6 +65,11 @@
         """Return the room for streams in each group."""
         return self._room
 
+    @property
+    def refusals(self) -> Refusals:
+        """Return who was told to come back."""
+        return self._refusals
+
     @property
     def running(self) -> dict[str, int]:
         """Return a copy of this daemon's own counts by instance."""
@@ -121,6 +128,7 @@
         now = self._clock.elapsed()
         with self._lock:
             self._book = self._book.hear(state, now).forget(now)
+        self._refusals.hear(state.refused)
         for brief in state.groups:
             self._room.take_brief(brief)
         self._room.wake()
@@ -160,8 +168,9 @@
         now = self._clock.elapsed()
         usable = self._upstreams.usable(service.name, now)
         running = self.group_running(service.name)
-        daemons = 1 + len(self._book.live(now))
-        return self._room.view(service, gap, running, len(usable), daemons)
+        return self._room.view(
+            service, gap, running, len(usable), self._book.live(now)
+        )
 
     def take_upstream(
         self, service: RoutedService, tried: frozenset[str]
@@ -182,11 +191,12 @@
             if each.instance not in tried
         ]
         counts = self._counts()
+        slow = self._room.slow(service.name)
         with self._lock:
             if service.engine is None:
                 chosen = choose_plain(usable, counts, self._records, now)
             else:
-                chosen = choose_rank(usable, counts)
+                chosen = choose_rank(usable, counts, slow)
             if chosen is not None:
                 before = self._running.get(chosen.instance, 0)
                 self._running[chosen.instance] = before + 1
--- a/linnetwind/map_planner.py
+++ b/linnetwind/map_planner.py
@@ -44,6 +44,10 @@
 # What is said of the time until a broken group opens, beyond its forming.
 _RANK_BACK_MS = 800
 
+# A rank that takes so many times the usual time for the same work gets no new
+# streams; smaller differences are left to the placement of experts.
+SLOW_PACE = 1.4
+
 LinkOpener = Callable[[Upstream], RankLink]
 _Reports = dict[int, RankReport]
 
@@ -273,7 +277,12 @@
     is_open = all(each.is_open for each in reports.values())
     opens_in = 0 if is_open else int(service.engine.form_ms) + _RANK_BACK_MS
     epoch = max((each.epoch for each in reports.values()), default=0)
-    return GroupBrief(service.name, epoch, is_open, group.skew, opens_in)
+    slow = tuple(
+        group.instances[rank]
+        for rank, each in reports.items()
+        if each.pace > SLOW_PACE
+    )
+    return GroupBrief(service.name, epoch, is_open, group.skew, opens_in, slow)
 
 
 def _take_maps(group: _Group, reports: _Reports, seen: dict[int, Seen]) -> None:
--- a/linnetwind/pass_meter.py
+++ b/linnetwind/pass_meter.py
@@ -8,6 +8,7 @@
 """
 
 from collections import deque
+from collections.abc import Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 from statistics import median
@@ -20,10 +21,8 @@
 WINDOW = timedelta(milliseconds=_WINDOW_MS)
 # The part of the pause allowed that a usual pass may take. The rest is for
 # passes that read long prompts.
-USE_OF_PAUSE = 0.8
-# Fewer pauses than this say too little.
-LEAST_PAUSES = 8
-# The skew of a map that nobody has planned for, until pauses are seen.
+USE_OF_PAUSE = 0.75
+# The skew of a map that nobody has planned for.
 USUAL_SKEW = 3.0
 
 
@@ -37,7 +36,7 @@
 
 
 class PassMeter:
-    """The pauses of one service's streams, and the limit that they set."""
+    """The pauses of one service's streams at this daemon."""
 
     def __init__(self) -> None:
         """Start without any."""
@@ -51,37 +50,57 @@
         """
         self._pauses.append(pause)
 
-    def limit(
-        self, engine: EngineFigures, ranks: int, gap: timedelta, now: timedelta
-    ) -> int:
-        """Return how many streams may run in the group.
+    def measure(
+        self, engine: EngineFigures, now: timedelta
+    ) -> tuple[float, int]:
+        """Return the milliseconds that each stream adds to a pass.
 
         Args:
           engine: What the engines are said to cost.
-          ranks: The ranks of the group.
-          gap: The longest pause that is in time.
           now: The monotonic time.
 
         Returns:
-          The number of streams, at most the slots of all ranks.
+          The median over the window, and the number of pauses in it.
         """
         while self._pauses and now - self._pauses[0].at > WINDOW:
             self._pauses.popleft()
-        room = gap / timedelta(milliseconds=1) * USE_OF_PAUSE
-        room -= engine.steps_per_pass * engine.step_ms
-        part = self._part(engine, ranks)
-        return max(1, min(int(room / part), ranks * engine.slots))
-
-    def _part(self, engine: EngineFigures, ranks: int) -> float:
-        """Return the milliseconds that each stream adds to a pass."""
-        even = engine.steps_per_pass * engine.sequence_ms / max(1, ranks)
-        if len(self._pauses) < LEAST_PAUSES:
-            own = 1 - engine.expert_share
-            return even * (own + engine.expert_share * USUAL_SKEW)
+        if not self._pauses:
+            return float(0), 0
         fixed = engine.steps_per_pass * engine.step_ms
         parts = [
             (each.length / timedelta(milliseconds=1) - fixed)
             / max(1, each.running)
             for each in self._pauses
         ]
-        return max(median(parts), even)
+        return median(parts), len(parts)
+
+
+def stream_limit(
+    engine: EngineFigures,
+    ranks: int,
+    gap: timedelta,
+    measured: Sequence[tuple[float, int]],
+    skew: float,
+) -> int:
+    """Return how many streams may run in a group.
+
+    Args:
+      engine: What the engines are said to cost.
+      ranks: The ranks of the group.
+      gap: The longest pause that is in time.
+      measured: What each daemon has measured, from `PassMeter.measure`. All
+        daemons use the same, so that they admit to the same limit.
+      skew: The skew of the map in use, for a group without any pauses.
+
+    Returns:
+      The number of streams, at most the slots of all ranks.
+    """
+    even = engine.steps_per_pass * engine.sequence_ms / max(1, ranks)
+    pauses = sum(count for _part, count in measured)
+    if pauses:
+        part = sum(part * count for part, count in measured) / pauses
+    else:
+        part = even * (1 - engine.expert_share + engine.expert_share * skew)
+    room = gap / timedelta(milliseconds=1) * USE_OF_PAUSE
+    room -= engine.steps_per_pass * engine.step_ms
+    return max(1, min(int(room / max(part, even)), ranks * engine.slots))
--- a/linnetwind/peer_book.py
+++ b/linnetwind/peer_book.py
@@ -14,8 +14,9 @@
 
 from linnetwind.upstream_list import Address
 
-# Some datagrams are lost; three in a row hardly ever.
-_PEER_SILENCE_MS = 700
+# Three states in a row; some datagrams are lost, three hardly ever. While the
+# planner is frozen with a pass held, the group stands still for this long.
+_PEER_SILENCE_MS = 450
 PEER_SILENCE = timedelta(milliseconds=_PEER_SILENCE_MS)
 # After this a peer is dropped from the list of addresses to send to, so that
 # replaced hosts do not collect there.
@@ -28,7 +29,8 @@
     """What the planner tells all of a rank group.
 
     `skew` is the slowest rank's expert load over the mean, `opens_in_ms` the
-    time until a broken group is expected to open.
+    time until a broken group is expected to open. `slow` are the instances
+    whose rank runs slowly.
     """
 
     service: str
@@ -36,6 +38,19 @@
     is_open: bool
     skew: float
     opens_in_ms: int
+    slow: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class StreamCost:
+    """The milliseconds that each stream adds to a pass of a service's group.
+
+    `pauses` is the number of pauses between events that it was measured by.
+    """
+
+    service: str
+    part_ms: float
+    pauses: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,8 +59,9 @@
 
     `running` counts the requests that it has at each upstream instance;
     `waiting` the streams that wait for a place; `members` are the addresses
-    it knows of; `can_plan` says that it reaches all ranks. `counter` grows
-    with each message of one `start_id`.
+    it knows of; `can_plan` says that it reaches all ranks. `refused` are
+    the subjects whose callers were told to come back. `counter` grows with
+    each message of one `start_id`.
     """
 
     name: str
@@ -59,6 +75,8 @@
     waiting: int
     members: tuple[Address, ...]
     groups: tuple[GroupBrief, ...]
+    costs: tuple[StreamCost, ...] = ()
+    refused: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/linnetwind/peer_mesh.py
+++ b/linnetwind/peer_mesh.py
@@ -204,6 +204,8 @@
             self._state.room.waiting,
             tuple(self._state.book.known),
             self._briefs,
+            self._state.room.costs(),
+            self._state.refusals.tell(),
         )
         content = _CODEC.encode(message)
         for address in self._addresses():
--- a/linnetwind/platform/__main__.py
+++ b/linnetwind/platform/__main__.py
@@ -1,5 +1,6 @@
 """Starts a daemon on the users' platform: `entry` or `rank`."""
 
+import os
 import sys
 
 
@@ -18,6 +19,10 @@
         from linnetwind.platform.rank import run_rank
 
         run_rank()
+    # Threads that serve idle connections would keep the process until it is
+    # killed; by now nothing is left that they could lose.
+    sys.stdout.flush()
+    os._exit(0)
 
 
 if __name__ == '__main__':
--- a/linnetwind/platform/headers.py
+++ b/linnetwind/platform/headers.py
@@ -23,6 +23,7 @@
 _CUSTOMER = b'tenant'
 _SIGNATURE = b'response-seal'
 _NOT_RUN = b'not-executed'
+_ANSWERED_BY = b'instance-id'
 _LOAD = b'server-load'
 _MISDIRECTED = 421
 
@@ -124,6 +125,7 @@
             call_id=None if call_id is None else _text(call_id),
             not_executed=_NOT_RUN in named,
             misdirected=status == _MISDIRECTED,
+            instance=_text(named.get(_ANSWERED_BY)) or None,
             load=_load(_text(named.get(_LOAD))),
         )
 
--- a/linnetwind/rank_link.py
+++ b/linnetwind/rank_link.py
@@ -15,7 +15,13 @@
 from linnetwind.clock import Clock
 from linnetwind.frames import receive_frame, send_frame
 from linnetwind.rank_messages import RANK_CODEC, Look, Obeyed, Seen
-from linnetwind.rank_types import OrderResult, RankOrder, RankPort
+from linnetwind.rank_types import (
+    HoldPass,
+    OrderResult,
+    RankOrder,
+    RankPort,
+    ReleasePass,
+)
 from linnetwind.upstream_list import Address
 
 # The agent asks its engine on the same host; both answer in milliseconds. An
@@ -52,7 +58,15 @@
         return Seen(self._engine.report(), None, experts)
 
     def command(self, order: RankOrder) -> OrderResult:
-        """Give an order."""
+        """Give an order.
+
+        A hold and its release go to the engine directly. If the host of the
+        held rank's agent froze between them, its engine could not be reached
+        either and the group stood still until it woke: 4.2 s measured. If
+        the planner's own host freezes, another planner releases the group.
+        """
+        if isinstance(order, HoldPass | ReleasePass):
+            return self._engine.order(order)
         answer = self._ask(order)
         if isinstance(answer, Obeyed):
             return answer.result
--- a/linnetwind/relay.py
+++ b/linnetwind/relay.py
@@ -125,10 +125,12 @@
             lambda: state.group_view(service, route.gap),
             self._request.received,
             route.target,
+            returning=state.refusals.is_returning(journey.facts.subject),
         )
         journey.queued = self._tools.clock.elapsed() - self._request.received
         if not isinstance(verdict, TurnAway):
             return None
+        state.refusals.refuse(journey.facts.subject)
         self._answer(_REFUSED, _retry_after(verdict.retry_after))
         return Done('refused', _REFUSED, verdict.reason)
 
@@ -200,13 +202,18 @@
             )
         if not isinstance(head, Head):
             return as_lost(head)
-        return self._take_head(journey, call, head)
+        return self._take_head(journey, upstream, call, head)
 
     def _take_head(
-        self, journey: Journey, call: UpstreamCall, head: Head
+        self,
+        journey: Journey,
+        upstream: Upstream,
+        call: UpstreamCall,
+        head: Head,
     ) -> Done | AttemptLost:
         answer = self._tools.dialect.read_answer(head.status, head.headers)
         if answer.not_executed or answer.misdirected:
+            self._note_instance(upstream, answer)
             reason = f'upstream refused with {head.status}'
             return AttemptLost(reason, may_have_run=False, reached=True)
         if not _is_ours(answer, journey):
@@ -217,6 +224,14 @@
             self._tools, self._connection, journey, call, head
         ).run()
 
+    def _note_instance(self, upstream: Upstream, answer: AnswerFacts) -> None:
+        if not answer.misdirected or answer.instance is None:
+            return
+        if answer.instance != upstream.instance:
+            self._tools.state.change_upstreams(
+                lambda known: known.replace_instance(upstream.instance)
+            )
+
     def _patience(self, journey: Journey, now: timedelta) -> timedelta:
         """Return until when the head of an answer is waited for."""
         if journey.route.kind is not RouteKind.IDEMPOTENT:
--- a/linnetwind/stream_gate.py
+++ b/linnetwind/stream_gate.py
@@ -4,13 +4,16 @@
 pause in time. Without a limit all of them turn late together. A stream waits
 only while its first event can still be in time; one that could not is
 refused at once and told when there will be room, so that the caller's wait
-is used instead of lost.
+is used instead of lost. A caller that comes back then goes first, and may
+wait longer: its answer is late in any case, and refused twice it gets none.
 """
 
 import itertools
 import threading
+from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
+from math import ceil
 
 from linnetwind.clock import Clock
 
@@ -28,21 +31,45 @@
 _LOOK = timedelta(milliseconds=_LOOK_MS)
 
 
+# How long a caller that came back may wait for its place. Callers give up a
+# stream that shows nothing for two seconds.
+_RETURN_WAIT_S = 1.2
+RETURN_WAIT = timedelta(seconds=_RETURN_WAIT_S)
+
+
 @dataclass(frozen=True, slots=True)
 class GroupView:
     """What is known of a group when a stream asks to run.
 
     `running` counts the streams of all daemons, `limit` how many may run,
-    `ends_per_s` the streams that end in a second; `opens_in` is set while
-    the group cannot run at all.
+    `waiting_elsewhere` the streams that wait at other daemons, `ends_per_s`
+    the streams that end in a second; `opens_in` is set while the group
+    cannot run at all.
     """
 
     running: int
     limit: int
+    waiting_elsewhere: int
     ends_per_s: float
     opens_in: timedelta | None
 
 
+@dataclass(frozen=True, slots=True)
+class Waiter:
+    """A stream that asks to run.
+
+    `ahead` streams go before it in its line of `line` streams, itself
+    included. `target` is the latency of a first event that is on time, and
+    `returning` says that the caller was refused before and told to return.
+    """
+
+    ahead: int
+    line: int
+    waited: timedelta
+    target: timedelta
+    returning: bool
+
+
 @dataclass(frozen=True, slots=True)
 class RunNow:
     """The stream may run."""
@@ -66,39 +93,59 @@
 Verdict = RunNow | WaitFor | TurnAway
 
 
-def judge(
-    view: GroupView, ahead: int, waited: timedelta, target: timedelta
-) -> Verdict:
+def judge(view: GroupView, waiter: Waiter) -> Verdict:
     """Decide whether a stream runs, waits or is turned away.
 
     Args:
       view: What is known of the group.
-      ahead: The streams that wait before this one.
-      waited: How long this one has waited.
-      target: The latency of the first event that is on time.
+      waiter: The stream.
 
     Returns:
       The verdict.
     """
+    left = _most_wait(waiter) - waiter.waited
     if view.opens_in is not None:
-        return TurnAway(
-            min(max(view.opens_in, LEAST_RETRY), MOST_RETRY), 'group is broken'
-        )
-    free = view.limit - view.running
-    if free > ahead:
+        if waiter.returning and left > timedelta():
+            return WaitFor(left)
+        return _turn_away(view.opens_in, 'group is broken')
+    free = _own_part(view, waiter)
+    if free > waiter.ahead:
         return RunNow()
-    left = target - START_TIME - waited
-    places = ahead + 1 - free
+    places = waiter.ahead + 1 - free
     wait = timedelta(seconds=places / max(view.ends_per_s, 1))
-    if left <= timedelta() or (not waited and wait > left):
-        return TurnAway(
-            min(max(wait, LEAST_RETRY), MOST_RETRY), 'no room in time'
-        )
+    hopeless = not waiter.waited and wait > left and not waiter.returning
+    if hopeless or left <= timedelta():
+        return _turn_away(wait, 'no room in time')
     return WaitFor(left)
 
 
+def _most_wait(waiter: Waiter) -> timedelta:
+    if waiter.returning:
+        return RETURN_WAIT
+    return waiter.target - START_TIME
+
+
+def _own_part(view: GroupView, waiter: Waiter) -> int:
+    """Return this daemon's part of the free places.
+
+    All daemons see the same places become free. If each filled them all, the
+    group would run several times as many streams more.
+    """
+    free = view.limit - view.running
+    if free <= 0:
+        return free
+    return ceil(free * waiter.line / (waiter.line + view.waiting_elsewhere))
+
+
+def _turn_away(wait: timedelta, reason: str) -> TurnAway:
+    return TurnAway(min(max(wait, LEAST_RETRY), MOST_RETRY), reason)
+
+
 class WaitingLine:
-    """The streams of one service that wait at this daemon, first come first."""
+    """The streams of one service that wait at this daemon.
+
+    Callers that came back go first, otherwise first come first served.
+    """
 
     def __init__(self, clock: Clock) -> None:
         """Start empty.
@@ -109,7 +156,7 @@
         self._clock = clock
         self._changed = threading.Condition()
         self._numbers = itertools.count()
-        self._waiting: list[int] = []
+        self._waiting: list[tuple[bool, int]] = []
 
     @property
     def length(self) -> int:
@@ -121,35 +168,51 @@
         with self._changed:
             self._changed.notify_all()
 
-    def enter(self, look, since: timedelta, target: timedelta) -> Verdict:
+    def enter(
+        self,
+        look: Callable[[], GroupView],
+        since: timedelta,
+        target: timedelta,
+        *,
+        returning: bool,
+    ) -> Verdict:
         """Wait for a place while that is worth it.
 
         Args:
-          look: Called for the present view of the group. It is called again
-            after `RunNow` was decided, by the caller, to take the place.
+          look: Returns the present view of the group.
           since: The monotonic time at which the request came.
           target: The latency of the first event that is on time.
+          returning: Whether the caller was told to return.
 
         Returns:
           `RunNow` or `TurnAway`.
         """
-        number = next(self._numbers)
+        place = (not returning, next(self._numbers))
         with self._changed:
-            self._waiting.append(number)
+            self._waiting.append(place)
+            self._waiting.sort()
             try:
-                return self._wait(number, look, since, target)
+                return self._wait(place, look, since, target)
             finally:
-                self._waiting.remove(number)
+                self._waiting.remove(place)
 
     def _wait(
-        self, number: int, look, since: timedelta, target: timedelta
+        self,
+        place: tuple[bool, int],
+        look: Callable[[], GroupView],
+        since: timedelta,
+        target: timedelta,
     ) -> Verdict:
-        while True:
-            waited = self._clock.elapsed() - since
-            ahead = self._waiting.index(number)
-            verdict = judge(look(), ahead, waited, target)
-            match verdict:
-                case WaitFor(most):
-                    self._changed.wait(min(most, _LOOK).total_seconds())
-                case _:
-                    return verdict
+        while True:  # noqa: WPS457
+            waiter = Waiter(
+                self._waiting.index(place),
+                len(self._waiting),
+                self._clock.elapsed() - since,
+                target,
+                not place[0],
+            )
+            verdict = judge(look(), waiter)
+            if not isinstance(verdict, WaitFor):
+                return verdict
+            wait = min(verdict.most, _LOOK)
+            self._changed.wait(wait.total_seconds())
--- a/linnetwind/stream_room.py
+++ b/linnetwind/stream_room.py
@@ -2,13 +2,19 @@
 
 import threading
 from collections import deque
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from datetime import timedelta
 
 from linnetwind.clock import Clock
-from linnetwind.pass_meter import PassMeter, Pause
-from linnetwind.peer_book import GroupBrief
-from linnetwind.routes import RoutedService
+from linnetwind.pass_meter import (
+    USUAL_SKEW,
+    PassMeter,
+    Pause,
+    stream_limit,
+)
+from linnetwind.peer_book import GroupBrief, PeerState, StreamCost
+from linnetwind.routes import EngineFigures, RoutedService
 from linnetwind.stream_gate import GroupView, WaitingLine
 
 # Ended streams that count for the rate at which places become free.
@@ -24,6 +30,7 @@
     line: WaitingLine
     meter: PassMeter = field(default_factory=PassMeter)
     ends: deque[timedelta] = field(default_factory=deque)
+    engine: EngineFigures | None = None
     brief: GroupBrief | None = None
     brief_at: timedelta = timedelta()
 
@@ -105,7 +112,7 @@
         gap: timedelta,
         running: int,
         ranks: int,
-        daemons: int,
+        peers: Sequence[PeerState],
     ) -> GroupView:
         """Return what is known of a rank group.
 
@@ -114,7 +121,7 @@
           gap: The longest pause that is in time.
           running: The streams that all daemons have there.
           ranks: The ranks that may be given work.
-          daemons: The daemons that send streams there.
+          peers: The states of the other daemons.
 
         Returns:
           The view.
@@ -122,12 +129,52 @@
         now = self._clock.elapsed()
         with self._lock:
             room = self._room(service.name)
-            limit = room.meter.limit(service.engine, ranks, gap, now)
+            room.engine = service.engine
+            own = room.meter.measure(service.engine, now)
+            brief = _fresh_brief(room, now)
+            skew = brief.skew if brief else USUAL_SKEW
+            limit = stream_limit(
+                service.engine,
+                ranks,
+                gap,
+                [own, *_measured(peers, service)],
+                skew,
+            )
             _forget(room.ends, now)
             # Callers are spread over the daemons, so that the others end
             # about as many streams as this one.
-            rate = len(room.ends) / _ENDS_WINDOW.total_seconds() * daemons
-            return GroupView(running, limit, rate, _opens_in(room, now))
+            rate = len(room.ends) / _ENDS_WINDOW.total_seconds()
+            return GroupView(
+                running,
+                limit,
+                sum(each.waiting for each in peers),
+                rate * (1 + len(peers)),
+                _opens_in(room, now),
+            )
+
+    def costs(self) -> tuple[StreamCost, ...]:
+        """Return what this daemon has measured, for its peers."""
+        now = self._clock.elapsed()
+        with self._lock:
+            return tuple(
+                StreamCost(service, *room.meter.measure(room.engine, now))
+                for service, room in self._rooms.items()
+                if room.engine is not None
+            )
+
+    def slow(self, service: str) -> frozenset[str]:
+        """Return the instances whose ranks run slowly.
+
+        Args:
+          service: The service's name.
+
+        Returns:
+          The instances, as the planner has found them.
+        """
+        now = self._clock.elapsed()
+        with self._lock:
+            brief = _fresh_brief(self._room(service), now)
+            return frozenset(brief.slow if brief else ())
 
     def _room(self, service: str) -> _ServiceRoom:
         room = self._rooms.get(service)
@@ -137,14 +184,29 @@
         return room
 
 
+def _measured(
+    peers: Sequence[PeerState], service: RoutedService
+) -> list[tuple[float, int]]:
+    return [
+        (each.part_ms, each.pauses)
+        for peer in peers
+        for each in peer.costs
+        if each.service == service.name
+    ]
+
+
 def _forget(ends: deque[timedelta], now: timedelta) -> None:
     while ends and now - ends[0] > _ENDS_WINDOW:
         ends.popleft()
 
 
+def _fresh_brief(room: _ServiceRoom, now: timedelta) -> GroupBrief | None:
+    return room.brief if now - room.brief_at < _BRIEF_AGE else None
+
+
 def _opens_in(room: _ServiceRoom, now: timedelta) -> timedelta | None:
-    brief = room.brief
-    if brief is None or brief.is_open or now - room.brief_at > _BRIEF_AGE:
+    brief = _fresh_brief(room, now)
+    if brief is None or brief.is_open:
         return None
     left = timedelta(milliseconds=brief.opens_in_ms) - (now - room.brief_at)
     return max(left, timedelta())
--- a/linnetwind/upstream_choice.py
+++ b/linnetwind/upstream_choice.py
@@ -82,13 +82,17 @@
 
 
 def choose_rank(
-    upstreams: Collection[Upstream], running: Mapping[str, int]
+    upstreams: Collection[Upstream],
+    running: Mapping[str, int],
+    slow: frozenset[str],
 ) -> Upstream | None:
     """Return the rank with the fewest running streams.
 
     Args:
       upstreams: The ranks that may be given work.
       running: The streams at each instance, from all daemons.
+      slow: Instances that run slowly; each stream there would hold up the
+        passes of all, so they get none while there are others.
 
     Returns:
       The rank, or None if there is none. Equal ones are taken at random, so
@@ -96,6 +100,8 @@
     """
     if not upstreams:
         return None
+    quick = [each for each in upstreams if each.instance not in slow]
+    upstreams = quick or upstreams
     least = min(running.get(each.instance, 0) for each in upstreams)
     equal = [
         each for each in upstreams if running.get(each.instance, 0) == least
--- a/linnetwind/upstream_list.py
+++ b/linnetwind/upstream_list.py
@@ -59,7 +59,8 @@
 
     `end` is the offset up to which the records are known. `lapsed` holds the
     upstreams whose entries vanished during an outage of the store, with the
-    time at which they are taken as gone.
+    time at which they are taken as gone; `replaced` the instances whose
+    address has been answered by another one.
     """
 
     end: int = 0
@@ -67,10 +68,15 @@
     lapsed: Mapping[str, tuple[timedelta, Upstream]] = field(
         default_factory=dict
     )
+    replaced: frozenset[str] = frozenset()
 
     def usable(self, service: str, now: timedelta) -> list[Upstream]:
         """Return the upstreams of a service that may be given work.
 
+        After a crash an upstream's entry stays for some heartbeats while its
+        successor registers at the same address. Work for the former would
+        only be refused, so the newest entry of an address counts alone.
+
         Args:
           service: The service's name.
           now: The monotonic time.
@@ -79,15 +85,34 @@
           Those that are registered and not draining, and those that lapsed
           with the store a moment ago.
         """
-        found = [
-            each.upstream
+        entries = [
+            (-1, upstream)
+            for until, upstream in self.lapsed.values()
+            if now < until
+        ]
+        entries.extend(
+            (each.offset, each.upstream)
             for each in self.records.values()
-            if _serves(each.upstream, service)
+            if each.upstream is not None
+        )
+        entries.sort(key=_offset)
+        by_address = {each.address: each for _at, each in entries}
+        return [
+            each
+            for each in by_address.values()
+            if each.instance not in self.replaced and _serves(each, service)
         ]
-        for until, upstream in self.lapsed.values():
-            if now < until and _serves(upstream, service):
-                found.append(upstream)
-        return found
+
+    def replace_instance(self, instance: str) -> Self:
+        """Return the list after another instance answered at an address.
+
+        Args:
+          instance: The instance that was expected there.
+
+        Returns:
+          The list; the instance is not usable again.
+        """
+        return replace(self, replaced=self.replaced | {instance})
 
     def registered(self, service: str) -> list[Upstream]:
         """Return all upstreams of a service, also those that drain.
@@ -179,9 +204,9 @@
         return replace(self, records=kept, lapsed=lapsed).take(listed, end)
 
 
-def _serves(upstream: Upstream | None, service: str) -> bool:
-    return (
-        upstream is not None
-        and upstream.service == service
-        and not upstream.draining
-    )
+def _serves(upstream: Upstream, service: str) -> bool:
+    return upstream.service == service and not upstream.draining
+
+
+def _offset(entry: tuple[int, Upstream]) -> int:
+    return entry[0]
