--- a/linnetwind/stream_gate.py
+++ b/linnetwind/stream_gate.py
@@ -33,7 +33,7 @@
 
 # How long a caller that came back may wait for its place. Callers give up a
 # stream that shows nothing for two seconds.
-_RETURN_WAIT_S = 1.2
+_RETURN_WAIT_S = 1.6
 RETURN_WAIT = timedelta(seconds=_RETURN_WAIT_S)
 
 
