Test the gateway over sockets; mend three faults that the tests found

An upstream that fails at once looked quick and drew all requests to it: a failure no longer counts as latency (6 calls, one good of 3 upstreams: all ended in 502 before). 2. An idempotent request was taken from a silent upstream although there was no other: it now waits there until its time is over (504, was 502 early). 3. A caller's own log line came after its answer; the tests wait for it.

--- a/linnetwind/gateway_state.py
+++ b/linnetwind/gateway_state.py
@@ -7,7 +7,7 @@
 from linnetwind.clock import Clock
 from linnetwind.peer_book import PeerBook, PeerState
 from linnetwind.refusal_book import Refusals
-from linnetwind.repeat_budget import BudgetTerms, RepeatBudget
+from linnetwind.repeat_budget import BudgetTerms, SharedRepeats
 from linnetwind.routes import RouteTable, RoutedService
 from linnetwind.stream_gate import GroupView
 from linnetwind.stream_room import StreamRoom
@@ -34,13 +34,12 @@
         """
         self._clock = clock
         self._lock = threading.Lock()
-        self._terms = terms
         self._table: RouteTable | None = None
         self._upstreams = UpstreamList()
         self._book = PeerBook(own)
         self._running: dict[str, int] = {}
         self._records: dict[str, Record] = {}
-        self._budgets: dict[str, RepeatBudget] = {}
+        self._repeats = SharedRepeats(terms, clock)
         self._room = StreamRoom(clock)
         self._refusals = Refusals(clock)
         self._on_change: Callable[[], None] = _nothing
@@ -65,6 +64,11 @@
         """Return the room for streams in each group."""
         return self._room
 
+    @property
+    def repeats(self) -> SharedRepeats:
+        """Return this daemon's part of the budgets of repeats."""
+        return self._repeats
+
     @property
     def refusals(self) -> Refusals:
         """Return who was told to come back."""
@@ -129,6 +133,7 @@
         with self._lock:
             self._book = self._book.hear(state, now).forget(now)
         self._refusals.hear(state.refused)
+        self._repeats.share_among(1 + len(self._book.heard))
         for brief in state.groups:
             self._room.take_brief(brief)
         self._room.wake()
@@ -185,11 +190,7 @@
           The upstream, or None if there is none. `give_back` ends the count.
         """
         now = self._clock.elapsed()
-        usable = [
-            each
-            for each in self._upstreams.usable(service.name, now)
-            if each.instance not in tried
-        ]
+        usable = self._untried(service, tried)
         counts = self._counts()
         slow = self._room.slow(service.name)
         with self._lock:
@@ -203,6 +204,20 @@
         self._on_change()
         return chosen
 
+    def has_upstream(
+        self, service: RoutedService, tried: frozenset[str]
+    ) -> bool:
+        """Return whether a service has an upstream that was not tried.
+
+        Args:
+          service: The service.
+          tried: Instances that are left out.
+
+        Returns:
+          Whether `take_upstream` would find one.
+        """
+        return bool(self._untried(service, tried))
+
     def give_back(self, upstream: Upstream) -> None:
         """End the count of a request at an upstream.
 
@@ -246,31 +261,11 @@
             record = self._records.get(upstream.instance, Record(now))
             self._records[upstream.instance] = note_miss(record, now)
 
-    def count_request(self, service: str) -> None:
-        """Count a caller's request for the budget of repeats.
-
-        Args:
-          service: The service that it goes to.
-        """
-        with self._lock:
-            self._budget(service).count_request(self._clock.elapsed())
-
-    def spend_repeat(self, service: str) -> bool:
-        """Take a repeat from the shared budget.
-
-        Args:
-          service: The service that gets the repeat.
-
-        Returns:
-          Whether there was one left.
-        """
-        now = self._clock.elapsed()
-        with self._lock:
-            daemons = 1 + len(self._book.heard)
-            return self._budget(service).spend(now, daemons)
-
-    def _budget(self, service: str) -> RepeatBudget:
-        return self._budgets.setdefault(service, RepeatBudget(self._terms))
+    def _untried(
+        self, service: RoutedService, tried: frozenset[str]
+    ) -> list[Upstream]:
+        usable = self._upstreams.usable(service.name, self._clock.elapsed())
+        return [each for each in usable if each.instance not in tried]
 
     def _counts(self) -> dict[str, int]:
         counts = self._book.running(self._clock.elapsed())
--- a/linnetwind/relay.py
+++ b/linnetwind/relay.py
@@ -110,7 +110,7 @@
         journey.service = journey.table.services.get(name)
         if journey.service is None:
             return self._refuse(journey, 'no such service')
-        self._tools.state.count_request(name)
+        self._tools.state.repeats.count_request(name)
         if journey.service.engine is not None:
             turned = self._wait_for_place(journey)
             if turned is not None:
@@ -176,7 +176,7 @@
             ended = self._exchange(journey, upstream, call)
         finally:
             call.close()
-        failed = isinstance(ended, AttemptLost) and ended.may_have_run
+        failed = _is_failure(ended)
         took = self._tools.clock.elapsed() - started
         self._tools.state.note_answer(upstream, took, failed=failed)
         return ended
@@ -195,7 +195,7 @@
         failed = call.send(self._request, headers, journey.until)
         if failed is not None:
             return as_lost(failed)
-        head = call.next(self._patience(journey, now))
+        head = call.next(self._patience(journey, upstream, now))
         if isinstance(head, OutOfTime) and not self._time_is_over(journey):
             return AttemptLost(
                 'silent upstream', may_have_run=True, reached=True
@@ -232,12 +232,17 @@
                 lambda known: known.replace_instance(upstream.instance)
             )
 
-    def _patience(self, journey: Journey, now: timedelta) -> timedelta:
+    def _patience(
+        self, journey: Journey, upstream: Upstream, now: timedelta
+    ) -> timedelta:
         """Return until when the head of an answer is waited for."""
         if journey.route.kind is not RouteKind.IDEMPOTENT:
             return journey.until
         if len(journey.sent_to) >= journey.route.max_attempts:
             return journey.until
+        tried = frozenset((*journey.tried, upstream.instance))
+        if not self._tools.state.has_upstream(journey.service, tried):
+            return journey.until
         return now + (journey.until - now) * _PATIENCE
 
     def _time_is_over(self, journey: Journey) -> bool:
@@ -255,7 +260,7 @@
         )
         decision = after_loss(journey.route, lost, progressed)
         if isinstance(decision, TryAnother) and decision.counts:
-            if not self._tools.state.spend_repeat(journey.service.name):
+            if not self._tools.state.repeats.spend(journey.service.name):
                 decision = decision.instead
         again = isinstance(decision, TryAnother)
         self._tools.log.event(
@@ -324,6 +329,14 @@
         )
 
 
+def _is_failure(ended: Done | AttemptLost) -> bool:
+    match ended:
+        case AttemptLost():
+            return ended.may_have_run
+        case Done():
+            return ended.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+
+
 def _is_ours(answer: AnswerFacts, journey: Journey) -> bool:
     return answer.signed and answer.call_id == journey.facts.call_id
 
--- a/linnetwind/repeat_budget.py
+++ b/linnetwind/repeat_budget.py
@@ -7,10 +7,13 @@
 sum stays within the shared budget whatever the daemons know of each other.
 """
 
+import threading
 from collections import deque
 from dataclasses import dataclass
 from datetime import timedelta
 
+from linnetwind.clock import Clock
+
 # The part of the budget that is used: a repeat is counted at the upstream,
 # a little later than here, and the windows do not begin together.
 SAFETY = 0.7
@@ -70,3 +73,53 @@
         for times in (self._requests, self._repeats):
             while times and times[0] < start:
                 times.popleft()
+
+
+class SharedRepeats:
+    """This daemon's budgets for all services; for any thread."""
+
+    def __init__(self, terms: BudgetTerms, clock: Clock) -> None:
+        """Start as the only daemon.
+
+        Args:
+          terms: The budget that all daemons share, for each service.
+          clock: For the window.
+        """
+        self._terms = terms
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._daemons = 1
+        self._budgets: dict[str, RepeatBudget] = {}
+
+    def share_among(self, daemons: int) -> None:
+        """Take note of how many daemons share the allowance.
+
+        Args:
+          daemons: Their number, this one included.
+        """
+        self._daemons = daemons
+
+    def count_request(self, service: str) -> None:
+        """Count a caller's request.
+
+        Args:
+          service: The service that it goes to.
+        """
+        with self._lock:
+            self._budget(service).count_request(self._clock.elapsed())
+
+    def spend(self, service: str) -> bool:
+        """Take a repeat.
+
+        Args:
+          service: The service that gets the repeat.
+
+        Returns:
+          Whether there was one left.
+        """
+        now = self._clock.elapsed()
+        with self._lock:
+            return self._budget(service).spend(now, self._daemons)
+
+    def _budget(self, service: str) -> RepeatBudget:
+        return self._budgets.setdefault(service, RepeatBudget(self._terms))
--- a/linnetwind/upstream_choice.py
+++ b/linnetwind/upstream_choice.py
@@ -58,13 +58,19 @@
     Returns:
       The record.
     """
-    latency = took.total_seconds()
-    if record.latency is not None:
-        latency = record.latency + SMOOTHING * (latency - record.latency)
+    # A failure often comes quicker than an answer; counted as latency it would
+    # draw all requests to the upstream that fails.
+    latency = record.latency
+    if not failed:
+        latency = _smooth(latency, took.total_seconds())
     failures = record.failures + SMOOTHING * (failed - record.failures)
     return Record(now, latency, failures)
 
 
+def _smooth(before: float | None, new: float) -> float:
+    return new if before is None else before + SMOOTHING * (new - before)
+
+
 def note_miss(record: Record, now: timedelta) -> Record:
     """Return an upstream's record after a connection did not come about.
 
@@ -161,8 +167,7 @@
     now: timedelta,
 ) -> float:
     load = (running.get(upstream.instance, 0) + 1) / max(1, upstream.slots)
-    if record is None or record.latency is None:
-        return load * usual
-    if now - record.at > RECORD_AGE:
+    if record is None or now - record.at > RECORD_AGE:
         return load * usual
-    return load * record.latency * (1 + FAILURE_WEIGHT * record.failures)
+    latency = usual if record.latency is None else record.latency
+    return load * latency * (1 + FAILURE_WEIGHT * record.failures)
--- /dev/null
+++ b/standins/gateway_harness.py
@@ -0,0 +1,148 @@
+"""A gateway in this process, with scripted upstreams and a raw caller."""
+
+import socket
+import threading
+import time
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from linnetwind.call_types import Dialect
+from linnetwind.caller_connection import (
+    BadRequest,
+    CallerConnection,
+    CallerGone,
+)
+from linnetwind.clock import SystemClock
+from linnetwind.gateway_state import GatewayState
+from linnetwind.journey import GatewayTools
+from linnetwind.relay import Relay
+from linnetwind.repeat_budget import BudgetTerms
+from linnetwind.routes import RouteTable
+from linnetwind.upstream_call import open_call
+from linnetwind.upstream_list import Address, Registered
+from standins.gateway_fixtures import make_upstream
+from standins.scripted_upstream import ScriptedUpstream
+
+
+@dataclass
+class ListLog:
+    """A log that keeps its events."""
+
+    events: list = field(default_factory=list)
+
+    def event(self, event) -> None:
+        """Keep an event."""
+        self.events.append(event)
+
+    def of(self, kind: type) -> list:
+        """Return the events of a type."""
+        return [each for each in self.events if isinstance(each, kind)]
+
+    def first(self, kind: type):
+        """Wait for an event of a type; the caller may see its cause before."""
+        for _look in range(1000):
+            found = self.of(kind)
+            if found:
+                return found[0]
+            time.sleep(0.01)
+        raise LookupError(kind)
+
+
+class GatewayHarness:
+    """Serves callers on the loopback interface."""
+
+    def __init__(self, dialect: Dialect, table: RouteTable | None):
+        """Start with a configuration and without upstreams."""
+        self.clock = SystemClock()
+        self.log = ListLog()
+        self.draining = False
+        terms = BudgetTerms(timedelta(seconds=10), 0.2, 88)
+        self.state = GatewayState(self.clock, Address('127.0.0.1', 1), terms)
+        if table is not None:
+            self.state.apply_table(table)
+        self._tools = GatewayTools(
+            self.state,
+            dialect,
+            self.clock,
+            self.log,
+            open_call,
+            lambda: self.draining,
+        )
+        self._listener = socket.create_server(('127.0.0.1', 0))
+        self._upstreams: list[ScriptedUpstream] = []
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def add(self, script, service='plain', port=None) -> ScriptedUpstream:
+        """Register an upstream that does as the script says."""
+        upstream = ScriptedUpstream(script)
+        offset = len(self._upstreams)
+        self._upstreams.append(upstream)
+        entry = make_upstream(
+            f'i-{offset}', port or upstream.port, service=service
+        )
+        self.state.change_upstreams(
+            lambda known: known.take(
+                [Registered(entry.instance, offset, entry)], offset + 1
+            )
+        )
+        return upstream
+
+    def call(self, text: str, body: bytes = b'') -> socket.socket:
+        """Send a request; return the caller's connection."""
+        sock = socket.create_connection(self._listener.getsockname(), 10)
+        head = '\r\n'.join([*text.strip().splitlines(), '', ''])
+        sock.sendall(head.encode() + body)
+        return sock
+
+    def ask(self, text: str, body: bytes = b'') -> tuple[int, dict, bytes]:
+        """Send a request and read the whole answer."""
+        return read_answer(self.call(text, body))
+
+    def close(self) -> None:
+        """Stop listening."""
+        self._listener.close()
+        for upstream in self._upstreams:
+            upstream.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                sock, _peer = self._listener.accept()
+            except OSError:
+                return
+            threading.Thread(
+                target=self._serve, args=(sock,), daemon=True
+            ).start()
+
+    def _serve(self, sock: socket.socket) -> None:
+        with sock:
+            connection = CallerConnection(
+                sock, self._limits, lambda: False, self.clock
+            )
+            goes_on = True
+            while goes_on:
+                asked = connection.read_request()
+                if isinstance(asked, CallerGone):
+                    return
+                if isinstance(asked, BadRequest):
+                    close = ((b'Connection', b'close'),)
+                    connection.answer(asked.status, close, b'')
+                    return
+                goes_on = Relay(self._tools, connection, asked).run()
+
+    def _limits(self):
+        return self.state.table.limits
+
+
+def read_answer(sock: socket.socket) -> tuple[int, dict, bytes]:
+    """Read an answer to its end.
+
+    Raises:
+      http.client.HTTPException: The answer is not whole.
+    """
+    from http.client import HTTPResponse
+
+    with sock:
+        response = HTTPResponse(sock)
+        response.begin()
+        return response.status, dict(response.getheaders()), response.read()
--- a/standins/rank_orders.py
+++ b/standins/rank_orders.py
@@ -84,7 +84,7 @@
         if order.epoch != self.epoch or expect != each.sequence:
             return False
         match order:
-            case PrepareMap(version, _epoch, _expect, maps):
+            case PrepareMap(version=version, maps=maps):
                 if version <= each.had or each.armed or each.copying:
                     return False
                 each.had = version
