Replace a wish that the ranks have overtaken, and one without demand

The wish is now replaced as soon as a rank has had a newer version, and a held group of which no demand is known gets an even map.

--- a/linnetwind/map_planner.py
+++ b/linnetwind/map_planner.py
@@ -18,7 +18,7 @@
     OrderFailed,
 )
 from linnetwind.gateway_state import GatewayState
-from linnetwind.map_wish import plan_map
+from linnetwind.map_wish import even_demand, plan_map
 from linnetwind.peer_book import GroupBrief
 from linnetwind.peer_mesh import PeerMesh
 from linnetwind.rank_link import GroupLinks, RankLink
@@ -212,7 +212,11 @@
         force: bool,
     ) -> MapWish | None:
         tokens = group.demand.by_layer(service.engine.layers)
-        if group.maps is None or not sum(map(sum, tokens)):
+        if not sum(map(sum, tokens)):
+            # A held group makes no passes, so that nothing is counted; it
+            # needs its new version all the same.
+            tokens = even_demand(service.engine) if force else ()
+        if group.maps is None or not tokens:
             return None
         planned = plan_map(
             group.maps, tokens, reports, service.engine, force=force
--- a/linnetwind/map_wish.py
+++ b/linnetwind/map_wish.py
@@ -92,6 +92,19 @@
     )
 
 
+def even_demand(engine: EngineFigures) -> tuple[tuple[float, ...], ...]:
+    """Return the demand of a group of which nothing is known.
+
+    Args:
+      engine: The figures of the engines.
+
+    Returns:
+      The same demand for each expert, by layer.
+    """
+    layer = (float(1),) * engine.experts
+    return (layer,) * engine.layers
+
+
 def _new_version(reports: Mapping[int, RankReport]) -> int:
     """Draw a version above all seen.
 
--- a/linnetwind/rollout.py
+++ b/linnetwind/rollout.py
@@ -102,7 +102,7 @@
         return _finish(reports, held, wish)
     if any(each.armed is not None for each in reports.values()):
         return Round('waiting for the pass')
-    if wish is None:
+    if wish is None or _is_stale(reports, wish):
         return Round('idle')
     if all(each.map_version == wish.version for each in reports.values()):
         return Round('in use')
@@ -152,12 +152,26 @@
     ]
     if overtaken and _is_barred(reports, newest):
         return Round('disarming', tuple(overtaken))
-    if wish is None:
+    in_use = {each.map_version for each in reports.values()}
+    if wish is None or _is_stale(reports, wish) or wish.version in in_use:
         return Round('a new map is needed')
     missing = _unprepared(reports, wish)
     return Round('preparing anew', _prepare(reports, missing, wish))
 
 
+def _is_stale(reports: Reports, wish: MapWish) -> bool:
+    """Return whether a rank has had a newer version than the one wanted.
+
+    It refuses the older one for ever; a planner that kept asking for it
+    would leave a held group standing.
+    """
+    return any(
+        max(each.map_version, each.prepared or 0, each.armed or 0)
+        > wish.version
+        for each in reports.values()
+    )
+
+
 def _is_barred(reports: Reports, newest: int) -> bool:
     """Return whether a rank can no longer be armed with what came before."""
     return any(
--- a/linnetwind/rollout_test.py
+++ b/linnetwind/rollout_test.py
@@ -119,6 +119,18 @@
     assert group.step > 5
 
 
+@pytest.mark.parametrize('seed', [1126, 1148, 1172])
+def test_an_outdated_wish_does_not_leave_a_group_held(seed):
+    # A planner still wants a version that the ranks have overtaken, while a
+    # late hold stops the next pass. Every rank refuses the old version for
+    # ever, and callers wait for a group that stands still.
+    walk = Walk(seed, 3 + seed % 4, 1 + seed % 3, next_round)
+    walk.run(2000)
+    before = walk.group.step
+    walk.settle()
+    assert walk.group.step > before + 50
+
+
 def test_nothing_is_ordered_while_a_rank_is_missing():
     reports = GroupModel(4).reports()
     del reports[2]
