--- /dev/null
+++ b/standins/platform_cluster.py
@@ -0,0 +1,210 @@
+"""Gateway processes as the platform starts them, on the loopback interface."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from http.client import HTTPConnection
+from pathlib import Path
+
+from standins.platform_store import PlatformStore
+
+ROOT = Path(__file__).parent.parent
+GRACE_S = 8
+_START_TRIES = 300
+
+
+def configuration(version, *services, prefixes=('/x/',), **route):
+    """Return a configuration in the platform's format."""
+    fields = {
+        'host': 'a.example',
+        'kind': 'idempotent',
+        'timeoutMs': 6000,
+        'targetLatencyMs': 500,
+        'priority': 1,
+        'service': services[0],
+        'maxAttempts': 2,
+        'anonymous': True,
+        **route,
+    }
+    return {
+        'version': version,
+        'routes': [
+            {**fields, 'name': prefix, 'pathPrefix': prefix}
+            for prefix in prefixes
+        ],
+        'services': [
+            {'name': name, 'healthCheck': '/health', 'maxConnections': 90}
+            for name in services
+        ],
+        'limits': {
+            'headerBytes': 16_384,
+            'maxBodyBytes': 65_536,
+            'headerTimeoutMs': 2000,
+            'idleTimeoutMs': 10_000,
+        },
+        'tenants': [],
+    }
+
+
+def entry_of(upstream, service='plain', state='ready'):
+    """Return an upstream's entry in the platform's format."""
+    return {
+        'service': service,
+        'address': f'127.0.0.1:{upstream.port}',
+        'zone': 'z',
+        'version': 'v1',
+        'slots': 6,
+        'state': state,
+        'coldRemainingMs': 0,
+        'sequence': 1,
+    }
+
+
+class GatewayProcess:
+    """One gateway process; `ip` is its host on the loopback interface."""
+
+    def __init__(self, folder: Path, ip: str, store: int, ports, seeds=()):
+        """Start the process.
+
+        Args:
+          folder: Where its settings file and log go.
+          ip: The address of its host.
+          store: The port of the platform's store.
+          ports: The front, readiness and control port of all hosts.
+          seeds: The addresses of other hosts.
+        """
+        self.ip = ip
+        self.front, self.readiness, control = ports
+        self.log = folder / f'{ip}.log'
+        settings = {
+            'node': f'edge-{ip}',
+            'zone': 'z',
+            'ip': ip,
+            'listen': {
+                'front': f'{ip}:{self.front}',
+                'readiness': f'{ip}:{self.readiness}',
+                'control': f'{ip}:{control}',
+            },
+            'internalPorts': [control + 1, control + 1],
+            'seeds': [f'{seed}:{control}' for seed in seeds],
+            'bounds': {
+                'graceS': GRACE_S,
+                'drainMs': 2000,
+                'retryRatio': 0.2,
+                'retryWindowS': 10,
+                'retryAllowance': 88,
+            },
+            'platform': {'address': f'127.0.0.1:{store}'},
+        }
+        path = folder / f'{ip}.json'
+        path.write_text(json.dumps(settings))
+        with self.log.open('a') as output:
+            self.process = subprocess.Popen(
+                [sys.executable, '-m', 'linnetwind.platform', 'entry'],
+                cwd=ROOT,
+                env={**os.environ, 'LINNETWIND_CONFIG': str(path)},
+                stdout=output,
+                stderr=output,
+            )
+
+    def is_ready(self) -> bool:
+        """Ask as the platform does."""
+        connection = HTTPConnection(self.ip, self.readiness, timeout=1)
+        try:
+            connection.request('GET', '/-/readiness')
+            return connection.getresponse().status == 200
+        except OSError:
+            return False
+        finally:
+            connection.close()
+
+    def wait_ready(self) -> None:
+        """Wait until the process takes callers."""
+        for _try in range(_START_TRIES):
+            if self.is_ready():
+                return
+            time.sleep(0.05)
+        raise TimeoutError(self.log.read_text())
+
+    def ask(self, path='/x/1', **headers):
+        """Send a request on a new connection; return status, headers, body."""
+        connection = HTTPConnection(self.ip, self.front, timeout=10)
+        sent = {'Host': 'a.example', 'Attempt-Id': 'c', **headers}
+        connection.request('GET', path, headers=sent)
+        response = connection.getresponse()
+        found = response.status, dict(response.getheaders()), response.read()
+        connection.close()
+        return found
+
+    def events(self, name: str) -> list[dict]:
+        """Return the log's events of a name."""
+        lines = self.log.read_text().splitlines()
+        events = [json.loads(line) for line in lines if line.startswith('{')]
+        return [each for each in events if each['event'] == name]
+
+    def wait_event(self, name: str) -> dict:
+        """Wait for an event in the log."""
+        for _try in range(_START_TRIES):
+            found = self.events(name)
+            if found:
+                return found[0]
+            time.sleep(0.05)
+        raise TimeoutError(self.log.read_text())
+
+    def terminate(self) -> None:
+        """Ask the process to stop."""
+        self.process.send_signal(signal.SIGTERM)
+
+    def kill(self) -> None:
+        """Kill the process."""
+        self.process.kill()
+        self.process.wait()
+
+
+class PlatformCluster:
+    """A store and gateway processes."""
+
+    def __init__(self, folder: Path):
+        """Start the store."""
+        self._folder = folder
+        self.store = PlatformStore()
+        self._ports = _free_ports()
+        self._started: list[GatewayProcess] = []
+
+    def start(self, ip='127.0.0.1', store=None, seeds=()) -> GatewayProcess:
+        """Start a gateway process on a host."""
+        process = GatewayProcess(
+            self._folder, ip, store or self.store.port, self._ports, seeds
+        )
+        self._started.append(process)
+        return process
+
+    def close(self) -> None:
+        """Kill what was started."""
+        for each in self._started:
+            each.kill()
+        self.store.close()
+
+
+def _free_ports():
+    """Return ports below those that the system gives to connections."""
+    with open('/proc/sys/net/ipv4/ip_local_port_range') as source:
+        lowest = int(source.read().split()[0])
+    first = 20_000 + os.getpid() % 500 * 20
+    for base in range(first, min(lowest, first + 2000), 8):
+        if all(_is_free(base + offset) for offset in range(4)):
+            return base, base + 1, base + 2
+    raise OSError('no free ports')
+
+
+def _is_free(port):
+    with socket.socket() as sock:
+        try:
+            sock.bind(('127.0.0.1', port))
+        except OSError:
+            return False
+        return True
--- /dev/null
+++ b/standins/platform_cluster_test.py
@@ -0,0 +1,174 @@
+"""Tests of real gateway processes: stop, kill, outage, configuration."""
+
+import threading
+import time
+
+import pytest
+
+from standins.platform_cluster import (
+    PlatformCluster,
+    configuration,
+    entry_of,
+)
+from standins.scripted_upstream import ScriptedUpstream
+
+
+@pytest.fixture(name='cluster')
+def _cluster(tmp_path):
+    cluster = PlatformCluster(tmp_path)
+    yield cluster
+    cluster.close()
+
+
+@pytest.fixture(name='release')
+def _release():
+    event = threading.Event()
+    yield event
+    event.set()
+
+
+def _answer(connection, request):
+    connection.answer(request)
+
+
+def _publish(cluster, upstream, version=1, **changes):
+    cluster.store.put('keyed.servers', 'i-1', entry_of(upstream))
+    cluster.store.put(
+        'keyed.op', 'config', configuration(version, 'plain', **changes)
+    )
+
+
+def test_a_process_is_ready_only_with_a_configuration(cluster):
+    process = cluster.start()
+    process.wait_event('Started')
+    assert not process.is_ready()
+    _publish(cluster, ScriptedUpstream(_answer))
+    process.wait_ready()
+    assert process.ask()[0] == 200
+
+
+def test_sigterm_cuts_no_request(cluster, release):
+    # A request is at an upstream when the platform stops the process. The
+    # process says at once that it is not ready, still serves callers that
+    # the platform sends meanwhile, and ends when the request is answered.
+    started = threading.Event()
+
+    def slow(connection, request):
+        if request.target.endswith('slow'):
+            started.set()
+            release.wait(20)
+        connection.answer(request)
+
+    _publish(cluster, ScriptedUpstream(slow))
+    process = cluster.start()
+    process.wait_ready()
+    answers = []
+    caller = threading.Thread(
+        target=lambda: answers.append(process.ask('/x/slow'))
+    )
+    caller.start()
+    assert started.wait(10)
+    process.terminate()
+    process.wait_event('Stopping')
+    assert not process.is_ready()
+    status, headers, _body = process.ask('/x/quick')
+    assert (status, headers['Connection']) == (200, 'close')
+    release.set()
+    caller.join(10)
+    assert answers[0][0] == 200
+    assert process.process.wait(20) == 0
+    assert process.events('Stopped')[0]['open_requests'] == 0
+
+
+def test_a_killed_process_serves_again_when_it_is_started(cluster):
+    _publish(cluster, ScriptedUpstream(_answer))
+    process = cluster.start()
+    process.wait_ready()
+    process.kill()
+    again = cluster.start()
+    again.wait_ready()
+    assert again.ask()[0] == 200
+
+
+def test_a_host_that_the_store_refuses_learns_from_its_peer(cluster):
+    # The store serves one host and turns the other away. That one must still
+    # know the configuration and the upstreams, and hear of newer ones.
+    _publish(cluster, ScriptedUpstream(_answer))
+    served = cluster.start('127.0.0.2')
+    served.wait_ready()
+    refused = cluster.start('127.0.0.3', store=9, seeds=['127.0.0.2'])
+    refused.wait_ready()
+    assert refused.ask()[0] == 200
+    assert refused.events('ConfigurationApplied')[0]['source'] == 'peer'
+    cluster.store.put(
+        'keyed.op', 'config', configuration(2, 'plain', prefixes=['/y/'])
+    )
+    _until(lambda: refused.ask('/y/1')[0] == 200)
+    assert refused.ask('/x/1')[0] == 404
+
+
+def test_a_configuration_takes_hold_and_never_goes_back(cluster):
+    # A newer version replaces a route; then an older one is seen again, as
+    # from a reader that is behind. Its route must not come back.
+    _publish(cluster, ScriptedUpstream(_answer), version=5)
+    process = cluster.start()
+    process.wait_ready()
+    cluster.store.put(
+        'keyed.op', 'config', configuration(9, 'plain', prefixes=['/y/'])
+    )
+    _until(lambda: process.ask('/y/1')[0] == 200)
+    cluster.store.put('keyed.op', 'config', configuration(5, 'plain'))
+    cluster.store.put('keyed.servers', 'i-2', None)
+    cluster.store.put(
+        'keyed.op', 'config', configuration(10, 'plain', prefixes=['/z/'])
+    )
+    _until(lambda: process.ask('/z/1')[0] == 200)
+    applied = process.events('ConfigurationApplied')
+    assert [each['version'] for each in applied] == [5, 9, 10]
+
+
+@pytest.mark.parametrize('outage', ['busy', 'cut', 'silent'])
+def test_an_outage_of_the_store_stops_nothing(cluster, outage):
+    # The store goes away while callers are served, and its history is gone
+    # when it returns with a newer configuration.
+    _publish(cluster, ScriptedUpstream(_answer))
+    process = cluster.start()
+    process.wait_ready()
+    cluster.store.outage = outage
+    process.wait_event('DependencyLost')
+    assert process.ask()[0] == 200
+    cluster.store.put(
+        'keyed.op', 'config', configuration(2, 'plain', prefixes=['/y/'])
+    )
+    cluster.store.forget('keyed.op')
+    cluster.store.forget('keyed.servers')
+    cluster.store.outage = None
+    _until(lambda: process.ask('/y/1')[0] == 200)
+
+
+def test_a_drained_upstream_gets_nothing_more(cluster):
+    upstream, other = ScriptedUpstream(_answer), ScriptedUpstream(_answer)
+    _publish(cluster, upstream)
+    cluster.store.put('keyed.servers', 'i-2', entry_of(other))
+    process = cluster.start()
+    process.wait_ready()
+    cluster.store.put(
+        'keyed.servers', 'i-1', entry_of(upstream, state='draining')
+    )
+    _until(
+        lambda: any(
+            'i-1' in each['removed']
+            for each in process.events('UpstreamsChanged')
+        )
+    )
+    before = len(upstream.requests)
+    assert {process.ask()[0] for _call in range(10)} == {200}
+    assert len(upstream.requests) == before
+
+
+def _until(condition):
+    for _try in range(400):
+        if condition():
+            return
+        time.sleep(0.05)
+    raise TimeoutError
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -32,6 +32,8 @@
 
         self._server = ThreadingHTTPServer(('127.0.0.1', 0), Handler)
         self._server.daemon_threads = True
+        # Clients that give up in an outage are part of the tests.
+        self._server.handle_error = lambda *_args: None
         self.port = self._server.server_address[1]
         threading.Thread(target=self._server.serve_forever, daemon=True).start()
 
