--- a/linnetwind/entry_daemon.py
+++ b/linnetwind/entry_daemon.py
@@ -117,7 +117,7 @@
         logger.info('entry serves on {}', settings.listen)
 
     def shut_down(self) -> None:
-        """Leave without cutting a request: see docs/OPERATING.md.
+        """Leave without cutting a request: see docs/OPERATIONS.md.
 
         Not ready first, so that the balancer sends nothing new; then the
         listening socket is closed; the process ends only when every answer
