--- a/linnetwind/stream_gate.py
+++ b/linnetwind/stream_gate.py
@@ -4,8 +4,11 @@
 pause in time. Without a limit all of them turn late together. A stream waits
 only while its first event can still be in time; one that could not is
 refused at once and told when there will be room, so that the caller's wait
-is used instead of lost. A caller that comes back then goes first, and may
-wait longer: its answer is late in any case, and refused twice it gets none.
+is used instead of lost. A caller that comes back then may wait longer: its
+answer is late in any case, and refused twice it gets none. Of those that
+wait, the one whose time ends first goes first. When callers that came back
+went before all others, a short overload lasted for 20 s: every newcomer
+waited behind them, was refused, and came back.
 """
 
 import itertools
@@ -14,6 +17,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 from math import ceil
+from typing import NamedTuple
 
 from linnetwind.clock import Clock
 from linnetwind.upstream_list import Upstream
@@ -104,7 +108,8 @@
     Returns:
       The verdict.
     """
-    left = _most_wait(waiter) - waiter.waited
+    most = _longest_wait(waiter.target, returning=waiter.returning)
+    left = most - waiter.waited
     if view.opens_in is not None:
         if waiter.returning and left > timedelta():
             return WaitFor(left)
@@ -120,10 +125,8 @@
     return WaitFor(left)
 
 
-def _most_wait(waiter: Waiter) -> timedelta:
-    if waiter.returning:
-        return RETURN_WAIT
-    return waiter.target - START_TIME
+def _longest_wait(target: timedelta, *, returning: bool) -> timedelta:
+    return RETURN_WAIT if returning else target - START_TIME
 
 
 def _own_part(view: GroupView, waiter: Waiter) -> int:
@@ -142,11 +145,16 @@
     return TurnAway(min(max(wait, LEAST_RETRY), MOST_RETRY), reason)
 
 
-class WaitingLine:
-    """The streams of one service that wait at this daemon.
+class _Place(NamedTuple):
+    """A place in line; places are sorted by their first fields."""
 
-    Callers that came back go first, otherwise first come first served.
-    """
+    latest: timedelta
+    number: int
+    returning: bool
+
+
+class WaitingLine:
+    """The streams of one service that wait here, earliest deadline first."""
 
     def __init__(self, clock: Clock) -> None:
         """Start empty.
@@ -157,7 +165,7 @@
         self._clock = clock
         self._changed = threading.Condition()
         self._numbers = itertools.count()
-        self._waiting: list[tuple[bool, int]] = []
+        self._waiting: list[_Place] = []
 
     @property
     def length(self) -> int:
@@ -194,7 +202,8 @@
         Returns:
           What `take` returned, or that the stream is refused.
         """
-        place = (not returning, next(self._numbers))
+        latest = since + _longest_wait(target, returning=returning)
+        place = _Place(latest, next(self._numbers), returning)
         with self._changed:
             self._waiting.append(place)
             self._waiting.sort()
@@ -206,7 +215,7 @@
 
     def _wait(
         self,
-        place: tuple[bool, int],
+        place: _Place,
         look: Callable[[], GroupView],
         since: timedelta,
         target: timedelta,
@@ -217,7 +226,7 @@
                 len(self._waiting),
                 self._clock.elapsed() - since,
                 target,
-                not place[0],
+                place.returning,
             )
             verdict = judge(look(), waiter)
             if not isinstance(verdict, WaitFor):
--- a/linnetwind/stream_gate_test.py
+++ b/linnetwind/stream_gate_test.py
@@ -120,3 +120,47 @@
         thread.join()
     assert ended.count(upstream) == 1
     assert sum(isinstance(each, TurnAway) for each in ended) == 19
+
+
+def test_newcomers_are_served_in_time_beside_those_who_came_back():
+    # Ten callers that came back wait when newcomers arrive, and places become
+    # free one by one. Behind all ten, each newcomer would be too late, be
+    # refused, and come back itself: the overload would never end.
+    running = [10]
+    clock = SystemClock()
+    line = WaitingLine(clock)
+    order = []
+
+    def look():
+        return GroupView(running[0], 10, 0, 100, None)
+
+    def ask(name, returning):
+        def take():
+            running[0] += 1
+            order.append(name)
+
+        line.enter(
+            look,
+            take,
+            clock.elapsed(),
+            timedelta(seconds=1.5),
+            returning=returning,
+        )
+
+    threads = [
+        threading.Thread(target=ask, args=('returned', True))
+        for _stream in range(10)
+    ]
+    threads.append(threading.Thread(target=ask, args=('new', False)))
+    for thread in threads:
+        thread.start()
+    while line.length < 11:
+        continue
+    for place in range(11):
+        running[0] -= 1
+        line.wake()
+        while len(order) <= place:
+            continue
+    for thread in threads:
+        thread.join()
+    assert order[0] == 'new'
