--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 install: $(VENV)/installed
 
 test: install
-	$(BIN)/pytest
+	$(BIN)/pytest $(PYTEST_ARGS)
 
 lint: install
 	$(BIN)/ruff format --check linnetwind standins
