--- a/standins/capacity.py
+++ b/standins/capacity.py
@@ -375,11 +375,16 @@
     yield '  jitter, snapshots are spread over half their interval.'
 
 
+# Measured elsewhere, as it says itself.
+_GATEWAY = Path(__file__).parent / 'capacity_gateway.md'
+
+
 def main() -> None:
     """Measure, and write the page."""
     measured, delays = processes()
     slopes = [*configuration(), keys(), *fleet(), plans(), *measured]
     text = '\n'.join(page(slopes, frames(), delays)) + '\n'
+    text += _GATEWAY.read_text('utf-8')
     print(text)
     if len(sys.argv) > 1:
         Path(sys.argv[1]).write_text(text, 'utf-8')
