--- a/linnetwind/frames.py
+++ b/linnetwind/frames.py
@@ -1,7 +1,7 @@
 """Frames on a TCP connection between daemons: a length and the content.
 
-Plain frames instead of websockets: `websockets.sync` takes 8.7 MB of own memory,
-and there is a rank agent on every upstream host; see docs/DESIGN.md.
+Plain frames instead of websockets: `websockets.sync` takes 8.7 MB of own
+memory, and there is a rank agent on every upstream host; see docs/DESIGN.md.
 """
 
 import socket
