Kill the second side only when the first is back, in a test of restarts

Cause, shown by a run that prints each answer with its time: the service has two sides; the first, restarted, was not back after 2.0 s when the second was killed, and until then all answers were 503 'unreachable', not run. Ruled out: a lost request (only 200 and 503).

--- a/standins/cluster_test.py
+++ b/standins/cluster_test.py
@@ -485,8 +485,18 @@
 
 def test_nothing_is_lost_while_sides_come_and_go(cluster):
     # Callers go on while one side after the other is killed and restarted;
-    # every request ends with an answer or a typed error.
+    # every request ends with an answer or a typed error. The second side is
+    # killed only when the first one is back: with both away nobody could
+    # serve, and how long a restart takes depends on the machine.
     entry = cluster.nodes['entry-0']
+
+    def times_connected(side):
+        return [
+            line['side']
+            for line in entry.lines()
+            if line['event'] == 'connected'
+        ].count(side)
+
     stop = threading.Event()
     statuses = []
 
@@ -500,9 +510,11 @@
         callers = [pool.submit(caller) for _caller in range(4)]
         for name in ('side-codigos-01', 'side-codigos-02'):
             time.sleep(0.5)
+            before = times_connected(name)
             cluster.nodes[name].kill()
             cluster.restart(name)
-            time.sleep(1.5)
+            wait_until(lambda: times_connected(name) > before)
+            time.sleep(0.5)
         stop.set()
         for each in callers:
             each.result()
