--- a/linnetwind/step_log.py
+++ b/linnetwind/step_log.py
@@ -2,9 +2,9 @@
 
 Lines go through a bounded queue to one writing thread. If standard output
 is not read, the queue fills; further lines are dropped and counted, and the
-count is written as soon as there is room. loguru is not used here: with its
-queue it needs a semaphore that the hosts do not allow, without it a full
-pipe would hold up requests. It also takes 8.5 MB of each process (13.3 against
+count is written as soon as there is room. loguru is not used here:
+without its queue a full pipe would hold up requests, and its queue rests on
+multiprocessing, for hosts on which a process starts no other. It also takes 8.5 MB of each process (13.3 against
 4.7 MB of own memory, measured by importing it alone).
 """
 
