--- a/linnetwind/step_log.py
+++ b/linnetwind/step_log.py
@@ -2,10 +2,11 @@
 
 Lines go through a bounded queue to one writing thread. If standard output
 is not read, the queue fills; further lines are dropped and counted, and the
-count is written as soon as there is room. loguru is not used here:
-without its queue a full pipe would hold up requests, and its queue rests on
-multiprocessing, for hosts on which a process starts no other. It also takes 8.5 MB of each process (13.3 against
-4.7 MB of own memory, measured by importing it alone).
+count is written as soon as there is room. loguru is not used here: without
+its queue a full pipe would hold up requests, and its queue rests on
+multiprocessing, for hosts on which a process starts no other. It also takes
+8.5 MB of each process (13.3 against 4.7 MB of own memory, measured by
+importing it alone).
 """
 
 import json
