Share out free places, place streams by chance, and shrink control traffic

All daemons took the rank that looked emptiest by news 0.15 s old. Those streams were late in 65 to 100 of 100 cases; all others in 0 to 5. 2. The group stood at all its 360 slots. Each of 16 daemons rounded its part of one free place up, and the limit went by the median pass while one long pause makes a stream late. 3. Daemons heard 500 states a second each, and each waiting stream made its own view of the group. Counts took 36 ms of the planner's processor, ten times a second, and a map went out 72 times as lists of numbers.

`place_shares` gives each daemon its part by demand, once for each state of its peers. The limit goes by the ninth tenth of the passes of 2.5 s, by the median of the daemons.

Also found by a test with cheaper copies: a plan could copy more experts to a rank than allowed, since changes were queued before other layers took room.

--- a/linnetwind/answer_relay.py
+++ b/linnetwind/answer_relay.py
@@ -154,7 +154,12 @@
         if self._journey.started:
             return True
         self._journey.started = True
-        self._journey.first_byte = self._tools.clock.elapsed()
+        now = self._tools.clock.elapsed()
+        self._journey.first_byte = now
+        received = self._journey.request.received
+        self._tools.state.room.note_start(
+            self._journey.service.name, now - received - self._journey.queued
+        )
         return self._connection.start(self._head.status, self._headers)
 
     def _note_pause(self) -> None:
--- a/linnetwind/expert_demand.py
+++ b/linnetwind/expert_demand.py
@@ -35,16 +35,24 @@
         """
         decay = 0.5 ** ((now - self.at) / HALF_LIFE)
         size = max((len(each.counts) for each in counts.values()), default=0)
-        recent = [each * decay for each in self.recent] or [float(0)] * size
-        for rank, new in counts.items():
-            before = self.seen.get(rank)
-            if before is None or before.epoch != new.epoch:
-                continue
-            if len(new.counts) != len(recent):
-                continue
-            for place, count in enumerate(new.counts):
-                recent[place] += max(0, count - before.counts[place])
-        return ExpertDemand({**self.seen, **counts}, tuple(recent), now)
+        recent = self.recent or (float(0),) * size
+        known = [
+            rank
+            for rank, new in counts.items()
+            if _goes_on(self.seen.get(rank), new, len(recent))
+        ]
+        before = _add_up(self.seen, known)
+        after = _add_up(counts, known)
+        # Ranks are added up first: 72 ranks with 1,728 counts each took 36 ms
+        # one by one, and take 4 ms so (processor time of one call).
+        if known:
+            recent = tuple(
+                held * decay + max(0, new - old)
+                for held, new, old in zip(recent, after, before, strict=True)
+            )
+        else:
+            recent = tuple(held * decay for held in recent)
+        return ExpertDemand({**self.seen, **counts}, recent, now)
 
     def by_layer(self, layers: int) -> tuple[tuple[float, ...], ...]:
         """Return the demand by layer.
@@ -60,3 +68,15 @@
             self.recent[layer * size : (layer + 1) * size]
             for layer in range(layers)
         )
+
+
+def _goes_on(before: RankCounts | None, new: RankCounts, size: int) -> bool:
+    """Return whether counts go on where older ones of the rank ended."""
+    if before is None or before.epoch != new.epoch:
+        return False
+    return len(new.counts) == len(before.counts) == size
+
+
+def _add_up(counts: Mapping[int, RankCounts], ranks: list[int]) -> list[int]:
+    rows = [counts[rank].counts for rank in ranks]
+    return list(map(sum, zip(*rows, strict=True)))
--- a/linnetwind/gateway_state.py
+++ b/linnetwind/gateway_state.py
@@ -11,7 +11,7 @@
 from linnetwind.repeat_budget import BudgetTerms, SharedRepeats
 from linnetwind.routes import RoutedService, RouteTable
 from linnetwind.stream_gate import GroupView
-from linnetwind.stream_room import StreamRoom
+from linnetwind.stream_room import GroupCount, StreamRoom
 from linnetwind.upstream_choice import (
     Record,
     choose_plain,
@@ -21,6 +21,9 @@
 )
 from linnetwind.upstream_list import Upstream, UpstreamList
 
+# Peers that are gone are looked for this often.
+_FORGET_EVERY = timedelta(seconds=1)
+
 
 class GatewayState:
     """The shared state; every method may be called from any thread."""
@@ -42,6 +45,7 @@
         self._records: dict[str, Record] = {}
         self._repeats = SharedRepeats(terms, clock)
         self._room = StreamRoom(clock)
+        self._forgotten_at = timedelta()
         self._refusals = Refusals(clock)
         self._on_change: Callable[[], None] = _nothing
 
@@ -132,7 +136,10 @@
         """
         now = self._clock.elapsed()
         with self._lock:
-            self._book = self._book.hear(state, now).forget(now)
+            self._book = self._book.hear(state, now)
+            if now - self._forgotten_at > _FORGET_EVERY:
+                self._forgotten_at = now
+                self._book = self._book.forget(now)
         self._refusals.hear(state.refused)
         self._repeats.share_among(1 + len(self._book.heard))
         for brief in state.groups:
@@ -173,9 +180,17 @@
         """
         now = self._clock.elapsed()
         usable = self._upstreams.usable(service.name, now)
-        running = self.group_running(service.name)
+        counts = self._counts()
+        with self._lock:
+            own = [self._running.get(each.instance, 0) for each in usable]
+        count = GroupCount(
+            sum(counts.get(each.instance, 0) for each in usable),
+            sum(own),
+            len(usable),
+        )
+        book = self._book
         return self._room.view(
-            service, gap, running, len(usable), self._book.live(now)
+            service, gap, count, book.live(now), book.send_interval
         )
 
     def take_upstream(
--- a/linnetwind/map_planner.py
+++ b/linnetwind/map_planner.py
@@ -31,7 +31,11 @@
 from linnetwind.upstream_list import Upstream
 
 # How often the counts are read: about two passes.
-LOOK_INTERVAL = timedelta(milliseconds=100)
+_LOOK_MS = 100
+LOOK_INTERVAL = timedelta(milliseconds=_LOOK_MS)
+# Reading a rank's counts takes 0.7 ms of the planner's processor; a large
+# group is read less often, so that it takes a third of a core at most.
+_LOOK_PER_RANK_MS = 2
 # How soon a group that copies experts is looked at again. Copying takes
 # hundreds of milliseconds, all other stages one round trip.
 _COPY_LOOK_MS = 30
@@ -62,8 +66,10 @@
     instances: dict[int, str] = field(default_factory=dict)
     demand: ExpertDemand = field(default_factory=ExpertDemand)
     wish: MapWish | None = None
+    reports: _Reports = field(default_factory=dict)
     maps: RankMaps | None = None
     maps_of: tuple[int, int] | None = None
+    counted_at: timedelta = timedelta()
     stage: str = ''
     stage_since: timedelta = timedelta()
     was: tuple[int, bool] | None = None
@@ -133,13 +139,24 @@
             links = GroupLinks(self._link)
             group = _Group(links, self._clock.elapsed())
             self._groups[service.name] = group
-        reports = self._look(service, group, with_counts=True)
+        reports = self._look(
+            service, group, with_counts=self._counts_due(group)
+        )
         self._note_group(service, group, reports)
         rounds = _MOST_ROUNDS
-        while reports and rounds and self._next(service, group, reports):
+        while reports and rounds:
             rounds -= 1
-            reports = self._look(service, group, with_counts=False)
-        return _brief(service, group, reports)
+            reports = self._next(service, group, reports)
+        return _brief(service, group, group.reports)
+
+    def _counts_due(self, group: _Group) -> bool:
+        """Return whether the counts are to be read, and note when."""
+        now = self._clock.elapsed()
+        rest = timedelta(milliseconds=_LOOK_PER_RANK_MS * len(group.instances))
+        if now - group.counted_at < max(rest, LOOK_INTERVAL) - _COPY_LOOK:
+            return False
+        group.counted_at = now
+        return True
 
     def _link(self, instance: str) -> RankLink:
         return self._open_link(self._state.upstreams.upstream(instance))
@@ -163,6 +180,7 @@
             if each.report is not None
         }
         reports = {rank: each.report for rank, each in seen.items()}
+        group.reports = reports
         if is_whole(reports):
             group.whole_at = self._clock.elapsed()
             _take_maps(group, reports, seen)
@@ -177,32 +195,55 @@
 
     def _next(
         self, service: RoutedService, group: _Group, reports: _Reports
-    ) -> bool:
-        """Take one round; return whether another may follow at once."""
+    ) -> _Reports:
+        """Take one round.
+
+        Returns:
+          The reports for a round that may follow at once; none if the group
+          needs time.
+        """
         decided = next_round(reports, group.wish)
         self._note_stage(service, group, decided.stage, reports)
         match decided.stage:
             case 'idle' | 'in use':
                 group.wish = self._wish(service, group, reports, force=False)
-                return group.wish is not None
+                return reports if group.wish else {}
             case 'a new map is needed':
                 group.wish = self._wish(service, group, reports, force=True)
-                return group.wish is not None
+                return reports if group.wish else {}
         if not decided.commands:
-            return False
-        self._command(group, decided)
-        return not _is_copying(group)
-
-    def _command(self, group: _Group, decided: Round) -> None:
+            return {}
+        newer = self._command(group, decided)
+        if _is_copying(group):
+            return {}
+        if len(newer) < len(decided.commands):
+            return self._look(service, group, with_counts=False)
+        group.reports = {**reports, **newer}
+        return group.reports
+
+    def _command(self, group: _Group, decided: Round) -> _Reports:
+        """Give the orders; return the reports that came with the answers.
+
+        Ranks without an order keep the report that is known: what the next
+        round takes from it can only become truer, and orders are bound to
+        it. Looking at all ranks after each round took two thirds of the time
+        of a rollout at 72 ranks.
+        """
         orders = {
             group.instances[each.rank]: each.order for each in decided.commands
         }
         results = group.links.command(orders)
+        newer = {}
         for command in decided.commands:
-            result = results[group.instances[command.rank]]
-            if result in {OrderResult.REFUSED, OrderResult.NO_ANSWER}:
+            obeyed = results[group.instances[command.rank]]
+            if obeyed.result in {OrderResult.REFUSED, OrderResult.NO_ANSWER}:
                 name = type(command.order).__name__
-                self._log.event(OrderFailed(command.rank, name, result.value))
+                self._log.event(
+                    OrderFailed(command.rank, name, obeyed.result.value)
+                )
+            elif obeyed.report is not None:
+                newer[command.rank] = obeyed.report
+        return newer
 
     def _wish(
         self,
--- a/linnetwind/map_wish.py
+++ b/linnetwind/map_wish.py
@@ -28,11 +28,14 @@
 # The time over which a better map pays: the popular experts change every few
 # seconds.
 _HORIZON_S = 2.0
-# The time that one copy costs: passes take 15 in 100 longer while it lasts,
-# and several ranks copy at once.
-_COST_PER_COPY_S = 0.004
+# The part by which passes take longer while any rank copies.
+_COPY_SLOWDOWN = 0.15
+# What moving a gigabyte costs the users, as seconds of their group: its price
+# over the worth of what a group serves in a second at its limit.
+_COST_PER_GB_S = 0.0006
 # A gain in skew below this share is not worth a rollout.
 LEAST_GAIN = 0.12
+_MS_PER_S = 1000
 # The part of the mean demand that every expert is taken to have, so that one
 # that nobody chose lately is not piled up with others.
 _BACKGROUND = 0.1
@@ -73,7 +76,7 @@
         horizon=_HORIZON_S,
         skew_weight=1,
         cost_weight=1,
-        seconds_per_move=_COST_PER_COPY_S,
+        seconds_per_move=_copy_cost(engine, len(reports)),
         max_moves=COPIES_PER_RANK * len(reports),
         copies=CopyLimits(COPIES_PER_RANK, engine.new_experts, engine.experts),
     )
@@ -105,6 +108,17 @@
     return (layer,) * engine.layers
 
 
+def _copy_cost(engine: EngineFigures, ranks: int) -> float:
+    """Return the seconds that a copy costs the whole group.
+
+    All ranks copy at once, so that the time of one copy is shared by them.
+    At a fixed 4 ms a copy, a group of 72 ranks was left at a skew of 2.4
+    where 1.7 can be had with three times the copies (planned on made demand).
+    """
+    slowdown = _COPY_SLOWDOWN * engine.copy_ms / _MS_PER_S / ranks
+    return slowdown + _COST_PER_GB_S * engine.expert_gb
+
+
 def _new_version(reports: Mapping[int, RankReport]) -> int:
     """Draw a version above all seen.
 
--- a/linnetwind/pass_meter.py
+++ b/linnetwind/pass_meter.py
@@ -11,17 +11,22 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from datetime import timedelta
-from statistics import median
 
 from linnetwind.routes import EngineFigures
 
-# Pauses that count: about five passes, so that a shift of the experts in
-# demand shows within half a second.
-_WINDOW_MS = 500
+# Pauses that count: as long as a stream lasts. One pause that is too long
+# makes it late, so what matters is the longest pass that it goes through:
+# the one after the experts in demand have shifted.
+_WINDOW_MS = 2_500
 WINDOW = timedelta(milliseconds=_WINDOW_MS)
-# The part of the pause allowed that a usual pass may take. The rest is for
-# passes that read long prompts.
-USE_OF_PAUSE = 0.75
+# The part of the pauses in the window that are shorter than the one that
+# decides. The longest ones come from stalls and slow daemons.
+_USUAL_SHARE = 0.9
+# The part of the pause allowed that such a pass may take.
+USE_OF_PAUSE = 0.88
+# A measurement is used this long; a pass takes longer.
+_MEASURE_MS = 50
+_MEASURE_AGE = timedelta(milliseconds=_MEASURE_MS)
 # The skew of a map that nobody has planned for.
 USUAL_SKEW = 3.0
 
@@ -41,6 +46,8 @@
     def __init__(self) -> None:
         """Start without any."""
         self._pauses: deque[Pause] = deque()
+        self._measured = (float(0), 0)
+        self._measured_at = -_MEASURE_AGE
 
     def note(self, pause: Pause) -> None:
         """Take note of a pause.
@@ -60,19 +67,27 @@
           now: The monotonic time.
 
         Returns:
-          The median over the window, and the number of pauses in it.
+          The measure of a long pass of the window, and the number of pauses.
         """
+        if now - self._measured_at >= _MEASURE_AGE:
+            self._measured_at = now
+            self._measured = self._measure(engine, now)
+        return self._measured
+
+    def _measure(
+        self, engine: EngineFigures, now: timedelta
+    ) -> tuple[float, int]:
         while self._pauses and now - self._pauses[0].at > WINDOW:
             self._pauses.popleft()
         if not self._pauses:
             return float(0), 0
         fixed = engine.steps_per_pass * engine.step_ms
-        parts = [
+        parts = sorted(
             (each.length / timedelta(milliseconds=1) - fixed)
             / max(1, each.running)
             for each in self._pauses
-        ]
-        return median(parts), len(parts)
+        )
+        return parts[int(len(parts) * _USUAL_SHARE)], len(parts)
 
 
 def stream_limit(
@@ -96,11 +111,22 @@
       The number of streams, at most the slots of all ranks.
     """
     even = engine.steps_per_pass * engine.sequence_ms / max(1, ranks)
-    pauses = sum(count for _part, count in measured)
-    if pauses:
-        part = sum(part * count for part, count in measured) / pauses
+    seen = sorted(each for each in measured if each[1])
+    if seen:
+        part = _weighted_median(seen)
     else:
         part = even * (1 - engine.expert_share + engine.expert_share * skew)
     room = gap / timedelta(milliseconds=1) * USE_OF_PAUSE
     room -= engine.steps_per_pass * engine.step_ms
     return max(1, min(int(room / max(part, even)), ranks * engine.slots))
+
+
+def _weighted_median(seen: Sequence[tuple[float, int]]) -> float:
+    """Return the median part, so that one slow daemon does not decide."""
+    half = sum(count for _part, count in seen) / 2
+    passed = 0
+    for part, count in seen:
+        passed += count
+        if passed >= half:
+            return part
+    return seen[-1][0]
--- a/linnetwind/peer_book.py
+++ b/linnetwind/peer_book.py
@@ -14,10 +14,18 @@
 
 from linnetwind.address import Address
 
+# A state goes out this often at least, and after a change at most this often.
+_SEND_INTERVAL_MS = 150
+SEND_INTERVAL = timedelta(milliseconds=_SEND_INTERVAL_MS)
+_LEAST_INTERVAL_MS = 30
+LEAST_INTERVAL = timedelta(milliseconds=_LEAST_INTERVAL_MS)
+# The states that a daemon hears from all its peers in a second. Each takes
+# about 0.2 ms of processor time; without a bound, 16 daemons that send every
+# 30 ms spend a quarter of a core on them.
+_HEARD_PER_S = 100
 # Three states in a row; some datagrams are lost, three hardly ever. While the
 # planner is frozen with a pass held, the group stands still for this long.
-_PEER_SILENCE_MS = 450
-PEER_SILENCE = timedelta(milliseconds=_PEER_SILENCE_MS)
+_LOST_IN_A_ROW = 3
 # After this a peer is dropped from the list of addresses to send to, so that
 # replaced hosts do not collect there.
 _PEER_FORGOTTEN_S = 30
@@ -42,15 +50,19 @@
 
 
 @dataclass(frozen=True, slots=True)
-class StreamCost:
-    """The milliseconds that each stream adds to a pass of a service's group.
+class StreamLoad:
+    """What a daemon sees of the streams of a service's group.
 
-    `pauses` is the number of pauses between events that it was measured by.
+    `part_ms` are the milliseconds that each stream adds to a pass, measured
+    by `pauses` pauses between events. `waiting` streams wait for a place
+    there, and `arrivals_per_s` have come in the last second.
     """
 
     service: str
     part_ms: float
     pauses: int
+    waiting: int = 0
+    arrivals_per_s: float = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,10 +70,10 @@
     """The state that a daemon sends to the others.
 
     `running` counts the requests that it has at each upstream instance;
-    `waiting` the streams that wait for a place; `members` are the addresses
-    it knows of; `can_plan` says that it reaches all ranks. `refused` are
-    the subjects whose callers were told to come back. `counter` grows with
-    each message of one `start_id`.
+    `loads` tells of its streams; `members` are the addresses it knows of;
+    `can_plan` says that it reaches all ranks. `refused` are the subjects
+    whose callers were told to come back. `counter` grows with each message
+    of one `start_id`.
     """
 
     name: str
@@ -72,10 +84,9 @@
     leaving: bool
     can_plan: bool
     running: dict[str, int]
-    waiting: int
     members: tuple[Address, ...]
     groups: tuple[GroupBrief, ...]
-    costs: tuple[StreamCost, ...] = ()
+    loads: tuple[StreamLoad, ...] = ()
     refused: tuple[str, ...] = ()
 
 
@@ -108,13 +119,28 @@
         before = self.heard.get(state.name)
         if before is not None and _overtaken(before.state, state):
             return self
-        addresses = {state.address, *state.members} - {self.own}
+        named = frozenset((state.address, *state.members))
         return replace(
             self,
             heard={**self.heard, state.name: Heard(state, now)},
-            known=self.known | addresses,
+            known=self.known | (named - {self.own}),
         )
 
+    @property
+    def send_interval(self) -> timedelta:
+        """Return the least time between two states of a daemon.
+
+        It grows with the number of daemons, so that what each of them hears
+        does not.
+        """
+        share = timedelta(seconds=len(self.heard) / _HEARD_PER_S)
+        return max(LEAST_INTERVAL, share)
+
+    @property
+    def silence(self) -> timedelta:
+        """Return the time after which a peer counts as gone."""
+        return _LOST_IN_A_ROW * max(SEND_INTERVAL, self.send_interval)
+
     def live(self, now: timedelta) -> list[PeerState]:
         """Return the states of the peers that were heard just now.
 
@@ -124,10 +150,11 @@
         Returns:
           Their states.
         """
+        silence = self.silence
         return [
             each.state
             for each in self.heard.values()
-            if now - each.at < PEER_SILENCE
+            if now - each.at < silence
         ]
 
     def running(self, now: timedelta) -> dict[str, int]:
--- a/linnetwind/peer_mesh.py
+++ b/linnetwind/peer_mesh.py
@@ -20,7 +20,12 @@
 from linnetwind.daemon_threads import DaemonThreads
 from linnetwind.frames import receive_frame, send_frame
 from linnetwind.gateway_state import GatewayState
-from linnetwind.peer_book import GroupBrief, PeerState, leader
+from linnetwind.peer_book import (
+    SEND_INTERVAL,
+    GroupBrief,
+    PeerState,
+    leader,
+)
 from linnetwind.record_store import (
     KeyedRecord,
     Records,
@@ -29,11 +34,6 @@
 )
 from linnetwind.wire import Codec
 
-# A state goes out this often at least, and after a change at most this often.
-_SEND_INTERVAL_MS = 150
-SEND_INTERVAL = timedelta(milliseconds=_SEND_INTERVAL_MS)
-_LEAST_INTERVAL_MS = 30
-LEAST_INTERVAL = timedelta(milliseconds=_LEAST_INTERVAL_MS)
 _ASK_TIMEOUT_S = 0.4
 _MOST_DATAGRAM = 60_000
 _SERVER_THREADS = 8
@@ -187,7 +187,7 @@
         self._changed.wait(SEND_INTERVAL.total_seconds())
         self._changed.clear()
         self._send()
-        return LEAST_INTERVAL
+        return self._state.book.send_interval
 
     def _send(self) -> None:
         self._counter += 1
@@ -201,10 +201,9 @@
             self._leaving,
             self._can_plan,
             self._state.running,
-            self._state.room.waiting,
             tuple(self._state.book.known),
             self._briefs,
-            self._state.room.costs(),
+            self._state.room.loads(),
             self._state.refusals.tell(),
         )
         content = _CODEC.encode(message)
--- a/linnetwind/placement.py
+++ b/linnetwind/placement.py
@@ -145,6 +145,11 @@
     moves: list[Move] = []
     while queue:
         _key, best, change = heapq.heappop(queue)
+        if not layers[best].allows(change):
+            # Another layer has taken the room at one of its ranks since it
+            # was found.
+            _push(queue, layers, best)
+            continue
         if len(moves) + len(change.moves) > prices.max_moves:
             return moves, 'as many moves as one plan may have'
         if not _is_worth(change, whole, prices):
--- a/linnetwind/placement_layer.py
+++ b/linnetwind/placement_layer.py
@@ -127,6 +127,20 @@
             self._holders[move.expert][rank] += 1
         self._loads = self._add_up()
 
+    def allows(self, change: Change) -> bool:
+        """Return whether there still is room for a change's copies.
+
+        Args:
+          change: What `best_change` gave before other layers changed.
+
+        Returns:
+          Whether each rank that gets a copy has room for it.
+        """
+        targets = (
+            (each.slot // self._size, each.expert) for each in change.moves
+        )
+        return all(self._may_go(rank, expert) for rank, expert in targets)
+
     def best_change(self) -> Change | None:
         """Return the change with the largest gain for each expert moved.
 
--- a/linnetwind/platform/formats.py
+++ b/linnetwind/platform/formats.py
@@ -159,7 +159,8 @@
 
 
 def _engine(fields: dict[str, Any]) -> EngineFigures:
-    copied_bits = float(fields.get('expertMb') or 0) * _BITS_PER_MEGABYTE
+    megabytes = float(fields.get('expertMb') or 0)
+    copied_bits = megabytes * _BITS_PER_MEGABYTE
     link = float(fields.get('linkMbps') or 1) * _BITS_PER_MEGABIT_MS
     return EngineFigures(
         slots=int(fields['slots']),
@@ -175,6 +176,7 @@
         experts=int(fields.get('experts') or 0),
         slots_per_rank=int(fields.get('placements') or 0),
         new_experts=int(fields.get('spare') or 0),
+        expert_gb=megabytes / _PER_THOUSAND,
         copy_ms=copied_bits / link,
         form_ms=float(fields.get('form_ms') or 0),
     )
--- a/linnetwind/rank_agent.py
+++ b/linnetwind/rank_agent.py
@@ -19,8 +19,17 @@
 from linnetwind.daemon_events import Started, Stopped, Stopping
 from linnetwind.daemon_threads import DaemonThreads
 from linnetwind.frames import receive_frame, send_frame
-from linnetwind.rank_messages import RANK_CODEC, Look, Obeyed, Seen
-from linnetwind.rank_types import RankPort
+from linnetwind.rank_messages import (
+    RANK_CODEC,
+    Look,
+    Obeyed,
+    PackedPrepare,
+    Seen,
+    pack_seen,
+    unpack_order,
+)
+from linnetwind.rank_packing import NotPacked
+from linnetwind.rank_types import RankOrder, RankPort
 from linnetwind.step_log import StepLog
 
 # Planners that ask at once: one, or a few while they change.
@@ -89,9 +98,16 @@
         case Ok(Look(with_counts, with_experts)):
             counts = rank.counts() if with_counts else None
             experts = rank.experts() if with_experts else None
-            answer = Seen(rank.report(), counts, experts)
-        case Ok(order):
-            answer = Obeyed(rank.order(order))
+            answer = pack_seen(Seen(rank.report(), counts, experts))
+        case Ok(message):
+            answer = Obeyed(rank.order(_order(message)), rank.report())
         case Err(problem):
             raise ConnectionError(problem.describe())
     send_frame(sock, RANK_CODEC.encode(answer))
+
+
+def _order(message: RankOrder | PackedPrepare) -> RankOrder:
+    try:
+        return unpack_order(message)
+    except NotPacked as error:
+        raise ConnectionError(str(error)) from error
--- a/linnetwind/rank_link.py
+++ b/linnetwind/rank_link.py
@@ -15,10 +15,19 @@
 from linnetwind.address import Address
 from linnetwind.clock import Clock
 from linnetwind.frames import receive_frame, send_frame
-from linnetwind.rank_messages import RANK_CODEC, Look, Obeyed, Seen
+from linnetwind.rank_messages import (
+    RANK_CODEC,
+    Look,
+    Obeyed,
+    PackedPrepare,
+    PackedSeen,
+    Seen,
+    pack_order,
+    unpack_seen,
+)
+from linnetwind.rank_packing import NotPacked
 from linnetwind.rank_types import (
     HoldPass,
-    OrderResult,
     RankOrder,
     RankPort,
     ReleasePass,
@@ -31,6 +40,8 @@
 _REST = timedelta(seconds=1)
 _THREADS = 16
 
+_Question = Look | RankOrder | PackedPrepare
+
 
 class RankLink:
     """One rank: its agent, and its engine directly."""
@@ -57,7 +68,7 @@
         experts = self._engine.experts() if wanted.with_experts else None
         return Seen(self._engine.report(), None, experts)
 
-    def command(self, order: RankOrder) -> OrderResult:
+    def command(self, order: RankOrder) -> Obeyed:
         """Give an order.
 
         A hold and its release go to the engine directly. If the host of the
@@ -66,11 +77,19 @@
         the planner's own host freezes, another planner releases the group.
         """
         if isinstance(order, HoldPass | ReleasePass):
-            return self._engine.order(order)
-        answer = self._ask(order)
+            return self._command_directly(order)
+        answer = self._ask(pack_order(order))
         if isinstance(answer, Obeyed):
-            return answer.result
-        return self._engine.order(order)
+            return answer
+        return Obeyed(self._engine.order(order))
+
+    def _command_directly(self, order: RankOrder) -> Obeyed:
+        result = self._engine.order(order)
+        # The engine's report is some hundred milliseconds old for other hosts:
+        # a planner that took it would not see the hold that it has just
+        # placed. The agent's is fresh.
+        seen = self._ask(Look(with_counts=False))
+        return Obeyed(result, seen.report if isinstance(seen, Seen) else None)
 
     def close(self) -> None:
         """Close the connection to the agent."""
@@ -78,7 +97,7 @@
             self._sock.close()
         self._sock = None
 
-    def _ask(self, message: Look | RankOrder) -> Seen | Obeyed | None:
+    def _ask(self, message: _Question) -> Seen | Obeyed | None:
         if self._clock.elapsed() < self._rests_until:
             return None
         try:
@@ -89,17 +108,14 @@
             self._rests_until = self._clock.elapsed() + _REST
             return None
 
-    def _exchange(self, message: Look | RankOrder) -> Seen | Obeyed | None:
+    def _exchange(self, message: _Question) -> Seen | Obeyed | None:
         if self._sock is None:
             self._sock = socket.create_connection(
                 (self._agent.ip, self._agent.port), _AGENT_TIMEOUT_S
             )
             self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         send_frame(self._sock, RANK_CODEC.encode(message))
-        answer = RANK_CODEC.decode(receive_frame(self._sock))
-        if isinstance(answer, Ok):
-            return answer.ok_value
-        raise ConnectionError('not an answer of a rank agent')
+        return _read_answer(receive_frame(self._sock))
 
 
 class GroupLinks:
@@ -134,9 +150,7 @@
         }
         return {each: job.result() for each, job in jobs.items()}
 
-    def command(
-        self, orders: Mapping[str, RankOrder]
-    ) -> dict[str, OrderResult]:
+    def command(self, orders: Mapping[str, RankOrder]) -> dict[str, Obeyed]:
         """Give orders to several instances at once.
 
         Args:
@@ -157,3 +171,15 @@
             link = self._open_link(instance)
             self._links[instance] = link
         return link
+
+
+def _read_answer(frame: bytes) -> Seen | Obeyed:
+    match RANK_CODEC.decode(frame):
+        case Ok(PackedSeen() as packed):
+            try:
+                return unpack_seen(packed)
+            except NotPacked as error:
+                raise ConnectionError(str(error)) from error
+        case Ok(Obeyed() as obeyed):
+            return obeyed
+    raise ConnectionError('not an answer of a rank agent')
--- a/linnetwind/rank_messages.py
+++ b/linnetwind/rank_messages.py
@@ -2,6 +2,12 @@
 
 from dataclasses import dataclass
 
+from linnetwind.rank_packing import (
+    pack_counts,
+    pack_maps,
+    unpack_counts,
+    unpack_maps,
+)
 from linnetwind.rank_types import (
     ArmMap,
     DisarmMap,
@@ -10,6 +16,7 @@
     PrepareMap,
     RankCounts,
     RankExperts,
+    RankOrder,
     RankReport,
     ReleasePass,
 )
@@ -33,11 +40,40 @@
     experts: RankExperts | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class PackedCounts:
+    """`RankCounts` with the counts as bytes."""
+
+    epoch: int
+    step: int
+    counts: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class PackedSeen:
+    """`Seen` as it goes over the link."""
+
+    report: RankReport | None
+    counts: PackedCounts | None
+    experts: RankExperts | None
+
+
+@dataclass(frozen=True, slots=True)
+class PackedPrepare:
+    """`PrepareMap` with the map as bytes."""
+
+    version: int
+    epoch: int
+    expect: int
+    maps: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class Obeyed:
-    """What became of an order."""
+    """What became of an order, and the rank's state after it."""
 
     result: OrderResult
+    report: RankReport | None = None
 
 
 # The position of a type is its tag on the wire: append only.
@@ -51,5 +87,84 @@
         DisarmMap,
         HoldPass,
         ReleasePass,
+        PackedSeen,
+        PackedPrepare,
     )
 )
+
+
+def pack_seen(seen: Seen) -> PackedSeen:
+    """Return a rank's state in the form for the link.
+
+    Args:
+      seen: The state.
+
+    Returns:
+      The message.
+    """
+    counts = seen.counts
+    packed = None
+    if counts is not None:
+        packed = PackedCounts(
+            counts.epoch, counts.step, pack_counts(counts.counts)
+        )
+    return PackedSeen(seen.report, packed, seen.experts)
+
+
+def unpack_seen(message: PackedSeen) -> Seen:
+    """Return the rank's state in a message.
+
+    Args:
+      message: The message.
+
+    Returns:
+      The state.
+
+    Raises:
+      NotPacked: The counts are no counts.
+    """
+    packed = message.counts
+    counts = None
+    if packed is not None:
+        counts = RankCounts(
+            packed.epoch, packed.step, unpack_counts(packed.counts)
+        )
+    return Seen(message.report, counts, message.experts)
+
+
+def pack_order(order: RankOrder) -> RankOrder | PackedPrepare:
+    """Return an order in the form for the link.
+
+    Args:
+      order: The order.
+
+    Returns:
+      The message.
+    """
+    if not isinstance(order, PrepareMap):
+        return order
+    return PackedPrepare(
+        order.version, order.epoch, order.expect, pack_maps(order.maps)
+    )
+
+
+def unpack_order(message: RankOrder | PackedPrepare) -> RankOrder:
+    """Return the order in a message.
+
+    Args:
+      message: The message.
+
+    Returns:
+      The order.
+
+    Raises:
+      NotPacked: The map is no map.
+    """
+    if not isinstance(message, PackedPrepare):
+        return message
+    return PrepareMap(
+        message.version,
+        message.epoch,
+        message.expect,
+        unpack_maps(message.maps),
+    )
--- a/linnetwind/refusal_book.py
+++ b/linnetwind/refusal_book.py
@@ -15,6 +15,10 @@
 
 # A caller comes back within the longest time that it is told, and a little.
 KEPT = timedelta(seconds=4)
+# A refusal is told for this long: several states, some of which may be lost.
+# The caller comes back through another daemon later than that.
+_TOLD_MS = 600
+TOLD = timedelta(milliseconds=_TOLD_MS)
 # What one daemon tells the others; more than that cannot be served first.
 MOST_TOLD = 100
 
@@ -50,7 +54,13 @@
         Returns:
           The book.
         """
-        fresh = {subject: now + KEPT for subject in subjects}
+        fresh = {
+            subject: now + KEPT
+            for subject in subjects
+            if now >= self.told.get(subject, timedelta())
+        }
+        if not fresh:
+            return self
         return replace(self, told={**_kept(self.told, now), **fresh})
 
     def tell(self, now: timedelta) -> tuple[str, ...]:
@@ -62,7 +72,8 @@
         Returns:
           The newest subjects that were refused here.
         """
-        return tuple(_kept(self.own, now))[-MOST_TOLD:]
+        newest = _kept(self.own, now + KEPT - TOLD)
+        return tuple(newest)[-MOST_TOLD:]
 
     def is_returning(self, subject: str, now: timedelta) -> bool:
         """Return whether a request was refused before.
--- a/linnetwind/refusal_book_test.py
+++ b/linnetwind/refusal_book_test.py
@@ -2,7 +2,7 @@
 
 from datetime import timedelta
 
-from linnetwind.refusal_book import KEPT, MOST_TOLD, RefusalBook
+from linnetwind.refusal_book import KEPT, MOST_TOLD, TOLD, RefusalBook
 
 SECOND = timedelta(seconds=1)
 
@@ -28,3 +28,12 @@
         book = book.refuse(str(number), SECOND)
     assert len(book.tell(SECOND)) == MOST_TOLD
     assert book.tell(SECOND)[-1] == str(3 * MOST_TOLD - 1)
+
+
+def test_a_refusal_is_told_for_a_moment_and_known_for_longer():
+    # Told for as long as it is known, refusals made up most of each state.
+    here = RefusalBook().refuse('s', SECOND)
+    there = RefusalBook().hear(here.tell(SECOND), SECOND)
+    later = SECOND + TOLD
+    assert here.tell(later) == ()
+    assert there.hear(here.tell(later), later).is_returning('s', later)
--- a/linnetwind/relay.py
+++ b/linnetwind/relay.py
@@ -32,7 +32,7 @@
     as_lost,
 )
 from linnetwind.routes import RouteKind, RouteTable, choose_service
-from linnetwind.stream_gate import TurnAway
+from linnetwind.stream_gate import Claim, TurnAway
 from linnetwind.upstream_call import Head, NotReached, OutOfTime, UpstreamCall
 from linnetwind.upstream_list import Upstream
 
@@ -121,12 +121,17 @@
         """Wait in line; return how the request ended if it was turned away."""
         route, service = journey.route, journey.service
         state = self._tools.state
-        verdict = state.room.line(service.name).enter(
-            lambda: state.group_view(service, route.gap),
-            lambda: state.take_upstream(service, frozenset()),
+        claim = Claim(
             self._request.received,
             route.target,
-            returning=state.refusals.is_returning(journey.facts.subject),
+            route.gap,
+            state.refusals.is_returning(journey.facts.subject),
+        )
+        verdict = state.room.enter(
+            service.name,
+            claim,
+            lambda gap: state.group_view(service, gap),
+            lambda: state.take_upstream(service, frozenset()),
         )
         journey.queued = self._tools.clock.elapsed() - self._request.received
         if not isinstance(verdict, TurnAway):
--- a/linnetwind/routes.py
+++ b/linnetwind/routes.py
@@ -62,8 +62,9 @@
     `chunk` tokens a step. `expert_share` is the part of the work for tokens
     that is done by experts; there are `layers` sets of `experts` experts, and
     a rank holds `slots_per_rank` of each set. One order to prepare a map may
-    bring `new_experts` new experts a set to a rank; copying one takes
-    `copy_ms`. A group opens `form_ms` after its last rank is back.
+    bring `new_experts` new experts a set to a rank; copying one, of
+    `expert_gb` gigabytes, takes `copy_ms`. A group opens `form_ms` after its
+    last rank is back.
     """
 
     slots: int
@@ -79,6 +80,7 @@
     experts: int
     slots_per_rank: int
     new_experts: int
+    expert_gb: float
     copy_ms: float
     form_ms: float
 
--- a/linnetwind/stream_gate.py
+++ b/linnetwind/stream_gate.py
@@ -16,16 +16,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
-from math import ceil
 from typing import NamedTuple
 
 from linnetwind.clock import Clock
 from linnetwind.upstream_list import Upstream
 
-# Time from a stream's start to its first event in a group at its limit: a
-# pass under way, then the pass that reads the prompt and begins to write.
-_START_TIME_MS = 200
-START_TIME = timedelta(milliseconds=_START_TIME_MS)
 # The shortest and longest time after which a refused caller may come back.
 _LEAST_RETRY_MS = 300
 LEAST_RETRY = timedelta(milliseconds=_LEAST_RETRY_MS)
@@ -34,6 +29,10 @@
 # How often a waiting stream looks at the count of other daemons' streams.
 _LOOK_MS = 25
 _LOOK = timedelta(milliseconds=_LOOK_MS)
+# How long all that wait share one view of the group. Each place taken or
+# given back, and each state of a peer, makes a new one.
+_VIEW_MS = 10
+_VIEW_AGE = timedelta(milliseconds=_VIEW_MS)
 # How long a caller that came back may wait for its place. Callers give up a
 # stream that shows nothing for two seconds: at a wait of 2 s some left while
 # they waited, at 1.2 s half as many again were refused twice (worth of 414
@@ -46,16 +45,15 @@
 class GroupView:
     """What is known of a group when a stream asks to run.
 
-    `running` counts the streams of all daemons, `limit` how many may run,
-    `waiting_elsewhere` the streams that wait at other daemons, `ends_per_s`
-    the streams that end in a second; `opens_in` is set while the group
-    cannot run at all.
+    `free` counts the places that this daemon may fill now, below 0 if it has
+    too many streams there; `ends_per_s` the streams of this daemon that end
+    in a second. `start_time` passes from a stream's start to its first event.
+    `opens_in` is set while the group cannot run at all.
     """
 
-    running: int
-    limit: int
-    waiting_elsewhere: int
+    free: int
     ends_per_s: float
+    start_time: timedelta
     opens_in: timedelta | None
 
 
@@ -63,13 +61,12 @@
 class Waiter:
     """A stream that asks to run.
 
-    `ahead` streams go before it in its line of `line` streams, itself
-    included. `target` is the latency of a first event that is on time, and
-    `returning` says that the caller was refused before and told to return.
+    `ahead` streams go before it in its line. `target` is the latency of a
+    first event that is on time, and `returning` says that the caller was
+    refused before and told to return.
     """
 
     ahead: int
-    line: int
     waited: timedelta
     target: timedelta
     returning: bool
@@ -108,16 +105,17 @@
     Returns:
       The verdict.
     """
-    most = _longest_wait(waiter.target, returning=waiter.returning)
+    most = RETURN_WAIT
+    if not waiter.returning:
+        most = waiter.target - view.start_time
     left = most - waiter.waited
     if view.opens_in is not None:
         if waiter.returning and left > timedelta():
             return WaitFor(left)
         return _turn_away(view.opens_in, 'group is broken')
-    free = _own_part(view, waiter)
-    if free > waiter.ahead:
+    if view.free > waiter.ahead:
         return RunNow()
-    places = waiter.ahead + 1 - free
+    places = waiter.ahead + 1 - view.free
     wait = timedelta(seconds=places / max(view.ends_per_s, 1))
     hopeless = not waiter.waited and wait > left and not waiter.returning
     if hopeless or left <= timedelta():
@@ -125,24 +123,23 @@
     return WaitFor(left)
 
 
-def _longest_wait(target: timedelta, *, returning: bool) -> timedelta:
-    return RETURN_WAIT if returning else target - START_TIME
+def _turn_away(wait: timedelta, reason: str) -> TurnAway:
+    return TurnAway(min(max(wait, LEAST_RETRY), MOST_RETRY), reason)
 
 
-def _own_part(view: GroupView, waiter: Waiter) -> int:
-    """Return this daemon's part of the free places.
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """A stream that asks for a place.
 
-    All daemons see the same places become free. If each filled them all, the
-    group would run several times as many streams more.
+    `since` is the monotonic time at which the request came, `target` the
+    latency of a first event that is on time, `gap` the longest pause between
+    events that is, and `returning` says that its caller was told to return.
     """
-    free = view.limit - view.running
-    if free <= 0:
-        return free
-    return ceil(free * waiter.line / (waiter.line + view.waiting_elsewhere))
-
 
-def _turn_away(wait: timedelta, reason: str) -> TurnAway:
-    return TurnAway(min(max(wait, LEAST_RETRY), MOST_RETRY), reason)
+    since: timedelta
+    target: timedelta
+    gap: timedelta
+    returning: bool
 
 
 class _Place(NamedTuple):
@@ -150,7 +147,10 @@
 
     latest: timedelta
     number: int
-    returning: bool
+    claim: Claim
+
+
+_NO_VIEW = (timedelta(), None)
 
 
 class WaitingLine:
@@ -166,6 +166,7 @@
         self._changed = threading.Condition()
         self._numbers = itertools.count()
         self._waiting: list[_Place] = []
+        self._views: dict[timedelta, tuple[timedelta, GroupView]] = {}
 
     @property
     def length(self) -> int:
@@ -175,16 +176,14 @@
     def wake(self) -> None:
         """Let those that wait look again, since a place may be free."""
         with self._changed:
+            self._views.clear()
             self._changed.notify_all()
 
     def enter(
         self,
-        look: Callable[[], GroupView],
+        claim: Claim,
+        look: Callable[[timedelta], GroupView],
         take: Callable[[], Upstream | None],
-        since: timedelta,
-        target: timedelta,
-        *,
-        returning: bool,
     ) -> Upstream | TurnAway | None:
         """Wait for a place while that is worth it.
 
@@ -193,43 +192,55 @@
         90 streams ran where 51 could in time, and for 5 s all were late.
 
         Args:
-          look: Returns the present view of the group.
+          claim: The stream.
+          look: Returns the present view of the group, for a longest pause.
           take: Takes an upstream and counts the stream there.
-          since: The monotonic time at which the request came.
-          target: The latency of the first event that is on time.
-          returning: Whether the caller was told to return.
 
         Returns:
           What `take` returned, or that the stream is refused.
         """
-        latest = since + _longest_wait(target, returning=returning)
-        place = _Place(latest, next(self._numbers), returning)
+        most = RETURN_WAIT if claim.returning else claim.target
+        place = _Place(claim.since + most, next(self._numbers), claim)
         with self._changed:
             self._waiting.append(place)
             self._waiting.sort()
             try:
-                verdict = self._wait(place, look, since, target)
+                verdict = self._wait(place, look)
                 return verdict if isinstance(verdict, TurnAway) else take()
             finally:
+                self._views.clear()
                 self._waiting.remove(place)
 
     def _wait(
         self,
         place: _Place,
-        look: Callable[[], GroupView],
-        since: timedelta,
-        target: timedelta,
+        look: Callable[[timedelta], GroupView],
     ) -> Verdict:
+        claim = place.claim
         while True:  # noqa: WPS457
             waiter = Waiter(
                 self._waiting.index(place),
-                len(self._waiting),
-                self._clock.elapsed() - since,
-                target,
-                place.returning,
+                self._clock.elapsed() - claim.since,
+                claim.target,
+                claim.returning,
             )
-            verdict = judge(look(), waiter)
+            verdict = judge(self._see(claim.gap, look), waiter)
             if not isinstance(verdict, WaitFor):
                 return verdict
             wait = min(verdict.most, _LOOK)
             self._changed.wait(wait.total_seconds())
+
+    def _see(
+        self, gap: timedelta, look: Callable[[timedelta], GroupView]
+    ) -> GroupView:
+        """Return the present view, made once for all that wait.
+
+        Made by each of them at 0.13 ms, it takes two thirds of a core with 10
+        streams in line and 500 states of peers a second.
+        """
+        now = self._clock.elapsed()
+        made_at, view = self._views.get(gap, _NO_VIEW)
+        if view is None or now - made_at > _VIEW_AGE:
+            view = look(gap)
+            self._views[gap] = (now, view)
+        return view
--- a/linnetwind/stream_room.py
+++ b/linnetwind/stream_room.py
@@ -1,8 +1,9 @@
 """The room for streams in each rank group, as this daemon sees it."""
 
+import random
 import threading
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -13,16 +14,38 @@
     Pause,
     stream_limit,
 )
-from linnetwind.peer_book import GroupBrief, PeerState, StreamCost
+from linnetwind.peer_book import GroupBrief, PeerState, StreamLoad
+from linnetwind.place_shares import Allowance, Demand, allow, own_share
 from linnetwind.routes import EngineFigures, RoutedService
-from linnetwind.stream_gate import GroupView, WaitingLine
-
-# Ended streams that count for the rate at which places become free.
-_ENDS_WINDOW = timedelta(seconds=1)
+from linnetwind.stream_gate import Claim, GroupView, TurnAway, WaitingLine
+from linnetwind.upstream_list import Upstream
+
+# The starts that count for the time of the next one, and the part of them
+# that is shorter.
+_STARTS = 24
+_USUAL_SHARE = 0.9
+# Before any: a pass under way, then one that reads the prompt and writes.
+_FIRST_START_MS = 200
+_FIRST_START = timedelta(milliseconds=_FIRST_START_MS)
+# Arrived and ended streams that count for their rates.
+_RATE_WINDOW = timedelta(seconds=1)
 # A brief of the planner is used this long.
 _BRIEF_AGE = timedelta(seconds=2)
 
 
+@dataclass(frozen=True, slots=True)
+class GroupCount:
+    """The streams of a group and its ranks, as this daemon counts them."""
+
+    running: int
+    own_running: int
+    ranks: int
+
+
+def _no_starts() -> deque[timedelta]:
+    return deque(maxlen=_STARTS)
+
+
 @dataclass
 class _ServiceRoom:
     """What is known of one service."""
@@ -30,6 +53,9 @@
     line: WaitingLine
     meter: PassMeter = field(default_factory=PassMeter)
     ends: deque[timedelta] = field(default_factory=deque)
+    arrivals: deque[timedelta] = field(default_factory=deque)
+    starts: deque[timedelta] = field(default_factory=_no_starts)
+    allowance: Allowance = Allowance(timedelta(), 0)
     engine: EngineFigures | None = None
     brief: GroupBrief | None = None
     brief_at: timedelta = timedelta()
@@ -48,22 +74,30 @@
         self._lock = threading.Lock()
         self._rooms: dict[str, _ServiceRoom] = {}
 
-    @property
-    def waiting(self) -> int:
-        """Return the streams that wait at this daemon."""
-        return sum(room.line.length for room in list(self._rooms.values()))
-
-    def line(self, service: str) -> WaitingLine:
-        """Return the waiting line of a service.
+    def enter(
+        self,
+        service: str,
+        claim: Claim,
+        look: Callable[[timedelta], GroupView],
+        take: Callable[[], Upstream | None],
+    ) -> Upstream | TurnAway | None:
+        """Wait for a place in a service's group while that is worth it.
 
         Args:
           service: The service's name.
+          claim: The stream.
+          look: Returns the present view of the group, for a longest pause.
+          take: Takes an upstream and counts the stream there.
 
         Returns:
-          The line.
+          What `take` returned, or that the stream is refused.
         """
+        now = self._clock.elapsed()
         with self._lock:
-            return self._room(service).line
+            room = self._room(service)
+            room.arrivals.append(now)
+            _forget(room.arrivals, now)
+        return room.line.enter(claim, look, take)
 
     def wake(self) -> None:
         """Let all that wait look again."""
@@ -82,6 +116,16 @@
         with self._lock:
             self._room(service).meter.note(pause)
 
+    def note_start(self, service: str, took: timedelta) -> None:
+        """Take note of the time from a stream's start to its first event.
+
+        Args:
+          service: The stream's service.
+          took: The time.
+        """
+        with self._lock:
+            self._room(service).starts.append(took)
+
     def note_end(self, service: str) -> None:
         """Take note that a request has ended, and let those that wait look.
 
@@ -110,54 +154,59 @@
         self,
         service: RoutedService,
         gap: timedelta,
-        running: int,
-        ranks: int,
+        count: GroupCount,
         peers: Sequence[PeerState],
+        news_interval: timedelta,
     ) -> GroupView:
         """Return what is known of a rank group.
 
         Args:
           service: The service, which has engines.
           gap: The longest pause that is in time.
-          running: The streams that all daemons have there.
-          ranks: The ranks that may be given work.
+          count: The streams that run there, and its ranks.
           peers: The states of the other daemons.
+          news_interval: How often each of them sends its state.
 
         Returns:
           The view.
         """
         now = self._clock.elapsed()
+        loads = [
+            each
+            for peer in peers
+            for each in peer.loads
+            if each.service == service.name
+        ]
         with self._lock:
             room = self._room(service.name)
             room.engine = service.engine
-            own = room.meter.measure(service.engine, now)
-            brief = _fresh_brief(room, now)
-            skew = brief.skew if brief else USUAL_SKEW
-            limit = stream_limit(
-                service.engine,
-                ranks,
-                gap,
-                [own, *_measured(peers, service)],
-                skew,
-            )
-            _forget(room.ends, now)
-            # Callers are spread over the daemons, so that the others end
-            # about as many streams as this one.
-            rate = len(room.ends) / _ENDS_WINDOW.total_seconds()
+            limit = _limit(room, now, service, gap, count.ranks, loads)
+            if now - room.allowance.at >= news_interval:
+                share = own_share(
+                    _demand(room, now),
+                    [
+                        Demand(each.waiting, each.arrivals_per_s)
+                        for each in loads
+                    ],
+                    news_interval,
+                )
+                free = limit - count.running
+                room.allowance = allow(
+                    now, count.own_running, free, share, random.random()
+                )
             return GroupView(
-                running,
-                limit,
-                sum(each.waiting for each in peers),
-                rate * (1 + len(peers)),
+                room.allowance.most - count.own_running,
+                _rate(room.ends, now),
+                _start_time(room),
                 _opens_in(room, now),
             )
 
-    def costs(self) -> tuple[StreamCost, ...]:
-        """Return what this daemon has measured, for its peers."""
+    def loads(self) -> tuple[StreamLoad, ...]:
+        """Return what this daemon sees of its streams, for its peers."""
         now = self._clock.elapsed()
         with self._lock:
             return tuple(
-                StreamCost(service, *room.meter.measure(room.engine, now))
+                _load(service, room, now)
                 for service, room in self._rooms.items()
                 if room.engine is not None
             )
@@ -184,20 +233,47 @@
         return room
 
 
-def _measured(
-    peers: Sequence[PeerState], service: RoutedService
-) -> list[tuple[float, int]]:
-    return [
-        (each.part_ms, each.pauses)
-        for peer in peers
-        for each in peer.costs
-        if each.service == service.name
-    ]
+def _limit(
+    room: _ServiceRoom,
+    now: timedelta,
+    service: RoutedService,
+    gap: timedelta,
+    ranks: int,
+    loads: Sequence[StreamLoad],
+) -> int:
+    brief = _fresh_brief(room, now)
+    measured = [(each.part_ms, each.pauses) for each in loads]
+    measured.append(room.meter.measure(service.engine, now))
+    skew = brief.skew if brief else USUAL_SKEW
+    return stream_limit(service.engine, ranks, gap, measured, skew)
+
+
+def _load(service: str, room: _ServiceRoom, now: timedelta) -> StreamLoad:
+    demand = _demand(room, now)
+    part, pauses = room.meter.measure(room.engine, now)
+    return StreamLoad(
+        service, part, pauses, demand.waiting, demand.arrivals_per_s
+    )
+
+
+def _demand(room: _ServiceRoom, now: timedelta) -> Demand:
+    return Demand(room.line.length, _rate(room.arrivals, now))
+
+
+def _start_time(room: _ServiceRoom) -> timedelta:
+    if not room.starts:
+        return _FIRST_START
+    return sorted(room.starts)[int(len(room.starts) * _USUAL_SHARE)]
+
+
+def _rate(times: deque[timedelta], now: timedelta) -> float:
+    _forget(times, now)
+    return len(times) / _RATE_WINDOW.total_seconds()
 
 
-def _forget(ends: deque[timedelta], now: timedelta) -> None:
-    while ends and now - ends[0] > _ENDS_WINDOW:
-        ends.popleft()
+def _forget(times: deque[timedelta], now: timedelta) -> None:
+    while times and now - times[0] > _RATE_WINDOW:
+        times.popleft()
 
 
 def _fresh_brief(room: _ServiceRoom, now: timedelta) -> GroupBrief | None:
--- a/linnetwind/upstream_choice.py
+++ b/linnetwind/upstream_choice.py
@@ -1,7 +1,7 @@
 """Which upstream takes a request.
 
-In a rank group all ranks go through each pass together, and a pass lasts as
-long as its busiest rank: the rank with the fewest running streams is taken.
+In a rank group a stream that finds all slots of its rank taken waits there,
+so a rank with free slots is taken.
 Plain upstreams differ in speed and may fail while their health check is
 good, so their own record decides: what runs there, how long answers took and
 how many failed lately. An upstream that cannot be reached is left out for a
@@ -25,6 +25,10 @@
 _FIRST_REST_MS = 500
 FIRST_REST = timedelta(milliseconds=_FIRST_REST_MS)
 LONGEST_REST = timedelta(seconds=4)
+# The power of the free slots in the chance of a rank. At 1 and 2 the ranks
+# are filled less evenly when news is fresh, at 4 and more they are overfilled
+# when it is old.
+FREE_SLOTS_POWER = 3
 # Averages older than this say nothing; a slow upstream is tried again.
 RECORD_AGE = timedelta(seconds=5)
 
@@ -92,7 +96,14 @@
     running: Mapping[str, int],
     slow: frozenset[str],
 ) -> Upstream | None:
-    """Return the rank with the fewest running streams.
+    """Return a rank that should have a free slot.
+
+    What other daemons have started there lately is not known yet. If all
+    took the rank with the fewest streams, that rank would get them all: with
+    16 daemons and news 0.15 s old, 11 in 100 streams found all slots of their
+    rank taken and waited there for seconds; chosen by chance, with more
+    weight on ranks with more free slots, 2 in 100 did (simulated, 72 ranks at
+    three quarters of their slots).
 
     Args:
       upstreams: The ranks that may be given work.
@@ -101,18 +112,23 @@
         passes of all, so they get none while there are others.
 
     Returns:
-      The rank, or None if there is none. Equal ones are taken at random, so
-      that daemons with the same view do not all take the same.
+      The rank, or None if there is none; the one with the fewest streams if
+      no slot is free.
     """
     if not upstreams:
         return None
     quick = [each for each in upstreams if each.instance not in slow]
     upstreams = quick or upstreams
-    least = min(running.get(each.instance, 0) for each in upstreams)
-    equal = [
-        each for each in upstreams if running.get(each.instance, 0) == least
-    ]
-    return random.choice(equal)
+    ranks = list(upstreams)
+    weights = [_weight(each, running) for each in ranks]
+    if any(weights):
+        return random.choices(ranks, weights)[0]
+    return min(ranks, key=lambda each: running.get(each.instance, 0))
+
+
+def _weight(upstream: Upstream, running: Mapping[str, int]) -> int:
+    free = upstream.slots - running.get(upstream.instance, 0)
+    return max(0, free) ** FREE_SLOTS_POWER
 
 
 def choose_plain(
--- a/standins/gateway_fixtures.py
+++ b/standins/gateway_fixtures.py
@@ -36,6 +36,7 @@
         'experts': 64,
         'slots_per_rank': 5,
         'new_experts': 2,
+        'expert_gb': 2.5,
         'copy_ms': 111.0,
         'form_ms': 600.0,
     }
