Hear SIGTERM after a freeze; a randomized soak of real gateway processes

Cause: the kernel may give a signal to any thread when the main thread already has one pending, as right after SIGCONT; Python runs the handler in the main thread only, which slept on a lock and was never woken. All daemons wait this way now.

Ruled out: a deadlock of Event.set() in the handler (the log shows that no handler ran), a pool thread that kept the process (nothing was logged as stopping).

The soak runs three gateways, a store and four upstreams with a proxy on each link; store outages, links that delay, refuse, reset, go silent or one way, upstreams that fail, refuse, hang, break off or talk nonsense, replaced upstreams, SIGTERM, SIGKILL, SIGSTOP, SIGHUP and configurations overlap by seed.

--- a/linnetwind/cmd_daemons.py
+++ b/linnetwind/cmd_daemons.py
@@ -1,7 +1,5 @@
 """The commands that run a daemon until it is told to stop."""
 
-import signal
-import threading
 from collections.abc import Sequence
 from pathlib import Path
 from typing import Annotated, Protocol
@@ -11,6 +9,7 @@
 from linnetwind.decisions import start_logging
 from linnetwind.errors import Described
 from linnetwind.settings import load_entry_settings, load_side_settings
+from linnetwind.stop_signals import StopSignals
 
 EXIT_BAD_SETTINGS = 2
 
@@ -61,14 +60,16 @@
 
 
 def _run(daemon: _Daemon) -> None:
-    stop = threading.Event()
-    signal.signal(signal.SIGTERM, lambda *_args: stop.set())
-    signal.signal(signal.SIGINT, lambda *_args: stop.set())
+    signals = StopSignals()
     daemon.start()
-    stop.wait()
+    signals.wait(_keep_settings)
     daemon.shut_down()
 
 
+def _keep_settings() -> None:
+    """Go on at SIGHUP: settings are read once, at the start."""
+
+
 def _exit_with(errors: Sequence[Described]) -> None:
     for error in errors:
         typer.echo(error.describe(), err=True)
--- a/linnetwind/gateway_daemon.py
+++ b/linnetwind/gateway_daemon.py
@@ -1,6 +1,5 @@
 """The gateway's process: listeners, signals, and stopping."""
 
-import signal
 import socket
 import threading
 import uuid
@@ -32,6 +31,7 @@
 from linnetwind.repeat_budget import BudgetTerms
 from linnetwind.routes import CallerLimits
 from linnetwind.step_log import StepLog
+from linnetwind.stop_signals import StopSignals
 from linnetwind.upstream_call import open_call
 from linnetwind.upstream_list import Upstream
 
@@ -141,8 +141,7 @@
 
     def run(self) -> None:
         """Serve until SIGTERM, then stop without cutting a request."""
-        signal.signal(signal.SIGTERM, self._on_stop)
-        signal.signal(signal.SIGHUP, self._on_reload)
+        signals = StopSignals()
         setup = self._setup
         self._log.event(
             Started('gateway', str(setup.front), setup.site, self._start_id)
@@ -162,7 +161,8 @@
         self._threads.accept(
             _listen(setup.front), self._serve, 'caller', _MOST_CONNECTIONS
         )
-        self._stop.wait()
+        signals.wait(self._on_reload)
+        self._stop.set()
         self._drain()
 
     def _link(self, upstream: Upstream) -> RankLink:
@@ -251,10 +251,7 @@
         # Lets the log's thread write the last lines.
         pause.wait(_STOP_LOOK_S)
 
-    def _on_stop(self, _number: int, _frame: object) -> None:
-        self._stop.set()
-
-    def _on_reload(self, _number: int, _frame: object) -> None:
+    def _on_reload(self) -> None:
         self._threads.once(self._reload, 'reload')
 
     def _reload(self) -> None:
--- a/linnetwind/rank_agent.py
+++ b/linnetwind/rank_agent.py
@@ -5,7 +5,6 @@
 nothing, so that it may be killed and started at any time.
 """
 
-import signal
 import socket
 import threading
 from collections.abc import Callable
@@ -31,6 +30,7 @@
 from linnetwind.rank_packing import NotPacked
 from linnetwind.rank_types import RankOrder, RankPort
 from linnetwind.step_log import StepLog
+from linnetwind.stop_signals import StopSignals
 
 # Planners that ask at once: one, or a few while they change.
 _MOST_PLANNERS = 8
@@ -70,13 +70,13 @@
 
     def run(self) -> None:
         """Serve until SIGTERM."""
-        signal.signal(signal.SIGTERM, self._on_stop)
-        signal.signal(signal.SIGHUP, signal.SIG_IGN)
+        signals = StopSignals()
         self._log.event(Started('rank', str(self._address), '', self._name))
         DaemonThreads(self._log).accept(
             self._listener, self._serve, 'planner', _MOST_PLANNERS
         )
-        self._stop.wait()
+        signals.wait(_keep_settings)
+        self._stop.set()
         self._log.event(Stopping(0))
         self._log.event(Stopped(0, timedelta()))
 
@@ -89,8 +89,9 @@
             while not self._stop.is_set():
                 _answer_one(sock, rank)
 
-    def _on_stop(self, _number: int, _frame: object) -> None:
-        self._stop.set()
+
+def _keep_settings() -> None:
+    """Go on at SIGHUP: an agent's addresses do not change while it runs."""
 
 
 def _answer_one(sock: socket.socket, rank: RankPort) -> None:
--- a/standins/platform_cluster_test.py
+++ b/standins/platform_cluster_test.py
@@ -1,5 +1,6 @@
 """Tests of real gateway processes: stop, kill, outage, configuration."""
 
+import signal
 import threading
 import time
 
@@ -80,6 +81,24 @@
     assert process.events('Stopped')[0]['open_requests'] == 0
 
 
+@pytest.mark.parametrize('reloads', [0, 3])
+def test_sigterm_is_heard_by_a_process_that_was_frozen(cluster, reloads):
+    # The platform stops a process while its host is frozen, perhaps just after
+    # SIGHUP. When it wakes, any of its threads may get the signal. Unheard,
+    # the process goes on until it is killed, and cuts what it serves then.
+    _publish(cluster, ScriptedUpstream(_answer))
+    process = cluster.start()
+    process.wait_ready()
+    process.ask()
+    process.process.send_signal(signal.SIGSTOP)
+    for _time in range(reloads):
+        process.process.send_signal(signal.SIGHUP)
+    process.terminate()
+    process.process.send_signal(signal.SIGCONT)
+    assert process.process.wait(20) == 0
+    assert process.events('Stopped')
+
+
 def test_a_killed_process_serves_again_when_it_is_started(cluster):
     _publish(cluster, ScriptedUpstream(_answer))
     process = cluster.start()
--- /dev/null
+++ b/standins/soak.py
@@ -0,0 +1,349 @@
+"""A randomized soak of real gateway processes, with faults from outside.
+
+    python -m standins.soak --seed 7 --seconds 60
+
+Gateways, a store and upstreams run on the loopback interface, each link with
+a proxy between. Faults are drawn from the seed and overlap. What callers and
+upstreams see is checked against the promises of docs/PROMISES.md. The exit
+code is 1 if one was broken; the report then has a timeline.
+"""
+
+import argparse
+import random
+import signal
+import sys
+import tempfile
+import threading
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from standins.platform_cluster import (
+    GatewayProcess,
+    PlatformCluster,
+    configuration,
+)
+from standins.soak_book import Book, Call, timeline
+from standins.soak_callers import Caller, describe
+from standins.soak_proxy import SOUND, Link, SoakProxy
+from standins.soak_upstreams import SoakUpstream
+
+_GATEWAYS = 3
+_UPSTREAMS = 4
+_CALLERS = 12
+# After the last fault everything has to be served again by then.
+_RECOVERY_S = 12
+_LEAST_SERVED = 0.95
+# A drained upstream gets nothing after this.
+_DRAIN_S = 2.0
+_LINKS = (
+    Link(delay_s=0.03),
+    Link(refuse=True),
+    Link(reset=True, refuse=True),
+    Link(silent=True),
+    Link(one_way=True),
+)
+_MOODS = ('failing', 'full', 'hanging', 'breaking', 'wrong')
+_OUTAGES = ('busy', 'cut', 'silent')
+
+
+@dataclass
+class _Host:
+    """A host of the soak: its process and its link to the store."""
+
+    ip: str
+    store_link: SoakProxy
+    process: GatewayProcess | None = None
+    lock: threading.Lock = field(default_factory=threading.Lock)
+
+    @property
+    def front(self) -> int:
+        return self.process.front
+
+
+class Soak:
+    """One run."""
+
+    def __init__(self, seed: int, seconds: float, folder: Path):
+        """Start everything, sound.
+
+        Args:
+          seed: Of all choices.
+          seconds: How long faults are injected.
+          folder: Where logs go.
+        """
+        self.book = Book()
+        self._seed = seed
+        self._seconds = seconds
+        self._random = random.Random(seed)
+        self._cluster = PlatformCluster(folder)
+        self._version = 0
+        self._threads: list[threading.Thread] = []
+        self._problems: list[str] = []
+        self._count = 0
+        self._upstreams = [self._new_upstream() for _one in range(_UPSTREAMS)]
+        self._publish()
+        self.hosts = [
+            _Host(f'127.0.0.{2 + n}', SoakProxy(self._cluster.store.port))
+            for n in range(_GATEWAYS)
+        ]
+        for host in self.hosts:
+            self._start(host)
+        for host in self.hosts:
+            host.process.wait_ready()
+        self.start = time.monotonic()
+
+    def run(self) -> list[str]:
+        """Play the faults.
+
+        Returns:
+          The broken promises, a line each.
+        """
+        callers = [
+            Caller(self.book, self._seed, number, self.hosts, self._path)
+            for number in range(_CALLERS)
+        ]
+        until = time.monotonic() + self._seconds
+        while time.monotonic() < until:
+            time.sleep(self._random.uniform(0.1, 1.2))
+            self._fault()
+        for thread in self._threads:
+            thread.join()
+        self._mend()
+        recovered = time.monotonic() + _RECOVERY_S
+        time.sleep(_RECOVERY_S + 2)
+        self._check_configuration()
+        for caller in callers:
+            caller.stop()
+        self._check_recovery(recovered)
+        return [*self._problems, *self.book.broken()]
+
+    def close(self) -> None:
+        """End all that was started."""
+        self._cluster.close()
+        for upstream in self._upstreams:
+            upstream.close()
+        for host in self.hosts:
+            host.store_link.close()
+
+    def _path(self, kind: str) -> str:
+        return {'plain': '/x/', 'once': '/o/', 'stream': '/s/'}[kind]
+
+    def _new_upstream(self) -> SoakUpstream:
+        self._count += 1
+        return SoakUpstream(
+            f'i-{self._count}', 'plain', self.book, self._cluster.store
+        )
+
+    def _start(self, host: _Host) -> None:
+        seeds = [f'127.0.0.{2 + n}' for n in range(_GATEWAYS)]
+        host.process = self._cluster.start(
+            host.ip, host.store_link.port, [ip for ip in seeds if ip != host.ip]
+        )
+
+    def _publish(self) -> None:
+        self._version += self._random.randrange(1, 5)
+        fields = configuration(self._version, 'plain', prefixes=('/x/',))
+        once = configuration(
+            1, 'plain', prefixes=('/o/',), kind='non_idempotent'
+        )
+        stream = configuration(
+            1,
+            'plain',
+            prefixes=('/s/',),
+            kind='streaming',
+            streamResume=True,
+        )
+        marker = configuration(1, 'plain', prefixes=(f'/v{self._version}/',))
+        for other in (once, stream, marker):
+            fields['routes'].extend(other['routes'])
+        self._cluster.store.put('keyed.op', 'config', fields)
+
+    def _fault(self) -> None:
+        """Draw a fault and let it pass in a thread of its own."""
+        kind = self._random.choice(tuple(_FAULTS))
+        length = self._random.uniform(0.5, 4)
+        # Drawn here: threads must not share the random choices.
+        source = random.Random(self._random.random())
+        self.book.note(f'{kind} {length:.1f}s')
+        thread = threading.Thread(
+            target=self._play, args=(kind, source, length)
+        )
+        self._threads.append(thread)
+        thread.start()
+
+    def _play(self, kind: str, source: random.Random, length: float) -> None:
+        try:
+            _FAULTS[kind](self, source, length)
+        except Exception as error:
+            self._problems.append(f'the soak itself failed: {error!r}')
+
+    def _store_outage(self, source: random.Random, length: float) -> None:
+        self._cluster.store.outage = source.choice(_OUTAGES)
+        time.sleep(length)
+        if source.random() < 0.5:
+            self._cluster.store.forget('keyed.op')
+            self._cluster.store.forget('keyed.servers')
+        self._cluster.store.outage = None
+
+    def _store_link(self, source: random.Random, length: float) -> None:
+        link = source.choice(self.hosts).store_link
+        link.change(source.choice(_LINKS))
+        time.sleep(length)
+        link.change(SOUND)
+
+    def _upstream_link(self, source: random.Random, length: float) -> None:
+        proxy = source.choice(self._upstreams).proxy
+        proxy.change(source.choice(_LINKS))
+        time.sleep(length)
+        proxy.change(SOUND)
+
+    def _upstream_mood(self, source: random.Random, length: float) -> None:
+        upstream = source.choice(self._upstreams)
+        upstream.mood = source.choice(_MOODS)
+        time.sleep(length)
+        upstream.mood = 'sound'
+
+    def _replace_upstream(self, source: random.Random, length: float) -> None:
+        place = source.randrange(_UPSTREAMS)
+        old = self._upstreams[place]
+        self._upstreams[place] = self._new_upstream()
+        old.register('draining')
+        time.sleep(_DRAIN_S + length)
+        old.leave()
+        time.sleep(1)
+        old.close()
+
+    def _stop(self, source: random.Random, _length: float) -> None:
+        host = source.choice(self.hosts)
+        with host.lock:
+            host.process.terminate()
+            if host.process.process.wait(20):
+                code = host.process.process.returncode
+                self._problems.append(f'{host.ip} stopped with {code}')
+            self._start(host)
+            host.process.wait_ready()
+
+    def _kill(self, source: random.Random, length: float) -> None:
+        host = source.choice(self.hosts)
+        with host.lock:
+            host.process.kill()
+            time.sleep(length / 4)
+            self._start(host)
+            host.process.wait_ready()
+
+    def _freeze(self, source: random.Random, length: float) -> None:
+        host = source.choice(self.hosts)
+        with host.lock:
+            host.process.process.send_signal(signal.SIGSTOP)
+            time.sleep(length)
+            host.process.process.send_signal(signal.SIGCONT)
+
+    def _reload(self, source: random.Random, _length: float) -> None:
+        host = source.choice(self.hosts)
+        with host.lock:
+            host.process.process.send_signal(signal.SIGHUP)
+
+    def _new_configuration(
+        self, _source: random.Random, _length: float
+    ) -> None:
+        self._publish()
+
+    def _mend(self) -> None:
+        """Take all faults away; a fault's own end may have been overlapped."""
+        self._cluster.store.outage = None
+        for host in self.hosts:
+            host.store_link.change(SOUND)
+        for upstream in self._upstreams:
+            upstream.proxy.change(SOUND)
+            upstream.mood = 'sound'
+        self.book.note('all faults are over')
+        self._publish()
+
+    def _check_configuration(self) -> None:
+        """The newest version is in force everywhere; no older one came back."""
+        for host in self.hosts:
+            path = f'/v{self._version}/'
+            probe = Call(f'probe-{host.ip}', 'plain', path, host.ip, 0)
+            self.book.take(probe)
+            status = host.process.ask(path, **{'Attempt-Id': probe.name})[0]
+            if status != 200:
+                self._problems.append(
+                    f'{host.ip} answers {status} on the newest route'
+                )
+            versions = {}
+            for each in host.process.events('ConfigurationApplied'):
+                before = versions.get(each['daemon'], 0)
+                started = each['before'] == 0
+                if each['version'] <= before and not started:
+                    self._problems.append(f'{host.ip} went back: {each}')
+                versions[each['daemon']] = each['version']
+            for each in host.process.events('RoundFailed'):
+                self._problems.append(f'{host.ip}: {each["problem"]}')
+
+    def _check_recovery(self, recovered: float) -> None:
+        late = [
+            each
+            for each in self.book.calls
+            if recovered < each.sent and each.ended
+        ]
+        served = sum(each.status == 200 and each.whole for each in late)
+        if not late or served < _LEAST_SERVED * len(late):
+            self._problems.append(
+                f'served {served} of {len(late)} calls after the faults\n'
+                f'{describe([each for each in late if each.status != 200])}'
+            )
+
+
+_FAULTS = {
+    'store outage': Soak._store_outage,
+    'store link': Soak._store_link,
+    'upstream link': Soak._upstream_link,
+    'upstream mood': Soak._upstream_mood,
+    'replace upstream': Soak._replace_upstream,
+    'stop': Soak._stop,
+    'kill': Soak._kill,
+    'freeze': Soak._freeze,
+    'reload': Soak._reload,
+    'configuration': Soak._new_configuration,
+}
+
+
+def soak(seed: int, seconds: float, folder: Path) -> tuple[list[str], str]:
+    """Run once.
+
+    Args:
+      seed: Of all choices.
+      seconds: How long faults are injected.
+      folder: Where logs go.
+
+    Returns:
+      The broken promises and the timeline.
+    """
+    run = Soak(seed, seconds, folder)
+    try:
+        broken = run.run()
+        return broken, timeline(run.book, run.start)
+    finally:
+        run.close()
+
+
+def main() -> int:
+    """Run by hand; see the module's text."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--seed', type=int, required=True)
+    parser.add_argument('--seconds', type=float, default=60)
+    parser.add_argument('--folder', type=Path, default=None)
+    chosen = parser.parse_args()
+    folder = chosen.folder or Path(tempfile.mkdtemp(prefix='soak-'))
+    folder.mkdir(parents=True, exist_ok=True)
+    broken, picture = soak(chosen.seed, chosen.seconds, folder)
+    sys.stdout.write(f'{picture}\n')
+    for line in broken:
+        sys.stdout.write(f'BROKEN {line}\n')
+    sys.stdout.write(f'seed {chosen.seed}: {len(broken)} broken, {folder}\n')
+    return int(bool(broken))
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/standins/soak_upstreams.py
@@ -0,0 +1,94 @@
+"""Upstreams of the soak: they run what they are sent, or misbehave."""
+
+import threading
+import time
+
+from standins.platform_cluster import entry_of
+from standins.scripted_upstream import ScriptedUpstream
+from standins.soak_book import Book
+from standins.soak_callers import expected_body, expected_events
+from standins.soak_proxy import SoakProxy
+
+_EVENT_S = 0.05
+
+
+class SoakUpstream:
+    """An upstream behind a proxy, registered under an instance.
+
+    `mood` is 'sound', 'failing' (500), 'full' (refuses, not run), 'hanging',
+    'breaking' (resets in the middle of an answer) or 'wrong' (bytes that are
+    no answer).
+    """
+
+    def __init__(self, instance: str, service: str, book: Book, store):
+        """Start and register."""
+        self.instance = instance
+        self.mood = 'sound'
+        self.last_runs: list[float] = []
+        self._service = service
+        self._book = book
+        self._store = store
+        self._ended = threading.Event()
+        self._upstream = ScriptedUpstream(self._serve)
+        self.proxy = SoakProxy(self._upstream.port)
+        self.register('ready')
+
+    def register(self, state: str) -> None:
+        """Write the entry to the store."""
+        entry = entry_of(self.proxy, self._service, state)
+        self._store.put('keyed.servers', self.instance, entry)
+
+    def leave(self) -> None:
+        """Drop the entry."""
+        self._store.put('keyed.servers', self.instance, None)
+
+    def close(self) -> None:
+        """Stop at once."""
+        self._ended.set()
+        self._upstream.close()
+        self.proxy.close()
+
+    def _serve(self, connection, request) -> None:
+        name = request.headers.get('attempt-id', '')
+        if self.mood == 'full':
+            connection.answer(request, 'full', 503, Not_Executed='1')
+            return
+        self._book.run(name)
+        self.last_runs.append(time.monotonic())
+        match self.mood:
+            case 'failing':
+                connection.answer(request, 'failed', 500)
+            case 'hanging':
+                self._ended.wait(3)
+            case 'wrong':
+                connection.send('HTTP/1.1 what is this\r\n\r\n')
+            case 'breaking':
+                self._break(connection, request, name)
+            case _:
+                self._answer(connection, request, name)
+
+    def _answer(self, connection, request, name: str) -> None:
+        if '/s/' not in request.target:
+            connection.answer(request, expected_body(name).decode())
+            return
+        connection.head(request, Transfer_Encoding='chunked')
+        for event in self._events_after(request, name):
+            connection.chunk(f'{event}\n\n')
+            time.sleep(_EVENT_S)
+        connection.send('0\r\n\r\n')
+
+    def _break(self, connection, request, name: str) -> None:
+        if '/s/' in request.target:
+            connection.head(request, Transfer_Encoding='chunked')
+            events = self._events_after(request, name)
+            # The last one is cut in the middle.
+            connection.chunk(f'{events[0]}\n\n{events[-1][:5]}')
+        else:
+            body = expected_body(name).decode()
+            connection.head(request, Content_Length=str(len(body)))
+            connection.send(body[:4])
+        connection.reset()
+
+    def _events_after(self, request, name: str) -> list[str]:
+        last = int(request.headers.get('last-event-id') or 0)
+        return expected_events(name)[last:] or ['']
