--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,10 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: install test lint demo bench capacity format
+.PHONY: install test lint demo bench capacity soak format
+
+SEED ?= 1
+SECONDS ?= 60
 
 $(VENV)/installed: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -29,3 +32,6 @@
 
 capacity: install
 	$(BIN)/python -m standins.capacity docs/CAPACITY.md
+
+soak: install
+	$(BIN)/python -m standins.soak --seed $(SEED) --seconds $(SECONDS)
--- a/linnetwind/rollout.py
+++ b/linnetwind/rollout.py
@@ -39,8 +39,9 @@
 LEAD_PASSES = 2
 # The same while orders stay unanswered and have to be given again. A group
 # that waited at the held pass for the last of 72 ranks made every running
-# stream late, 0.2 to 0.4 s with each map.
-LONG_LEAD_PASSES = 12
+# stream late, 0.2 to 0.4 s with each map. Arming them took 0.04 to 0.23 s with
+# one order in ten lost; with 12 passes the maps came a second too late.
+LONG_LEAD_PASSES = 6
 _LOCK_RANK = 0
 
 
--- a/linnetwind/stream_gate.py
+++ b/linnetwind/stream_gate.py
@@ -5,10 +5,13 @@
 only while its first event can still be in time; one that could not is
 refused at once and told when there will be room, so that the caller's wait
 is used instead of lost. A caller that comes back then may wait longer: its
-answer is late in any case, and refused twice it gets none. Of those that
-wait, the one whose time ends first goes first. When callers that came back
-went before all others, a short overload lasted for 20 s: every newcomer
-waited behind them, was refused, and came back.
+answer is late in any case, and refused twice it gets none.
+
+Of those that wait, newcomers go first, and callers that came back take what
+they leave. In the other order, or by the end of their waits, an overload
+feeds itself: each place for a caller that came back is one for which a
+newcomer is refused, who then comes back. After some seconds hardly anything
+but returning callers was served, all late, long after the overload.
 """
 
 import itertools
@@ -142,10 +145,23 @@
     returning: bool
 
 
+def precedence(claim: Claim) -> tuple[bool, timedelta]:
+    """Return the key by which streams in line are sorted.
+
+    Args:
+      claim: The stream.
+
+    Returns:
+      Newcomers before those that came back, each by the end of its wait.
+    """
+    most = RETURN_WAIT if claim.returning else claim.target
+    return claim.returning, claim.since + most
+
+
 class _Place(NamedTuple):
     """A place in line; places are sorted by their first fields."""
 
-    latest: timedelta
+    precedence: tuple[bool, timedelta]
     number: int
     claim: Claim
 
@@ -154,7 +170,7 @@
 
 
 class WaitingLine:
-    """The streams of one service that wait here, earliest deadline first."""
+    """The streams of one service that wait here, in order of precedence."""
 
     def __init__(self, clock: Clock) -> None:
         """Start empty.
@@ -199,8 +215,7 @@
         Returns:
           What `take` returned, or that the stream is refused.
         """
-        most = RETURN_WAIT if claim.returning else claim.target
-        place = _Place(claim.since + most, next(self._numbers), claim)
+        place = _Place(precedence(claim), next(self._numbers), claim)
         with self._changed:
             self._waiting.append(place)
             self._waiting.sort()
--- a/linnetwind/stream_gate_test.py
+++ b/linnetwind/stream_gate_test.py
@@ -16,6 +16,7 @@
     WaitFor,
     WaitingLine,
     judge,
+    precedence,
 )
 from standins.gateway_fixtures import make_upstream
 
@@ -177,3 +178,46 @@
     # Alone, each stream looks every 25 ms for 1.6 s: 64 times.
     assert set(looks) == {120 * MS, 200 * MS}
     assert len(looks) < 30 * 64 / 2
+
+
+def _play_overload(order):
+    """Play 4 s of overload and what follows; return the share in time.
+
+    Places become free 100 times a second. 130 streams a second ask for them
+    for 4 s, and 97 after that. Who waits too long is refused and comes back
+    once, 0.3 s later.
+    """
+    step = 10 * MS
+    waits = {False: 200 * MS, True: 1600 * MS}
+    waiting, returns = [], []
+    in_time = asked = 0
+    for number in range(1500):
+        now = number * step
+        rate = 1.3 if now < 4 * SECOND else 0.97
+        arrivals = int((number + 1) * rate) - int(number * rate)
+        asked += arrivals * (now > 6 * SECOND)
+        waiting += [Claim(now, TARGET, 120 * MS, False)] * arrivals
+        waiting += [each for each in returns if each.since <= now]
+        returns = [each for each in returns if each.since > now]
+        for claim in list(waiting):
+            if now - claim.since > waits[claim.returning]:
+                waiting.remove(claim)
+                if not claim.returning:
+                    back = now + LEAST_RETRY
+                    returns.append(replace(claim, since=back, returning=True))
+        waiting.sort(key=order)
+        if waiting:
+            served = waiting.pop(0)
+            in_time += served.since > 6 * SECOND and not served.returning
+    return in_time / asked
+
+
+def test_a_short_overload_does_not_feed_itself():
+    # Callers that were refused come back. If they are served by the end of
+    # their wait, newcomers are refused for them and come back in turn: nine
+    # seconds after the overload most answers still are late.
+    def by_end_of_wait(claim):
+        return precedence(claim)[1]
+
+    assert _play_overload(by_end_of_wait) < 0.6
+    assert _play_overload(precedence) > 0.95
--- /dev/null
+++ b/standins/soak_test.py
@@ -0,0 +1,56 @@
+"""A short soak with fixed seeds; by hand: `make soak SEED=7 SECONDS=60`."""
+
+import pytest
+
+from standins.soak import soak
+from standins.soak_book import Book, Call
+
+# Each seed failed once; the cause stands beside it.
+FAILED_SEEDS = (
+    # SIGTERM right after a freeze was not heard by the main thread.
+    2,
+    4,
+)
+
+
+@pytest.mark.parametrize('seed', [1, *FAILED_SEEDS])
+def test_promises_hold_while_faults_overlap(seed, tmp_path):
+    # Callers keep their connections while processes stop, die and freeze,
+    # links misbehave, the store goes away and upstreams talk nonsense.
+    broken, picture = soak(seed, 12, tmp_path)
+    assert broken == [], picture
+
+
+def _call(**changes):
+    fields = {'name': 'a', 'kind': 'once', 'path': '/o/', 'gateway': 'g'}
+    return Call(**{**fields, 'sent': 1, 'whole': True, **changes})
+
+
+@pytest.mark.parametrize(
+    ('call', 'runs', 'broken'),
+    [
+        (_call(status=200), 1, ''),
+        (_call(status=200), 2, 'ran 2 times'),
+        (_call(status=503), 0, ''),
+        (_call(status=503), 1, 'refused, but ran'),
+        (_call(status=429), 1, 'refused, but ran'),
+        (_call(status=502), 1, ''),
+        (_call(status=200), 0, 'answered, but never ran'),
+        (_call(status=200, right=False), 1, 'a wrong answer'),
+        (_call(status=200, kind='plain'), 2, ''),
+    ],
+)
+def test_the_book_finds_broken_promises(call, runs, broken):
+    book = Book()
+    book.take(call)
+    for _run in range(runs):
+        book.run(call.name)
+    assert [each.partition(':')[0] for each in book.broken()] == (
+        [broken] if broken else []
+    )
+
+
+def test_a_run_that_nobody_asked_for_is_found():
+    book = Book()
+    book.run('smuggled')
+    assert book.broken() == ['ran without a caller: smuggled']
