Explain a request with what the daemons believed then

Cause: after a complaint, `linnetwind explain` gave the lines that name the request; why a gateway decided so stood in other lines (a lost store, a group that had broken, a map), which the engineer on call had to find by time. Bad lines were passed over without a word, an unreadable file was a traceback.

Changed: `explanation` is pure: lines in, the request's life and its context out. `--around SECONDS` and `--json`; files and lines that are passed over are named; exit codes 0, 1 and 2.

--- a/linnetwind/cmd_status.py
+++ b/linnetwind/cmd_status.py
@@ -5,7 +5,7 @@
 from datetime import timedelta
 from http.client import HTTPConnection, HTTPException
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated
 
 import typer
 
@@ -15,12 +15,20 @@
     parse_address,
 )
 from linnetwind.config_fold import ConfigState
+from linnetwind.explanation import (
+    BadLine,
+    LogLine,
+    explain_request,
+    read_lines,
+    sentence,
+)
 from linnetwind.group_log import GroupRole, fold_role, stream_of_group
 from linnetwind.log_http import make_log
 from linnetwind.log_port import LogPort, read_to_end
 from linnetwind.publisher import read_state
 
 EXIT_NOT_FOUND = 1
+EXIT_BAD_FILE = 2
 
 _TIMEOUT_SECONDS = 2
 _SHOWN_METRICS = ('linnetwind_config_revision', 'linnetwind_running')
@@ -35,7 +43,13 @@
     str, typer.Argument(help='The X-Request-Id of an answer.')
 ]
 LogFiles = Annotated[
-    list[Path], typer.Argument(help='Log files of entry and side daemons.')
+    list[Path], typer.Argument(help='Log files of any daemons.')
+]
+Around = Annotated[
+    float, typer.Option(help='Seconds of context before and after.')
+]
+AsJson = Annotated[
+    bool, typer.Option('--json', help='Write the log lines as they are.')
 ]
 
 
@@ -64,18 +78,23 @@
         raise typer.Exit(EXIT_UNAVAILABLE)
 
 
-def explain(request_id: RequestId, log_files: LogFiles) -> None:
+def explain(
+    request_id: RequestId,
+    log_files: LogFiles,
+    around: Around = 0,
+    as_json: AsJson = False,
+) -> None:
     """Tell where a request went and why, from the daemons' log lines.
 
-    Exit codes: 0 found, 1 no line names the request.
+    With --around, also what the daemons believed and learnt so many seconds
+    before, during and after it. Exit codes: 0 found, 1 no line names the
+    request, 2 a file cannot be read.
     """
-    lines = sorted(
-        (line for path in log_files for line in _lines_of(path, request_id)),
-        key=lambda line: line['time'],
-    )
-    for line in lines:
-        typer.echo(_sentence(line))
-    if not lines:
+    lines = [line for path in log_files for line in _lines_of(path)]
+    found = explain_request(lines, request_id, timedelta(seconds=around))
+    for line in found:
+        typer.echo(json.dumps(line.fields) if as_json else sentence(line))
+    if not found:
         typer.echo(f'{request_id}: no line in these files', err=True)
         raise typer.Exit(EXIT_NOT_FOUND)
 
@@ -133,24 +152,19 @@
             yield f'{address}: {line}'
 
 
-def _lines_of(path: Path, request_id: str) -> Iterator[dict[str, Any]]:
-    for text in path.read_text('utf-8').splitlines():
-        if request_id not in text:
-            continue
-        try:
-            line = json.loads(text)
-        except ValueError:
-            continue
-        if line.get('request') == request_id:
+def _lines_of(path: Path) -> Iterator[LogLine]:
+    try:
+        texts = path.read_text('utf-8', errors='replace').splitlines()
+    except OSError as error:
+        typer.echo(f'{path}: {error.strerror}', err=True)
+        raise typer.Exit(EXIT_BAD_FILE) from error
+    bad = []
+    for line in read_lines(texts):
+        if isinstance(line, BadLine):
+            bad.append(line)
+        else:
             yield line
-
-
-def _sentence(line: dict[str, Any]) -> str:
-    known = {'time', 'level', 'event', 'request'}
-    facts = ', '.join(
-        f'{name} {found}'
-        for name, found in line.items()
-        if name not in known and found != ''
-    )
-    time, event = line['time'], line['event']
-    return f'{time}  {event}: {facts}'
+    if bad:
+        first = bad[0].describe()
+        count = len(bad)
+        typer.echo(f'{path}: {count} lines passed over; {first}', err=True)
