Tell callers of streams, too, that a gateway is stopping

Cause: whole answers said `Connection: close`, streams did not, so that a caller went on over its kept connection until the process ended.

Changed: every answer that begins after SIGTERM carries the header; a connection whose answer began before it ends with that answer once idle connections are closed.

--- a/linnetwind/answer_relay.py
+++ b/linnetwind/answer_relay.py
@@ -12,6 +12,7 @@
     Journey,
     answer_caller,
     as_lost,
+    with_close,
 )
 from linnetwind.routes import RouteKind
 from linnetwind.upstream_call import (
@@ -104,7 +105,9 @@
     def _pass_on(self, body: bytes) -> Done:
         """Pass on an answer that is too long to be kept."""
         self._journey.started = True
-        sent = self._connection.start(self._head.status, self._headers)
+        sent = self._connection.start(
+            self._head.status, with_close(self._tools, self._headers)
+        )
         sent = sent and self._connection.send(body)
         while sent:
             progress = self._call.next(self._journey.until)
@@ -160,7 +163,8 @@
         self._tools.state.room.note_start(
             self._journey.service.name, now - received - self._journey.queued
         )
-        return self._connection.start(self._head.status, self._headers)
+        headers = with_close(self._tools, self._headers)
+        return self._connection.start(self._head.status, headers)
 
     def _note_pause(self) -> None:
         now = self._tools.clock.elapsed()
--- a/linnetwind/gateway_daemon.py
+++ b/linnetwind/gateway_daemon.py
@@ -205,7 +205,9 @@
         connection = self._connection(sock)
         with self._open.connection():
             goes_on = True
-            while goes_on:
+            # An answer that was begun before the stop has not told its caller
+            # to go elsewhere; its connection ends with it.
+            while goes_on and not self._closing.is_set():
                 goes_on = self._serve_one(connection)
 
     def _serve_one(self, connection: CallerConnection) -> bool:
--- a/linnetwind/journey.py
+++ b/linnetwind/journey.py
@@ -122,7 +122,22 @@
       headers: The headers, without any that frame the body.
       body: The body.
     """
-    if tools.is_draining():
-        # The daemon stops soon; the caller's next request goes elsewhere.
-        headers = (*headers, (b'Connection', b'close'))
-    connection.answer(status, headers, body)
+    connection.answer(status, with_close(tools, headers), body)
+
+
+def with_close(tools: GatewayTools, headers: Headers) -> Headers:
+    """Return the headers of an answer, with the word that it is the last.
+
+    Without it on every answer, streams too, callers that keep a connection
+    send requests to a stopping daemon until it ends, and the last is cut.
+
+    Args:
+      tools: Says whether the daemon is stopping.
+      headers: The headers.
+
+    Returns:
+      The headers, with `Connection: close` if the daemon stops soon.
+    """
+    if not tools.is_draining():
+        return headers
+    return (*headers, (b'Connection', b'close'))
--- a/standins/platform_cluster_test.py
+++ b/standins/platform_cluster_test.py
@@ -4,7 +4,7 @@
 import threading
 import time
 from contextlib import suppress
-from http.client import HTTPException
+from http.client import HTTPConnection, HTTPException
 
 import pytest
 
@@ -240,3 +240,49 @@
         caller.join()
     ran = {each.headers['attempt-id'] for each in upstream.requests}
     assert ran - answered == set()
+
+
+def test_streams_on_a_kept_connection_end_before_the_process(cluster):
+    # A caller takes one stream after the other over one connection. The
+    # process was told to stop, but said so only with whole answers: streams
+    # went on there until its time was over, and the last one was cut.
+    def stream(connection, request):
+        connection.head(request, Transfer_Encoding='chunked')
+        for number in range(1, 9):
+            connection.chunk(f'id: {number}\ndata: x\n\n')
+            time.sleep(0.05)
+        connection.send('0\r\n\r\n')
+
+    _publish(cluster, ScriptedUpstream(stream), kind='streaming')
+    process = cluster.start()
+    process.wait_ready()
+    started, cut = threading.Event(), []
+
+    def call():
+        connection = HTTPConnection(process.ip, process.front, timeout=10)
+        for number in range(100):
+            headers = {'Host': 'a.example', 'Attempt-Id': f'c{number}'}
+            try:
+                connection.request('GET', '/x/1', headers=headers)
+                response = connection.getresponse()
+            except (OSError, HTTPException):
+                # Closed before it was read: nothing is lost.
+                return
+            started.set()
+            try:
+                response.read()
+            except (OSError, HTTPException) as error:
+                cut.append(error)
+            if response.will_close:
+                return
+
+    callers = [threading.Thread(target=call) for _caller in range(4)]
+    for caller in callers:
+        caller.start()
+    assert started.wait(10)
+    process.terminate()
+    assert process.process.wait(20) == 0
+    for caller in callers:
+        caller.join()
+    assert cut == []
+    assert process.events('Stopped')[0]['open_requests'] == 0
