End a resumed stream that fails; let requests finish until 0.9 of the grace

Two findings, each with a test that failed first.

A stream had broken after some events and went on at an upstream that answered 500; the gateway wrote that head into the middle of the body, which h11 refuses. The caller saw a cut connection either way, but no other attempt was made and the request ended without its log line. Such an answer now counts as a lost attempt.

Streams were cut at 0.8 of the grace, 4.05 s after SIGTERM; what ends before the last sixth may not be. The rest, half a second at 5 s, is for the process to end.

--- a/linnetwind/answer_relay.py
+++ b/linnetwind/answer_relay.py
@@ -69,7 +69,18 @@
         """
         is_stream = self._journey.route.kind is RouteKind.STREAM
         success = _FIRST_SUCCESS <= self._head.status < _FIRST_REDIRECT
-        return self._stream() if is_stream and success else self._whole()
+        if is_stream and success:
+            return self._stream()
+        if self._journey.started:
+            # The caller has a part of another run's answer, and this one can
+            # neither be joined to it nor replace it.
+            status = self._head.status
+            return AttemptLost(
+                f'upstream failed with {status}',
+                may_have_run=True,
+                reached=True,
+            )
+        return self._whole()
 
     def _whole(self) -> Done | AttemptLost:
         found = read_whole(self._call, BUFFERED_BYTES, self._journey.until)
--- a/linnetwind/gateway_daemon.py
+++ b/linnetwind/gateway_daemon.py
@@ -45,9 +45,10 @@
 # were not answered with 200; until then it still sends connections.
 _NOTICE_MS = 2_600
 NOTICE = timedelta(milliseconds=_NOTICE_MS)
-# The part of the time for stopping after which requests are cut: the rest is
-# for the process to end before it is killed.
-_USE_OF_STOP = 0.8
+# The part of the time for stopping after which requests are cut. A request
+# that lasts into the last sixth of it may be cut, one that ends before may
+# not; the rest is for the process to end before it is killed.
+USE_OF_STOP = 0.9
 _STOP_LOOK_S = 0.05
 _METRICS_TYPE = b'text/plain; version=0.0.4; charset=utf-8'
 
@@ -240,7 +241,7 @@
         self._log.event(Stopping(self._open.requests))
         self._mesh.leave()
         since = self._clock.elapsed()
-        most = self._setup.stop_within * _USE_OF_STOP
+        most = self._setup.stop_within * USE_OF_STOP
         pause = threading.Event()
         waited = timedelta()
         while waited < most:
--- a/linnetwind/platform/gateway_test.py
+++ b/linnetwind/platform/gateway_test.py
@@ -377,6 +377,35 @@
     assert gateway.log.first(RequestEnded).outcome == 'cut'
 
 
+def test_a_stream_whose_second_run_fails_looks_broken(gateway):
+    # One event has reached the caller when the upstream breaks, and the
+    # upstream at which the stream is to go on answers 500. A second head in
+    # the middle of the body must not be written, and the daemon goes on.
+    def cut_or_fail(connection, request):
+        if request.headers.get('last-event-id'):
+            connection.answer(request, 'failed', 500)
+            return
+        _stream(connection, request, EVENTS[:1], end=False)
+        connection.reset()
+
+    for _upstream in range(2):
+        gateway.add(cut_or_fail, 'model')
+    with pytest.raises((HTTPException, OSError)):
+        gateway.ask(STREAM)
+    assert gateway.log.first(RequestEnded).outcome == 'cut'
+    reasons = [each.problem for each in gateway.log.of(AttemptFailed)]
+    assert any('failed with 500' in reason for reason in reasons)
+
+
+def test_a_draining_daemon_says_so_with_streams_too(gateway):
+    # A caller that is not told goes on over its kept connection until the
+    # daemon ends.
+    gateway.add(_stream, 'model')
+    gateway.draining = True
+    _status, headers, _body = gateway.ask(STREAM)
+    assert headers['Connection'] == 'close'
+
+
 def test_a_draining_daemon_closes_after_the_answer(gateway):
     gateway.add(_answer)
     gateway.draining = True
--- a/standins/platform_cluster_test.py
+++ b/standins/platform_cluster_test.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from linnetwind.gateway_daemon import USE_OF_STOP
 from standins.platform_cluster import (
     PlatformCluster,
     configuration,
@@ -286,3 +287,9 @@
         caller.join()
     assert cut == []
     assert process.events('Stopped')[0]['open_requests'] == 0
+
+
+def test_what_ends_before_the_last_sixth_of_the_grace_is_not_cut():
+    # With a grace of 5 s, streams that began 1.2 and 2.8 s after SIGTERM were
+    # cut at 4.05 s; only what lasts beyond 4.17 s may be.
+    assert 5 / 6 < USE_OF_STOP < 1
--- a/standins/soak_test.py
+++ b/standins/soak_test.py
@@ -10,6 +10,9 @@
     # SIGTERM right after a freeze was not heard by the main thread.
     2,
     4,
+    # A stream was resumed at an upstream that answered 500, whose head was
+    # then written in the middle of the body.
+    203,
 )
 
 
