Keep clusters of several runs apart; part the soak's checks from its run

Cause: both soaks had drawn the same ports (by process id, checked on 127.0.0.1 only, while gateways listen on 127.0.0.2 and on), so that callers of one were answered by gateways of the other, which know calls of the same names. A cluster now keeps a socket bound on an address of its own, and ranges of ports do not overlap.

--- a/standins/platform_cluster.py
+++ b/standins/platform_cluster.py
@@ -16,6 +16,7 @@
 ROOT = Path(__file__).parent.parent
 GRACE_S = 8
 _START_TRIES = 300
+_RESERVING_IP = '127.0.0.9'
 
 
 def configuration(version, *services, prefixes=('/x/',), **route):
@@ -189,7 +190,7 @@
         """Start the store."""
         self._folder = folder
         self.store = PlatformStore()
-        self._ports = _free_ports()
+        self._reserved, self._ports = _reserve_ports()
         self._started: list[GatewayProcess] = []
 
     def start(self, ip='127.0.0.1', store=None, seeds=()) -> GatewayProcess:
@@ -205,16 +206,30 @@
         for each in self._started:
             each.kill()
         self.store.close()
+        self._reserved.close()
 
 
-def _free_ports():
-    """Return ports below those that the system gives to connections."""
+def _reserve_ports():
+    """Return ports below those that the system gives to connections.
+
+    Clusters of several tests may run at once, and their hosts share their
+    addresses. A socket on an address of its own, open as long as the cluster,
+    keeps others from the ports; without it callers of one soak were answered
+    by the gateways of another.
+    """
     with open('/proc/sys/net/ipv4/ip_local_port_range') as source:
         lowest = int(source.read().split()[0])
-    first = 20_000 + os.getpid() % 500 * 20
+    first = 20_000 + os.getpid() % 300 * 40
     for base in range(first, min(lowest, first + 2000), 8):
+        reserved = socket.socket()
+        try:
+            reserved.bind((_RESERVING_IP, base))
+        except OSError:
+            reserved.close()
+            continue
         if all(_is_free(base + offset) for offset in range(5)):
-            return base, base + 1, base + 2
+            return reserved, (base, base + 1, base + 2)
+        reserved.close()
     raise OSError('no free ports')
 
 
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -23,8 +23,16 @@
     PlatformCluster,
     configuration,
 )
-from standins.soak_book import Book, Call, timeline
-from standins.soak_callers import Caller, describe
+from standins.soak_book import Book, timeline
+from standins.soak_callers import Caller
+from standins.soak_checks import (
+    History,
+    Span,
+    check_configuration,
+    check_drains,
+    check_recovery,
+    check_stops,
+)
 from standins.soak_proxy import SOUND, Link, SoakProxy
 from standins.soak_upstreams import SoakUpstream
 
@@ -33,7 +41,6 @@
 _CALLERS = 12
 # After the last fault everything has to be served again by then.
 _RECOVERY_S = 12
-_LEAST_SERVED = 0.95
 # A drained upstream gets nothing after this.
 _DRAIN_S = 2.0
 _LINKS = (
@@ -47,24 +54,6 @@
 _OUTAGES = ('busy', 'cut', 'silent')
 
 
-# For so long after a fault its effects are not held against the gateways.
-_AFTERMATH_S = 3
-# What the platform does on purpose; a request must survive it.
-_PLANNED = frozenset(('stop', 'reload', 'configuration', 'replace upstream'))
-
-
-@dataclass(frozen=True)
-class _Span:
-    """A fault, or a planned stop of a host, from its start to its end."""
-
-    what: str
-    start: float
-    end: float
-
-    def touches(self, start: float, end: float) -> bool:
-        return self.start <= end and start <= self.end + _AFTERMATH_S
-
-
 @dataclass
 class _Host:
     """A host of the soak: its process and its link to the store."""
@@ -98,9 +87,7 @@
         self._version = 0
         self._threads: list[threading.Thread] = []
         self._problems: list[str] = []
-        self._past: list[_Span] = []
-        self._stops: list[_Span] = []
-        self._drains: list[tuple[float, SoakUpstream]] = []
+        self._history = History(self.book)
         self._count = 0
         self._upstreams = [self._new_upstream() for _one in range(_UPSTREAMS)]
         self._publish()
@@ -133,13 +120,19 @@
         self._mend()
         recovered = time.monotonic() + _RECOVERY_S
         time.sleep(_RECOVERY_S + 2)
-        self._check_configuration()
+        for host in self.hosts:
+            self._problems.extend(
+                check_configuration(host.process, self._version, self.book)
+            )
         for caller in callers:
             caller.stop()
-        self._check_recovery(recovered)
-        self._check_stops()
-        self._check_drains()
-        return [*self._problems, *self.book.broken()]
+        return [
+            *self._problems,
+            *check_recovery(self.book, recovered),
+            *check_stops(self._history),
+            *check_drains(self._history, _DRAIN_S),
+            *self.book.broken(),
+        ]
 
     def close(self) -> None:
         """End all that was started."""
@@ -201,7 +194,7 @@
             _FAULTS[kind](self, source, length)
         except Exception as error:
             self._problems.append(f'the soak itself failed: {error!r}')
-        self._past.append(_Span(kind, start, time.monotonic()))
+        self._history.faults.append(Span(kind, start, time.monotonic()))
 
     def _store_outage(self, source: random.Random, length: float) -> None:
         self._cluster.store.outage = source.choice(_OUTAGES)
@@ -234,7 +227,7 @@
         old = self._upstreams[place]
         self._upstreams[place] = self._new_upstream()
         old.register('draining')
-        self._drains.append((time.monotonic(), old))
+        self._history.drains.append((time.monotonic(), old))
         time.sleep(_DRAIN_S + length)
         old.leave()
         time.sleep(1)
@@ -246,7 +239,7 @@
             start = time.monotonic()
             host.process.terminate()
             code = host.process.process.wait(20)
-            self._stops.append(_Span(host.ip, start, time.monotonic()))
+            self._history.stops.append(Span(host.ip, start, time.monotonic()))
             if code:
                 self._problems.append(f'{host.ip} stopped with {code}')
             self._start(host)
@@ -288,74 +281,6 @@
         self.book.note('all faults are over')
         self._publish()
 
-    def _check_configuration(self) -> None:
-        """The newest version is in force everywhere; no older one came back."""
-        for host in self.hosts:
-            path = f'/v{self._version}/'
-            probe = Call(f'probe-{host.ip}', 'plain', path, host.ip, 0)
-            self.book.take(probe)
-            status = host.process.ask(path, **{'Attempt-Id': probe.name})[0]
-            if status != 200:
-                self._problems.append(
-                    f'{host.ip} answers {status} on the newest route'
-                )
-            versions = {}
-            for each in host.process.events('ConfigurationApplied'):
-                before = versions.get(each['daemon'], 0)
-                started = each['before'] == 0
-                if each['version'] <= before and not started:
-                    self._problems.append(f'{host.ip} went back: {each}')
-                versions[each['daemon']] = each['version']
-            for each in host.process.events('RoundFailed'):
-                self._problems.append(f'{host.ip}: {each["problem"]}')
-
-    def _is_calm(self, start: float, end: float) -> bool:
-        """Return whether nothing but planned work went on."""
-        return not any(
-            each.touches(start, end)
-            for each in self._past
-            if each.what not in _PLANNED
-        )
-
-    def _check_stops(self) -> None:
-        """A planned stop cuts no request that an upstream has begun."""
-        for stop in self._stops:
-            self._problems.extend(
-                f'cut by a planned stop: {call}'
-                for call in self.book.calls
-                if call.gateway == stop.what
-                and stop.start - 1 < call.sent < stop.end
-                and not call.whole
-                and self.book.runs[call.name]
-                and self._is_calm(call.sent, call.ended)
-            )
-
-    def _check_drains(self) -> None:
-        """A draining upstream gets nothing after the time for that."""
-        for start, upstream in self._drains:
-            late = [
-                each - start
-                for each in upstream.last_runs
-                if each > start + _DRAIN_S and self._is_calm(start, each)
-            ]
-            if late:
-                self._problems.append(
-                    f'{upstream.instance} ran calls {late} s after its drain'
-                )
-
-    def _check_recovery(self, recovered: float) -> None:
-        late = [
-            each
-            for each in self.book.calls
-            if recovered < each.sent and each.ended
-        ]
-        served = sum(each.status == 200 and each.whole for each in late)
-        if not late or served < _LEAST_SERVED * len(late):
-            self._problems.append(
-                f'served {served} of {len(late)} calls after the faults\n'
-                f'{describe([each for each in late if each.status != 200])}'
-            )
-
 
 _FAULTS = {
     'store outage': Soak._store_outage,
--- /dev/null
+++ b/standins/soak_checks.py
@@ -0,0 +1,103 @@
+"""Checks of the soak that need to know which faults went on."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from standins.platform_cluster import GatewayProcess
+from standins.soak_book import Book, Call
+from standins.soak_callers import describe
+from standins.soak_upstreams import SoakUpstream
+
+# For so long after a fault its effects are not held against the gateways.
+_AFTERMATH_S = 3
+# What the platform does on purpose; a request must survive it.
+_PLANNED = frozenset(('stop', 'reload', 'configuration', 'replace upstream'))
+_LEAST_SERVED = 0.95
+
+
+@dataclass(frozen=True)
+class Span:
+    """A fault, or a planned stop of a host, from its start to its end."""
+
+    what: str
+    start: float
+    end: float
+
+    def touches(self, start: float, end: float) -> bool:
+        """Return whether it can have an effect within a time."""
+        return self.start <= end and start <= self.end + _AFTERMATH_S
+
+
+@dataclass
+class History:
+    """What was seen, the faults, and the planned stops and drains."""
+
+    book: Book
+    faults: list[Span] = field(default_factory=list)
+    stops: list[Span] = field(default_factory=list)
+    drains: list[tuple[float, SoakUpstream]] = field(default_factory=list)
+
+    def is_calm(self, start: float, end: float) -> bool:
+        """Return whether nothing but planned work went on."""
+        return not any(
+            each.touches(start, end)
+            for each in self.faults
+            if each.what not in _PLANNED
+        )
+
+
+def check_configuration(
+    process: GatewayProcess, version: int, book: Book
+) -> Iterator[str]:
+    """Yield it if the newest version is not in force, or one went back."""
+    path = f'/v{version}/'
+    probe = Call(f'probe-{process.ip}', 'plain', path, process.ip, 0)
+    book.take(probe)
+    status = process.ask(path, **{'Attempt-Id': probe.name})[0]
+    if status != 200:
+        yield f'{process.ip} answers {status} on the newest route'
+    newest = 0
+    for each in process.events('ConfigurationApplied'):
+        # A process that has just started knows no version before.
+        if each['before'] and each['version'] <= newest:
+            yield f'{process.ip} went back: {each}'
+        newest = each['version']
+    for each in process.events('RoundFailed'):
+        yield f'{process.ip}: {each["problem"]}'
+
+
+def check_stops(history: History) -> Iterator[str]:
+    """Yield each request that an upstream had begun and a stop has cut."""
+    for stop in history.stops:
+        for call in history.book.calls:
+            if (
+                call.gateway == stop.what
+                and stop.start - 1 < call.sent < stop.end
+                and not call.whole
+                and history.book.runs[call.name]
+                and history.is_calm(call.sent, call.ended)
+            ):
+                yield f'cut by a planned stop: {call}'
+
+
+def check_drains(history: History, within: float) -> Iterator[str]:
+    """Yield each draining upstream that got calls after the time for that."""
+    for start, upstream in history.drains:
+        late = [
+            each - start
+            for each in upstream.last_runs
+            if each > start + within and history.is_calm(start, each)
+        ]
+        if late:
+            yield f'{upstream.instance} ran calls {late} s after its drain'
+
+
+def check_recovery(book: Book, since: float) -> Iterator[str]:
+    """Yield it if too few calls were served after the faults."""
+    calls = [each for each in book.calls if since < each.sent and each.ended]
+    lost = [each for each in calls if each.status != 200 or not each.whole]
+    if len(lost) > (1 - _LEAST_SERVED) * len(calls) or not calls:
+        yield (
+            f'{len(lost)} of {len(calls)} calls not served after the faults\n'
+            f'{describe(lost)}'
+        )
