Say once what a failed upstream means to a request; name a rank's chance

Read as a newcomer: the lost attempt of an upstream that failed stood twice in answer_relay, and `_weight` named two things in the package (a rank's chance to be drawn, a daemon's demand).

--- a/linnetwind/answer_relay.py
+++ b/linnetwind/answer_relay.py
@@ -74,12 +74,7 @@
         if self._journey.started:
             # The caller has a part of another run's answer, and this one can
             # neither be joined to it nor replace it.
-            status = self._head.status
-            return AttemptLost(
-                f'upstream failed with {status}',
-                may_have_run=True,
-                reached=True,
-            )
+            return _failed(self._head.status)
         return self._whole()
 
     def _whole(self) -> Done | AttemptLost:
@@ -90,11 +85,7 @@
         status = self._head.status
         if whole and status >= _FIRST_FAILURE and self._may_repeat():
             self._journey.failure = (self._head, body)
-            return AttemptLost(
-                f'upstream failed with {status}',
-                may_have_run=True,
-                reached=True,
-            )
+            return _failed(status)
         self._journey.first_byte = self._tools.clock.elapsed()
         if not whole:
             return self._pass_on(body)
@@ -201,5 +192,11 @@
         return CALLER_LEFT
 
 
+def _failed(status: int) -> AttemptLost:
+    return AttemptLost(
+        f'upstream failed with {status}', may_have_run=True, reached=True
+    )
+
+
 def _is_new(event: StreamEvent, last: int | None) -> bool:
     return event.number is None or last is None or event.number > last
--- a/linnetwind/upstream_choice.py
+++ b/linnetwind/upstream_choice.py
@@ -120,13 +120,13 @@
     quick = [each for each in upstreams if each.instance not in slow]
     upstreams = quick or upstreams
     ranks = list(upstreams)
-    weights = [_weight(each, running) for each in ranks]
+    weights = [_chance(each, running) for each in ranks]
     if any(weights):
         return random.choices(ranks, weights)[0]
     return min(ranks, key=lambda each: running.get(each.instance, 0))
 
 
-def _weight(upstream: Upstream, running: Mapping[str, int]) -> int:
+def _chance(upstream: Upstream, running: Mapping[str, int]) -> int:
     free = upstream.slots - running.get(upstream.instance, 0)
     return max(0, free) ** FREE_SLOTS_POWER
 
