Begin in a stop only what ends in time; one loop for callers' connections

Cause: a stopping gateway decided by the connection, not by the request: what was read on an idle connection up to half a second after the notice was passed on, whatever time was left, and cut at the end. Class: work is taken without a look at the time in which it can end. Changed: from the notice on a request is begun only if its own time limit ends before the cut; else it is refused at once as not run, with a time to come back. The times are one pure plan (gateway_stop), read from the clock instead of an event set by a loop that looks every 50 ms. A connection is counted before the stop is looked at, which closes a gap in which the process could end beside a connection that had passed the look. Ruled out: shortening the look at idle connections alone (it narrows the window and keeps the class).

--- /dev/null
+++ b/linnetwind/caller_service.py
@@ -0,0 +1,58 @@
+"""Serves the requests of one caller's connection, one after the other."""
+
+from collections.abc import Callable
+from socket import socket
+
+from linnetwind.caller_connection import (
+    BadRequest,
+    CallerConnection,
+    CallerGone,
+)
+from linnetwind.journey import GatewayTools
+from linnetwind.open_work import OpenWork
+from linnetwind.relay import Relay
+from linnetwind.routes import CallerLimits
+
+
+def serve_caller(
+    sock: socket,
+    tools: GatewayTools,
+    limits: Callable[[], CallerLimits],
+    open_work: OpenWork,
+) -> None:
+    """Serve a connection until its caller or the daemon's stop ends it.
+
+    Args:
+      sock: The connection; the caller of this function closes it.
+      tools: What every request needs.
+      limits: Returns what a caller may send at present.
+      open_work: Counts the connection and its requests.
+    """
+    stop = tools.stop
+    connection = CallerConnection(sock, limits, stop.is_closing, tools.clock)
+    # Counted before the stop is looked at: in the other order the process
+    # could find nothing open and end while a connection passes this point.
+    with open_work.connection():
+        goes_on = True
+        # Once the stop closes connections, a new one is closed unread, so
+        # that its caller knows that it may ask elsewhere. An answer that was
+        # begun before the stop has not told its caller that; its connection
+        # ends with it.
+        while goes_on and not stop.is_closing():
+            goes_on = _serve_next(connection, tools, open_work)
+
+
+def _serve_next(
+    connection: CallerConnection, tools: GatewayTools, open_work: OpenWork
+) -> bool:
+    """Serve the next request; return whether another may follow."""
+    asked = connection.read_request()
+    match asked:
+        case CallerGone():
+            return False
+        case BadRequest(status):
+            close = ((b'Connection', b'close'),)
+            connection.answer(status, close, b'')
+            return False
+    with open_work.request():
+        return Relay(tools, connection, asked).run()
--- a/linnetwind/gateway_daemon.py
+++ b/linnetwind/gateway_daemon.py
@@ -15,6 +15,7 @@
     CallerConnection,
     CallerGone,
 )
+from linnetwind.caller_service import serve_caller
 from linnetwind.clock import Clock
 from linnetwind.daemon_events import Started, Stopped, Stopping
 from linnetwind.daemon_threads import DaemonThreads
@@ -22,13 +23,13 @@
 from linnetwind.gateway_feeds import FeedPorts, GatewayFeeds
 from linnetwind.gateway_metrics import GatewayMetrics
 from linnetwind.gateway_state import GatewayState
+from linnetwind.gateway_stop import GatewayStop
 from linnetwind.journey import GatewayTools
 from linnetwind.map_planner import MapPlanner
 from linnetwind.open_work import OpenWork
 from linnetwind.peer_mesh import MeshSettings, PeerMesh
 from linnetwind.rank_link import RankLink
 from linnetwind.rank_types import RankPort
-from linnetwind.relay import Relay
 from linnetwind.repeat_budget import BudgetTerms
 from linnetwind.routes import CallerLimits
 from linnetwind.step_log import StepLog
@@ -41,14 +42,6 @@
 _MOST_QUESTIONS = 4
 _STACK_BYTES = 262_144
 _BACKLOG = 512
-# The platform takes a daemon out after two questions, one a second, that
-# were not answered with 200; until then it still sends connections.
-_NOTICE_MS = 2_600
-NOTICE = timedelta(milliseconds=_NOTICE_MS)
-# The part of the time for stopping after which requests are cut. A request
-# that lasts into the last sixth of it may be cut, one that ends before may
-# not; the rest is for the process to end before it is killed.
-USE_OF_STOP = 0.9
 _STOP_LOOK_S = 0.05
 _METRICS_TYPE = b'text/plain; version=0.0.4; charset=utf-8'
 
@@ -128,8 +121,7 @@
         self._planner = MapPlanner(
             self._state, self._mesh, self._link, clock, log
         )
-        self._stop = threading.Event()
-        self._closing = threading.Event()
+        self._stop = GatewayStop(clock, setup.stop_within)
         self._open = OpenWork()
         self._tools = GatewayTools(
             self._state,
@@ -137,7 +129,7 @@
             clock,
             log,
             open_call,
-            self._stop.is_set,
+            self._stop,
         )
 
     def run(self) -> None:
@@ -163,7 +155,7 @@
             _listen(setup.front), self._serve, 'caller', _MOST_CONNECTIONS
         )
         signals.wait(self._on_reload)
-        self._stop.set()
+        self._stop.begin()
         self._drain()
 
     def _link(self, upstream: Upstream) -> RankLink:
@@ -178,7 +170,7 @@
 
     def _is_ready(self) -> bool:
         known = self._state.table is not None and self._state.upstreams.end > 0
-        return known and not self._stop.is_set()
+        return known and not self._stop.is_begun()
 
     def _say_ready(self, sock: socket.socket) -> None:
         connection = self._connection(sock)
@@ -200,32 +192,11 @@
             connection.answer(HTTPStatus.OK, kind, self._metrics.render())
 
     def _serve(self, sock: socket.socket) -> None:
-        if self._closing.is_set():
-            # Closed unread: the caller knows that it may ask elsewhere.
-            return
-        connection = self._connection(sock)
-        with self._open.connection():
-            goes_on = True
-            # An answer that was begun before the stop has not told its caller
-            # to go elsewhere; its connection ends with it.
-            while goes_on and not self._closing.is_set():
-                goes_on = self._serve_one(connection)
-
-    def _serve_one(self, connection: CallerConnection) -> bool:
-        asked = connection.read_request()
-        match asked:
-            case CallerGone():
-                return False
-            case BadRequest(status):
-                close = ((b'Connection', b'close'),)
-                connection.answer(status, close, b'')
-                return False
-        with self._open.request():
-            return Relay(self._tools, connection, asked).run()
+        serve_caller(sock, self._tools, self._limits, self._open)
 
     def _connection(self, sock: socket.socket) -> CallerConnection:
         return CallerConnection(
-            sock, self._limits, self._closing.is_set, self._clock
+            sock, self._limits, self._stop.is_closing, self._clock
         )
 
     def _drain(self) -> None:
@@ -241,16 +212,12 @@
         self._log.event(Stopping(self._open.requests))
         self._mesh.leave()
         since = self._clock.elapsed()
-        most = self._setup.stop_within * USE_OF_STOP
         pause = threading.Event()
-        waited = timedelta()
-        while waited < most:
+        while not self._stop.is_over():
             pause.wait(_STOP_LOOK_S)
-            waited = self._clock.elapsed() - since
-            if self._closing.is_set() and not self._open.connections:
+            if self._stop.is_closing() and not self._open.connections:
                 break
-            if waited > NOTICE:
-                self._closing.set()
+        waited = self._clock.elapsed() - since
         self._log.event(Stopped(self._open.requests, waited))
         # Lets the log's thread write the last lines.
         pause.wait(_STOP_LOOK_S)
--- a/linnetwind/journey.py
+++ b/linnetwind/journey.py
@@ -1,6 +1,5 @@
 """How far a caller's request is, and what every request needs."""
 
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -14,6 +13,7 @@
 from linnetwind.caller_connection import CallerConnection
 from linnetwind.clock import Clock
 from linnetwind.gateway_state import GatewayState
+from linnetwind.gateway_stop import GatewayStop
 from linnetwind.routes import Route, RoutedService, RouteTable
 from linnetwind.step_log import StepLog
 from linnetwind.upstream_call import (
@@ -35,7 +35,7 @@
     clock: Clock
     log: StepLog
     open_call: CallOpener
-    is_draining: Callable[[], bool]
+    stop: GatewayStop
 
 
 @dataclass(slots=True)
@@ -138,6 +138,6 @@
     Returns:
       The headers, with `Connection: close` if the daemon stops soon.
     """
-    if not tools.is_draining():
+    if not tools.stop.is_begun():
         return headers
     return (*headers, (b'Connection', b'close'))
--- a/linnetwind/relay.py
+++ b/linnetwind/relay.py
@@ -103,7 +103,9 @@
                 journey.customer = customer
                 latest = self._request.received + route.timeout
                 journey.until = min(journey.until, latest)
-                return self._serve(journey)
+                if self._tools.stop.may_begin(journey.until):
+                    return self._serve(journey)
+                return self._refuse(journey, 'the daemon is stopping')
 
     def _serve(self, journey: Journey) -> Done:
         name = choose_service(journey.route, random.random())
