--- a/standins/capacity.py
+++ b/standins/capacity.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from standins.capacity_processes import processes
 from standins.capacity_slopes import (
     Slope,
     configuration,
@@ -13,7 +14,6 @@
     frames,
     keys,
     plans,
-    processes,
 )
 
 # The letter's size, and what is assumed beyond it.
