--- a/standins/cluster_stops_test.py
+++ b/standins/cluster_stops_test.py
@@ -1,6 +1,7 @@
 """Daemons and upstreams that stop, leave or come back, as real processes."""
 
 import http.client
+import itertools
 import json
 import signal
 import threading
@@ -14,6 +15,7 @@
     MESSAGES,
     chat,
     executions,
+    faults,
     in_background,
     ran,
     streamed_text,
@@ -82,6 +84,45 @@
     assert entry.process.wait(10) == 0
 
 
+def test_callers_that_never_pause_do_not_keep_an_entry_that_stops(cluster):
+    # Callers send one call after the other over their connections to an
+    # entry daemon that is told to end. No answer told them to go elsewhere
+    # and their connections were never idle, so that the daemon served on:
+    # 12 s after SIGTERM it had answered 2,066 more calls and still ran. It
+    # was to be killed with whatever ran then.
+    entry = cluster.nodes['entry-0']
+    faults(cluster, work_seconds=0.05)
+    lost, last = set(), []
+
+    def call(caller):
+        connection = http.client.HTTPConnection(IP, entry.port, timeout=10)
+        for number in itertools.count():
+            path = f'/cards/{caller}-{number}'
+            try:
+                connection.request('GET', f'/codigos{path}', headers=AUTH)
+                response = connection.getresponse()
+                response.read()
+            except (OSError, http.client.HTTPException):
+                lost.add(path)
+                return
+            if response.will_close:
+                last.append(response.status)
+                return
+
+    with ThreadPoolExecutor(8) as pool:
+        callers = [pool.submit(call, number) for number in range(8)]
+        time.sleep(0.5)
+        entry.signal(signal.SIGTERM)
+        try:
+            assert entry.process.wait(12) == 0
+        finally:
+            entry.kill()
+        for each in callers:
+            each.result()
+    assert [path for path in lost if ran(cluster, path)] == []
+    assert set(last) <= {200, 503}
+
+
 def test_nothing_is_lost_while_sides_come_and_go(cluster):
     # Callers go on while one side after the other is killed and restarted;
     # every request ends with an answer or a typed error. The second side is
