Let the entry daemon stop beside callers that never pause

Cause: as in the test before: no answer of a draining entry daemon said that its connection ends, and what came on kept connections was taken for ever, so that the daemon ran until it was killed. Changed: while draining each answer ends its connection (waitress lets no application set the header, so its task is given the caller's word for it); after the notice requests are refused as not run; connections are closed once flushed; the whole takes drain_limit_seconds at most and what is cut is logged. The server and its stop are a module of their own (entry_http). Ruled out: closing the connections at the notice (cuts answers).

--- a/linnetwind/entry_app.py
+++ b/linnetwind/entry_app.py
@@ -76,16 +76,26 @@
         self._lock = threading.Lock()
         self._in_flight = 0
         self._draining = False
+        self._refusing = False
 
     @property
     def in_flight(self) -> int:
         """Return the number of requests not yet answered in full."""
         return self._in_flight
 
+    @property
+    def is_draining(self) -> bool:
+        """Return whether callers are to go elsewhere with what follows."""
+        return self._draining
+
     def drain(self) -> None:
         """Report not ready from now on."""
         self._draining = True
 
+    def refuse_new(self) -> None:
+        """Refuse requests from now on, as not run."""
+        self._refusing = True
+
     def __call__(
         self, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
@@ -120,6 +130,10 @@
         self, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterator[bytes]:
         request_id = uuid.uuid4().hex
+        if self._refusing:
+            stopping = NotRun(Reason.SHUTTING_DOWN, _SECOND)
+            yield self._fail(start_response, request_id, stopping)
+            return
         checked = self._check(environ, request_id)
         if isinstance(checked, NotRun):
             yield self._fail(start_response, request_id, checked)
--- a/linnetwind/entry_daemon.py
+++ b/linnetwind/entry_daemon.py
@@ -1,7 +1,6 @@
 """The entry daemon: callers' HTTP on one side, side daemons on the other."""
 
 import random
-import socket as sockets
 import threading
 import time
 import uuid
@@ -13,7 +12,6 @@
 from loguru import logger
 from prometheus_client import start_http_server
 from result import Err, Ok
-from waitress.server import create_server
 
 from linnetwind.background import guarded, in_background
 from linnetwind.clock import SystemClock
@@ -21,6 +19,7 @@
 from linnetwind.config_merge import at_site
 from linnetwind.dispatch import make_dispatcher
 from linnetwind.entry_app import EntryApp
+from linnetwind.entry_http import EntryServer
 from linnetwind.entry_limits import EntryLimits
 from linnetwind.entry_metrics import EntryMetrics
 from linnetwind.fleet import Fleet
@@ -39,10 +38,7 @@
 from linnetwind.platform_clients import make_follower, make_hosts
 from linnetwind.settings import EntrySettings
 
-LARGEST_BODY = 16_777_216
-
 _CONNECTORS = 8
-_HALF_SENT_SECONDS = 30
 _TICK_SECONDS = 0.05
 
 
@@ -89,7 +85,7 @@
             self._limits.settle,
         )
         self._stopping = threading.Event()
-        self._server: Any = None
+        self._server = EntryServer(self._app, settings, self._clock)
 
     def start(self) -> None:
         """Start following the platform and serving callers."""
@@ -103,53 +99,25 @@
         )
         in_background(lambda: self._follower.run(poll), 'follower')
         in_background(lambda: self._watch_hosts(poll), 'hosts')
-        self._server = create_server(
-            self._app,
-            host=settings.listen.ip,
-            port=settings.listen.port,
-            threads=settings.threads,
-            max_request_body_size=LARGEST_BODY,
-            channel_timeout=_HALF_SENT_SECONDS,
-            ident='linnetwind',
-            clear_untrusted_proxy_headers=False,
-        )
-        in_background(self._server.run, 'http')
+        self._server.start()
         logger.info('entry serves on {}', settings.listen)
 
     def shut_down(self) -> None:
         """Leave without cutting a request: see docs/OPERATIONS.md.
 
-        Not ready first, so that the balancer sends nothing new; then the
-        listening socket is closed; the process ends only when every answer
-        has been written out.
+        Not ready first, so that the balancer sends nothing new; then nothing
+        new is taken; the process ends when every answer has been written out.
         """
         self._app.drain()
         logger.info('draining')
         time.sleep(self._settings.drain_notice_seconds)
-        self._server.accepting = False
-        self._server.socket.shutdown(sockets.SHUT_RDWR)
-        while self._app.in_flight or self._unsent():
-            time.sleep(_TICK_SECONDS)
-        # Idle keep-alive connections are closed in order, so that their
-        # callers do not send into a connection that is about to be reset.
-        for channel in list(self._server.active_channels.values()):
-            channel.will_close = True
-        self._server.pull_trigger()
-        time.sleep(_TICK_SECONDS)
+        limit = timedelta(seconds=self._settings.drain_limit_seconds)
+        self._server.finish(limit)
         self._stopping.set()
         self._follower.stop()
         self._links.close()
         logger.info('drained')
 
-    def _unsent(self) -> bool:
-        # The application is done before the server has written its buffers;
-        # exiting then would cut the end of an answer.
-        channels = list(self._server.active_channels.values())
-        return any(
-            channel.requests or channel.total_outbufs_len
-            for channel in channels
-        )
-
     def _take_state(self, state: ConfigState) -> None:
         if state.deployment is None:
             return
--- a/linnetwind/settings.py
+++ b/linnetwind/settings.py
@@ -27,7 +27,11 @@
 
 @dataclass(frozen=True)
 class EntrySettings:
-    """The settings of an entry daemon."""
+    """The settings of an entry daemon.
+
+    After SIGTERM it serves on for `drain_notice_seconds`, in which the
+    balancer takes it out; what runs then may take `drain_limit_seconds`.
+    """
 
     name: Name
     site: Name
@@ -38,6 +42,9 @@
     drain_notice_seconds: Annotated[
         float, Meta(ge=0, le=_LONGEST_NOTICE_SECONDS)
     ] = 5.0
+    drain_limit_seconds: Annotated[
+        float, Meta(ge=0, le=_LONGEST_NOTICE_SECONDS)
+    ] = 60.0
 
 
 @dataclass(frozen=True)
