Types for the start of a life: born_ms of upstreams, reports, counts, experts

Cause: a worker may start again under its name; nothing could tell two lives apart, since no type had a field for the start of one. Change: the field, None where it is not stated, decoded as it comes. Ruled out: a name made of both (name@born) in the decoder: orders, the 421 and the list's keys go by the plain name, so both are needed apart. Conclusion: base for keeping what is believed of a worker by its life.

--- a/linnetwind/platform/formats.py
+++ b/linnetwind/platform/formats.py
@@ -88,6 +88,7 @@
         slots=int(fields.get('slots', 1)),
         draining=fields.get('state') == 'draining',
         cold=timedelta(milliseconds=fields.get('coldRemainingMs') or 0),
+        born_ms=fields.get('born'),
     )
 
 
--- a/linnetwind/platform/rank_client.py
+++ b/linnetwind/platform/rank_client.py
@@ -40,6 +40,7 @@
 )
 _READ_BYTES = 65_536
 _EPOCH = 'epoch'
+_BORN = 'born'
 
 
 class RankClient:
@@ -70,7 +71,10 @@
         if fields is None or 'counts' not in fields:
             return None
         return RankCounts(
-            fields[_EPOCH], fields['step'], tuple(fields['counts'])
+            fields[_EPOCH],
+            fields['step'],
+            tuple(fields['counts']),
+            fields.get(_BORN),
         )
 
     def experts(self) -> RankExperts | None:
@@ -83,6 +87,7 @@
             fields[_EPOCH],
             mapping['version'],
             tuple(tuple(layer) for layer in mapping['experts']),
+            fields.get(_BORN),
         )
 
     def order(self, order: RankOrder) -> OrderResult:
@@ -185,6 +190,7 @@
         pace=float(fields.get('pace') or 1),
         running=fields['activeRequests'],
         waiting=fields['queueDepth'],
+        born_ms=fields.get(_BORN),
     )
 
 
--- a/linnetwind/rank_types.py
+++ b/linnetwind/rank_types.py
@@ -17,7 +17,8 @@
     is the map in use, `prepared` the version whose experts are all copied.
     `armed` and `armed_step` say which version is taken up at which pass,
     `held` the pass that does not begin before it is released. `pace` over 1
-    is a slow rank.
+    is a slow rank. `born_ms` is the Unix time in milliseconds at which the
+    rank's process started, None where it does not say so.
     """
 
     group: str
@@ -36,6 +37,7 @@
     pace: float
     running: int
     waiting: int
+    born_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,6 +51,7 @@
     epoch: int
     step: int
     counts: tuple[int, ...]
+    born_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,6 +61,7 @@
     epoch: int
     version: int
     experts: tuple[tuple[int, ...], ...]
+    born_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/linnetwind/upstream_list.py
+++ b/linnetwind/upstream_list.py
@@ -21,8 +21,10 @@
 class Upstream:
     """A registered upstream.
 
-    `instance` names one life of the process, `slots` the requests that it
-    runs at once.
+    `instance` is the name under which it registers and `born_ms` the Unix
+    time in milliseconds at which the process started, None where that is not
+    stated: a process may start again under its name. `slots` is the number
+    of requests that it runs at once.
     """
 
     instance: str
@@ -32,6 +34,7 @@
     slots: int
     draining: bool
     cold: timedelta
+    born_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
