Decode every message of the platform by a typed, strict schema

Cause: fields were taken from dictionaries by hand. What raised past the decoder ended the reading of a topic at its place; what did not raise was used, whatever its type. Change: one way for all (platform/decoding.py): a typed value, or BadFormat with field and reason; entries, configurations, reports, counts and experts, pages and records of the store. A bad entry in place of a good one drops its key until a good one follows, in whole and in partial readings; an entry of a service that no configuration names is kept, and hides no upstream at its address. A record whose key cannot be read keeps its place; one that is cut off is read again. The end offset of several pages is that of the first. Statuses of orders that the platform does not name count as no answer. Ruled out: a catch-all around the decoder, which hides our own faults; leaving deep nesting to the parser's limit, which depends on the calls under way and lies above what a stack of 128 KB bears; keeping the last good entry, since a daemon that starts later cannot know it. Conclusion: no content of a record stops a reader or counts as an upstream.

--- a/linnetwind/convert.py
+++ b/linnetwind/convert.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from linnetwind.bad_format import BadFormat
 from linnetwind.errors import ConfigError, UnknownKey, ValueProblem
 
 Converted = TypeVar('Converted')
@@ -48,10 +49,9 @@
 def _value_problem(
     error: msgspec.ValidationError, plain: Any, file: str
 ) -> ValueProblem:
-    problem, _separator, where = str(error).partition(' - at `$')
-    path = where.rstrip('`').removeprefix('.')
-    found = repr(_look_up(plain, path))
-    return ValueProblem(file, path or '(top)', found, problem)
+    bad = BadFormat.of(error)
+    found = repr(_look_up(plain, bad.field))
+    return ValueProblem(file, bad.field or '(top)', found, bad.reason)
 
 
 def _look_up(plain: Any, path: str) -> Any:
--- a/linnetwind/daemon_events.py
+++ b/linnetwind/daemon_events.py
@@ -27,3 +27,13 @@
 
     open_requests: int
     waited: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class BadAnswer:
+    """An engine's answer is not in its format; it counts as none."""
+
+    engine: str
+    call: str
+    field: str
+    reason: str
--- a/linnetwind/gateway_events.py
+++ b/linnetwind/gateway_events.py
@@ -148,8 +148,14 @@
 
 @dataclass(frozen=True, slots=True)
 class BadRecord:
-    """A record of the store that cannot be used; the last good one stays."""
+    """A record of the store is not in its format.
 
+    A bad configuration leaves the one before in force. A bad entry names no
+    upstream, and its key names none until a good one follows.
+    """
+
+    topic: str
     key: str
     offset: int
-    problem: str
+    field: str
+    reason: str
--- a/linnetwind/gateway_feeds.py
+++ b/linnetwind/gateway_feeds.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
-from typing import Any
 
+from linnetwind.bad_format import BadFormat
 from linnetwind.clock import Clock
 from linnetwind.daemon_threads import DaemonThreads
 from linnetwind.gateway_events import (
@@ -32,14 +32,13 @@
 class FeedPorts:
     """How records are read and decoded.
 
-    The decoders return the project's types, or an error type with a
-    `problem` that is logged.
+    The decoders raise nothing, whatever a record holds.
     """
 
     open_store: Callable[[], RecordStore]
     configuration_key: str
-    decode_table: Callable[[bytes], Any]
-    decode_upstream: Callable[[KeyedRecord], Any]
+    decode_table: Callable[[bytes], RouteTable | BadFormat]
+    decode_upstream: Callable[[KeyedRecord], Registered | BadFormat]
 
 
 class GatewayFeeds:
@@ -66,6 +65,9 @@
         self._state = state
         self._clock = clock
         self._log = log
+        self._bad: dict[Topic, dict[str, BadRecord]] = {
+            topic: {} for topic in Topic
+        }
         self._followers = {
             topic: RecordFollower(
                 topic, ports.open_store(), peers, take, rest, clock, log
@@ -104,12 +106,15 @@
 
     def _take_table(self, record: KeyedRecord, source: str) -> None:
         table = self._ports.decode_table(record.content)
-        if not isinstance(table, RouteTable):
+        if isinstance(table, BadFormat):
             # The configuration before it stays in force.
-            self._log.event(BadRecord(record.key, record.offset, table.problem))
+            self._note_bad(Topic.CONFIGURATION, record, table)
             return
         before = self._state.table
         if self._state.apply_table(table):
+            self._state.change_upstreams(
+                lambda known: known.name_services(table.services)
+            )
             self._log.event(
                 ConfigurationApplied(
                     table.version,
@@ -121,20 +126,50 @@
             )
 
     def _take_upstreams(self, news: News) -> None:
-        registered = []
-        for record in news.records:
-            decoded = self._ports.decode_upstream(record)
-            if isinstance(decoded, Registered):
-                registered.append(decoded)
-            else:
-                self._log.event(
-                    BadRecord(record.key, record.offset, decoded.problem)
-                )
+        registered = [self._registered(each) for each in news.records]
+        if news.whole:
+            self._forget_bad({each.instance for each in registered})
         before = self._state.change_upstreams(
             lambda known: self._merge(known, registered, news)
         )
         self._log_change(before, news)
 
+    def _registered(self, record: KeyedRecord) -> Registered:
+        """Return what a record says of its key; a bad one drops it.
+
+        If the key's last good entry stayed in force, daemons that have read
+        it and daemons that read the whole list later would use different
+        upstreams.
+        """
+        decoded = self._ports.decode_upstream(record)
+        if isinstance(decoded, BadFormat):
+            self._note_bad(Topic.UPSTREAMS, record, decoded)
+            return Registered(record.key, record.offset, None)
+        self._bad[Topic.UPSTREAMS].pop(record.key, None)
+        return decoded
+
+    def _note_bad(
+        self, topic: Topic, record: KeyedRecord, problem: BadFormat
+    ) -> None:
+        """Log a bad record once: whole lists are read again and again."""
+        bad = BadRecord(
+            topic.value,
+            record.key,
+            record.offset,
+            problem.field,
+            problem.reason,
+        )
+        if self._bad[topic].get(record.key) != bad:
+            self._bad[topic][record.key] = bad
+            self._log.event(bad)
+
+    def _forget_bad(self, listed: set[str]) -> None:
+        """Forget the bad records of keys that are gone, which have no end."""
+        bad = self._bad[Topic.UPSTREAMS]
+        self._bad[Topic.UPSTREAMS] = {
+            key: bad[key] for key in bad if key in listed
+        }
+
     def _merge(
         self, known: UpstreamList, registered: list[Registered], news: News
     ) -> UpstreamList:
--- a/linnetwind/gateway_metrics.py
+++ b/linnetwind/gateway_metrics.py
@@ -14,9 +14,11 @@
     generate_latest,
 )
 
+from linnetwind.daemon_events import BadAnswer
 from linnetwind.daemon_threads import RoundFailed
 from linnetwind.gateway_events import (
     AttemptFailed,
+    BadRecord,
     ConfigurationApplied,
     DependencyBack,
     DependencyLost,
@@ -42,6 +44,8 @@
         self._requests = self._counter('requests', 'Ended.', 'outcome')
         self._attempts = self._counter('attempts_failed', 'Lost.', 'failure')
         self._orders = self._counter('rank_orders_failed', 'Not done.', 'order')
+        self._records = self._counter('bad_records', 'Of the store.', 'topic')
+        self._answers = self._counter('bad_answers', 'Of engines.', 'call')
         self._plans = self._counter('expert_maps_planned', 'Planned maps.')
         self._rounds = self._counter('background_failures', 'Rounds.', 'work')
         self._dropped = self._counter('log_lines_dropped', 'Lines.')
@@ -67,6 +71,10 @@
                 self._attempts.labels(event.failure).inc()
             case OrderFailed():
                 self._orders.labels(event.order).inc()
+            case BadRecord():
+                self._records.labels(event.topic).inc()
+            case BadAnswer():
+                self._answers.labels(event.call).inc()
             case MapPlanned():
                 self._plans.inc()
             case MapStep():
--- a/linnetwind/platform/entry.py
+++ b/linnetwind/platform/entry.py
@@ -4,15 +4,12 @@
 from linnetwind.clock import SystemClock
 from linnetwind.gateway_daemon import GatewayDaemon, GatewayPorts, GatewaySetup
 from linnetwind.gateway_feeds import FeedPorts
-from linnetwind.platform.formats import (
-    CONFIGURATION_KEY,
-    decode_table,
-    decode_upstream,
-)
 from linnetwind.platform.headers import PlatformDialect
 from linnetwind.platform.rank_client import REMOTE_TIMEOUT, RankClient
 from linnetwind.platform.settings import HostSettings, read_settings
 from linnetwind.platform.store_client import StoreClient
+from linnetwind.platform.table_format import CONFIGURATION_KEY, decode_table
+from linnetwind.platform.upstream_format import decode_upstream
 from linnetwind.step_log import stdout_log
 
 
@@ -24,6 +21,7 @@
     """
     settings = read_settings()
     clock = SystemClock()
+    log = stdout_log(settings.name, clock)
     ports = GatewayPorts(
         dialect=PlatformDialect(),
         feeds=FeedPorts(
@@ -32,10 +30,11 @@
             decode_table=decode_table,
             decode_upstream=decode_upstream,
         ),
-        open_rank=lambda upstream: RankClient(upstream.address, REMOTE_TIMEOUT),
+        open_rank=lambda upstream: RankClient(
+            upstream.address, REMOTE_TIMEOUT, log
+        ),
         reload=lambda: _setup(read_settings(), metrics_port),
     )
-    log = stdout_log(settings.name, clock)
     GatewayDaemon(_setup(settings, metrics_port), ports, clock, log).run()
 
 
--- a/linnetwind/platform/rank.py
+++ b/linnetwind/platform/rank.py
@@ -12,11 +12,12 @@
     """Run the rank agent until it is told to stop."""
     settings = read_settings()
     clock = SystemClock()
+    log = stdout_log(settings.name, clock)
     agent = RankAgent(
         settings.name,
         Address(settings.ip, settings.first_port),
-        lambda: RankClient(settings.upstream, LOCAL_TIMEOUT),
+        lambda: RankClient(settings.upstream, LOCAL_TIMEOUT, log),
         clock,
-        stdout_log(settings.name, clock),
+        log,
     )
     agent.run()
--- a/linnetwind/platform/rank_client.py
+++ b/linnetwind/platform/rank_client.py
@@ -6,25 +6,30 @@
 
 import json
 import socket
+from collections.abc import Callable
 from datetime import timedelta
 from types import MappingProxyType
-from typing import Any
 
 import h11
 
 from linnetwind.address import Address
+from linnetwind.bad_format import BadFormat
+from linnetwind.daemon_events import BadAnswer
+from linnetwind.platform.decoding import Decoded
+from linnetwind.platform.rank_format import (
+    decode_counts,
+    decode_experts,
+    decode_report,
+    order_fields,
+)
 from linnetwind.rank_types import (
-    ArmMap,
-    DisarmMap,
-    HoldPass,
     OrderResult,
-    PrepareMap,
     RankCounts,
     RankExperts,
     RankOrder,
     RankReport,
-    ReleasePass,
 )
+from linnetwind.step_log import StepLog
 
 # A worker answers in a few milliseconds. An order that it leaves unanswered
 # holds up the whole group while a pass is held, so that it is given up soon;
@@ -35,84 +40,102 @@
 LOCAL_TIMEOUT = timedelta(milliseconds=_LOCAL_TIMEOUT_MS)
 _OK = 200
 _ACCEPTED = 202
+# Not such an order, another state, an old fence, another worker.
+_REFUSALS = (400, 409, 412, 421)
 _RESULTS = MappingProxyType(
-    {_OK: OrderResult.DONE, _ACCEPTED: OrderResult.BEGUN}
+    {
+        _OK: OrderResult.DONE,
+        _ACCEPTED: OrderResult.BEGUN,
+        **dict.fromkeys(_REFUSALS, OrderResult.REFUSED),
+    }
 )
 _READ_BYTES = 65_536
-_EPOCH = 'epoch'
-_BORN = 'born'
 
 
 class RankClient:
     """One connection to a worker, for one thread at a time."""
 
-    def __init__(self, address: Address, timeout: timedelta) -> None:
+    def __init__(
+        self, address: Address, timeout: timedelta, log: StepLog
+    ) -> None:
         """Connect later, with the first call.
 
         Args:
           address: Where the worker listens.
           timeout: How long an answer may take.
+          log: Told of answers in another format.
         """
         self._address = address
         self._timeout = timeout
+        self._log = log
+        self._problems: dict[str, BadFormat] = {}
         self._sock: socket.socket | None = None
         self._http: h11.Connection | None = None
 
     def report(self) -> RankReport | None:
-        """Return the rank's state, or None if there is no answer."""
-        fields = self._json('/-/report')
-        if fields is None or 'group' not in fields:
-            return None
-        return _report(fields)
+        """Return the rank's state, or None if there is no good answer."""
+        return self._get('report', '/-/report', decode_report)
 
     def counts(self) -> RankCounts | None:
-        """Return the experts' counts, or None if there is no answer."""
-        fields = self._json('/-/picked')
-        if fields is None or 'counts' not in fields:
-            return None
-        return RankCounts(
-            fields[_EPOCH],
-            fields['step'],
-            tuple(fields['counts']),
-            fields.get(_BORN),
-        )
+        """Return the experts' counts, or None if there is no good answer."""
+        return self._get('counts', '/-/picked', decode_counts)
 
     def experts(self) -> RankExperts | None:
         """Return the experts that the rank holds, or None."""
-        fields = self._json('/-/picked?lists=1')
-        if fields is None or 'mapping' not in fields:
-            return None
-        mapping = fields['mapping']
-        return RankExperts(
-            fields[_EPOCH],
-            mapping['version'],
-            tuple(tuple(layer) for layer in mapping['experts']),
-            fields.get(_BORN),
-        )
+        return self._get('experts', '/-/picked?lists=1', decode_experts)
 
     def order(self, order: RankOrder) -> OrderResult:
         """Give an order.
 
+        An answer that the platform does not name promises nothing: the order
+        may have been carried out, or may be later, as after no answer.
+
         Args:
           order: The order.
 
         Returns:
           What became of it.
         """
-        body = json.dumps(_order(order), separators=(',', ':')).encode()
+        fields = order_fields(order)
+        body = json.dumps(fields, separators=(',', ':')).encode()
         answer = self._call('POST', '/-/order', body)
         if answer is None:
             return OrderResult.NO_ANSWER
-        return _RESULTS.get(answer[0], OrderResult.REFUSED)
-
-    def _json(self, path: str) -> dict[str, Any] | None:
+        status = answer[0]
+        problem = None
+        if status not in _RESULTS:
+            problem = BadFormat('status', f'{status} says nothing of orders')
+        self._note('order', problem)
+        return _RESULTS.get(status, OrderResult.NO_ANSWER)
+
+    def _get(
+        self,
+        call: str,
+        path: str,
+        decode: Callable[[bytes], Decoded | BadFormat],
+    ) -> Decoded | None:
         answer = self._call('GET', path, None)
         if answer is None or answer[0] != _OK:
             return None
-        try:
-            return json.loads(answer[1])
-        except ValueError:
+        found = decode(answer[1])
+        if isinstance(found, BadFormat):
+            self._note(call, found)
             return None
+        self._note(call, None)
+        return found
+
+    def _note(self, call: str, problem: BadFormat | None) -> None:
+        """Log what is wrong with an answer once, until it changes."""
+        before = self._problems.pop(call, None)
+        if problem is None:
+            return
+        self._problems[call] = problem
+        if problem != before:
+            self._log.event(
+                BadAnswer(
+                    str(self._address), call, problem.field, problem.reason
+                )
+            )
 
     def _call(
         self, method: str, path: str, body: bytes | None
@@ -168,72 +191,3 @@
         if self._sock is not None:
             self._sock.close()
         self._sock = None
-
-
-def _report(fields: dict[str, Any]) -> RankReport:
-    group = fields['group']
-    armed, armed_step = _armed(fields.get('armed'))
-    return RankReport(
-        group=group['name'],
-        rank=group['rank'],
-        size=fields['size'],
-        epoch=group[_EPOCH],
-        is_open=group['state'] == 'open',
-        step=fields['step'],
-        sequence=fields['sequence'],
-        is_copying=bool(fields['busy']),
-        map_version=fields['mapping'],
-        prepared=fields.get('preloaded'),
-        armed=armed,
-        armed_step=armed_step,
-        held=fields.get('held'),
-        pace=float(fields.get('pace') or 1),
-        running=fields['activeRequests'],
-        waiting=fields['queueDepth'],
-        born_ms=fields.get(_BORN),
-    )
-
-
-def _armed(found: Any) -> tuple[int | None, int | None]:
-    """Return version and step of what the worker calls armed."""
-    match found:
-        case [version, step]:
-            return version, step
-        case {'version': version, 'step': step}:
-            return version, step
-    return found, None
-
-
-def _order(order: RankOrder) -> dict[str, Any]:
-    match order:
-        case PrepareMap(version, epoch, expect, maps):
-            return {
-                'operation': 'prepare',
-                'version': version,
-                'mapping': maps,
-                _EPOCH: epoch,
-                'expect': expect,
-            }
-        case ArmMap(version, step, epoch, expect):
-            return {
-                'operation': 'arm',
-                'version': version,
-                'step': step,
-                _EPOCH: epoch,
-                'expect': expect,
-            }
-        case DisarmMap(version, epoch):
-            return {
-                'operation': 'disarm',
-                'version': version,
-                _EPOCH: epoch,
-            }
-        case HoldPass(step, epoch, expect):
-            return {
-                'operation': 'hold',
-                'step': step,
-                _EPOCH: epoch,
-                'expect': expect,
-            }
-        case ReleasePass(step, epoch):
-            return {'operation': 'go', 'step': step, _EPOCH: epoch}
--- a/linnetwind/platform/store_client.py
+++ b/linnetwind/platform/store_client.py
@@ -1,15 +1,18 @@
 """Calls to the platform's store: the log's newest records and reads."""
 
-import base64
-import json
-import struct
-from collections.abc import Iterator
 from datetime import timedelta
 from http.client import HTTPConnection, HTTPException, HTTPResponse
 from types import MappingProxyType
 from urllib.parse import urlencode
 
 from linnetwind.address import Address
+from linnetwind.bad_format import BadFormat
+from linnetwind.platform.store_format import (
+    Element,
+    Page,
+    decode_page,
+    decode_records,
+)
 from linnetwind.record_store import (
     KeyedRecord,
     Records,
@@ -27,8 +30,6 @@
 # silence for so long means that the connection is dead.
 _MARGIN_MS = 600
 _MARGIN = timedelta(milliseconds=_MARGIN_MS)
-_OFFSETS = struct.Struct('>QQ')
-_LENGTH = struct.Struct('>I')
 
 
 class StoreClient:
@@ -52,23 +53,24 @@
         Returns:
           The records, or why there are none.
         """
-        records: list[KeyedRecord] = []
+        records: dict[str, KeyedRecord] = {}
+        first: Page | None = None
         after: str | None = None
         while True:
-            query = {'topic': _TOPICS[topic], 'part': 0}
-            if after is not None:
-                query['after'] = after
-            found = self._get('/-/log-newest', query, timedelta())
-            if isinstance(found, StoreUnavailable):
-                return found
-            status, body = found
-            if status != _OK:
-                return _refused(status)
-            page = json.loads(body)
-            records.extend(_element(each) for each in page['elements'])
-            if not page.get('hasMore') or not page['elements']:
-                return Records(tuple(records), page['endOffset'])
-            after = page['elements'][-1]['key']
+            page = self._page(topic, after)
+            if isinstance(page, StoreUnavailable):
+                return page
+            # The pages are not of one moment. What is written to keys of the
+            # first while the others are read comes after its end offset.
+            first = first or page
+            found = {each.key: _keyed(each) for each in page.elements}
+            if not page.has_more or not found:
+                records.update(found)
+                return Records(tuple(records.values()), first.end_offset)
+            if found.keys() <= records.keys():
+                return StoreUnavailable('the pages of newest records repeat')
+            records.update(found)
+            after = page.elements[-1].key
 
     def read(
         self, topic: Topic, start: int, wait: timedelta
@@ -97,12 +99,26 @@
             return Trimmed()
         if status != _OK:
             return _refused(status)
-        try:
-            records = tuple(_records(body, start))
-        except (struct.error, IndexError) as error:
-            return StoreUnavailable(f'not the records of a log: {error}')
+        records = decode_records(body, start)
+        if isinstance(records, BadFormat):
+            return StoreUnavailable(f'bad records: {records.describe()}')
         return Records(records, start + len(records))
 
+    def _page(self, topic: Topic, after: str | None) -> Page | StoreUnavailable:
+        query = {'topic': _TOPICS[topic], 'part': 0}
+        if after is not None:
+            query['after'] = after
+        found = self._get('/-/log-newest', query, timedelta())
+        if isinstance(found, StoreUnavailable):
+            return found
+        status, body = found
+        if status != _OK:
+            return _refused(status)
+        page = decode_page(body)
+        if isinstance(page, BadFormat):
+            return StoreUnavailable(f'a bad page: {page.describe()}')
+        return page
+
     def _get(
         self, path: str, query: dict[str, object], wait: timedelta
     ) -> tuple[int, bytes] | StoreUnavailable:
@@ -134,22 +150,5 @@
     return StoreUnavailable(f'the store answered {status}')
 
 
-def _element(fields: dict[str, object]) -> KeyedRecord:
-    content = fields.get('value')
-    decoded = base64.b64decode(content) if content else None
-    return KeyedRecord(str(fields['key']), int(fields['offset']), decoded)
-
-
-def _records(body: bytes, start: int) -> Iterator[KeyedRecord]:
-    """Yield keyed records: a length, a key's length, the key, the content."""
-    place = _OFFSETS.size
-    offset = start
-    while place < len(body):
-        length = _LENGTH.unpack_from(body, place)[0]
-        place += _LENGTH.size
-        record = body[place : place + length]
-        place += length
-        key_end = 1 + record[0]
-        key = record[1:key_end].decode()
-        yield KeyedRecord(key, offset, record[key_end:] or None)
-        offset += 1
+def _keyed(element: Element) -> KeyedRecord:
+    return KeyedRecord(element.key, element.offset, element.value or None)
--- a/linnetwind/upstream_list.py
+++ b/linnetwind/upstream_list.py
@@ -53,7 +53,8 @@
     `end` is the offset up to which the records are known. `lapsed` holds the
     upstreams whose entries vanished during an outage of the store, with the
     time at which they are taken as gone; `replaced` the instances whose
-    address has been answered by another one.
+    address has been answered by another one, `named` the services of the
+    configuration in force, None before the first.
     """
 
     end: int = 0
@@ -62,6 +63,7 @@
         default_factory=dict
     )
     replaced: frozenset[str] = frozenset()
+    named: frozenset[str] | None = None
 
     def usable(self, service: str, now: timedelta) -> list[Upstream]:
         """Return the upstreams of a service that may be given work.
@@ -69,6 +71,9 @@
         After a crash an upstream's entry stays for some heartbeats while its
         successor registers at the same address. Work for the former would
         only be refused, so the newest entry of an address counts alone.
+        Entries of services that no configuration names do not count: another
+        writer's would take its address away from the upstream that is there,
+        which would get no work any more.
 
         Args:
           service: The service's name.
@@ -86,7 +91,7 @@
         entries.extend(
             (each.offset, each.upstream)
             for each in self.records.values()
-            if each.upstream is not None
+            if each.upstream is not None and self._is_named(each.upstream)
         )
         entries.sort(key=_offset)
         by_address = {each.address: each for _at, each in entries}
@@ -107,6 +112,17 @@
         """
         return replace(self, replaced=self.replaced | {instance})
 
+    def name_services(self, services: Iterable[str]) -> Self:
+        """Return the list after a configuration came into force.
+
+        Args:
+          services: The services that it names.
+
+        Returns:
+          The list; entries of other services wait for a later configuration.
+        """
+        return replace(self, named=frozenset(services))
+
     def registered(self, service: str) -> list[Upstream]:
         """Return all upstreams of a service, also those that drain.
 
@@ -196,6 +212,9 @@
         }
         return replace(self, records=kept, lapsed=lapsed).take(listed, end)
 
+    def _is_named(self, upstream: Upstream) -> bool:
+        return self.named is None or upstream.service in self.named
+
 
 def _serves(upstream: Upstream, service: str) -> bool:
     return upstream.service == service and not upstream.draining
