An upstream that is away for long no longer makes calls fail unanswered

Cause: the rest after a miss doubles without bound before it is cut to 4 s; at the 48th miss in a row the product is too long for a timedelta, note_miss raises OverflowError, and the thread of the call ends without an answer. Reached when the only upstream of a service is away: a rest leaves out at most half of a service, so that every request tries it. Ruled out: catching the error in the relay, which would hide it and leave the rest unset. Figures: the new test failed with OverflowError, passes now. Conclusion: the number of doublings is bounded.

--- a/linnetwind/upstream_choice.py
+++ b/linnetwind/upstream_choice.py
@@ -25,6 +25,8 @@
 _FIRST_REST_MS = 500
 FIRST_REST = timedelta(milliseconds=_FIRST_REST_MS)
 LONGEST_REST = timedelta(seconds=4)
+# More doublings than lead to the longest rest.
+_MOST_DOUBLINGS = 8
 # The power of the free slots in the chance of a rank. At 1 and 2 the ranks
 # are filled less evenly when news is fresh, at 4 and more they are overfilled
 # when it is old.
@@ -85,7 +87,8 @@
     Returns:
       The record, with a rest that doubles with each miss.
     """
-    rest = min(FIRST_REST * 2**record.misses, LONGEST_REST)
+    doublings = min(record.misses, _MOST_DOUBLINGS)
+    rest = min(FIRST_REST * 2**doublings, LONGEST_REST)
     return replace(
         record, at=now, misses=record.misses + 1, rests_until=now + rest
     )
--- a/linnetwind/upstream_choice_test.py
+++ b/linnetwind/upstream_choice_test.py
@@ -6,6 +6,7 @@
 import pytest
 
 from linnetwind.upstream_choice import (
+    LONGEST_REST,
     Record,
     choose_plain,
     choose_rank,
@@ -97,3 +98,13 @@
     chosen = choose_plain(upstreams, running, records, SECOND)
     assert chosen.instance != 'r3'
     assert choose_plain([], {}, {}, timedelta()) is None
+
+
+def test_an_upstream_that_is_away_for_long_can_still_be_noted():
+    # The only upstream of a service is away for minutes, and every request
+    # tries it. After 48 misses in a row the doubled rest was too long for a
+    # time, the note raised, and callers' connections closed without an answer.
+    record = Record(SECOND)
+    for _miss in range(2000):
+        record = note_miss(record, SECOND)
+    assert record.rests_until == SECOND + LONGEST_REST
