Count requests, latencies and failures by the life of an upstream

Cause: GatewayState, the choice of an upstream, the peers' counts and the planner's slow ranks were keyed by the name. A worker that started again under it had all slots taken by requests of the life before, rested for the misses of that life, and was passed over as slow. Failing before: all five cases of gateway_state_test (counts of its own and of a peer with an older list, failures, slow mark, records kept for ever). Change: the key is the life (name and start; the name alone where no start is stated, as before). Records end with the list's life. The log's list of changes names lives too, so that a restart under a name shows there. Ruled out: clearing the counts when a new life comes: a request under way to the life before gives its place back later, and would take one from the next. Conclusion: late ends, misses and news concern the life they were about.

--- a/linnetwind/gateway_feeds.py
+++ b/linnetwind/gateway_feeds.py
@@ -195,7 +195,7 @@
 
 def _ready(upstreams: UpstreamList) -> set[str]:
     return {
-        each.instance
+        each.upstream.life
         for each in upstreams.records.values()
         if each.upstream is not None and not each.upstream.draining
     }
--- a/linnetwind/gateway_state.py
+++ b/linnetwind/gateway_state.py
@@ -6,6 +6,7 @@
 
 from linnetwind.address import Address
 from linnetwind.clock import Clock
+from linnetwind.lives import Life
 from linnetwind.peer_book import PeerBook, PeerState
 from linnetwind.refusal_book import Refusals
 from linnetwind.repeat_budget import BudgetTerms, SharedRepeats
@@ -41,8 +42,8 @@
         self._table: RouteTable | None = None
         self._upstreams = UpstreamList()
         self._book = PeerBook(own)
-        self._running: dict[str, int] = {}
-        self._records: dict[str, Record] = {}
+        self._running: dict[Life, int] = {}
+        self._records: dict[Life, Record] = {}
         self._repeats = SharedRepeats(terms, clock)
         self._room = StreamRoom(clock)
         self._forgotten_at = timedelta()
@@ -80,8 +81,8 @@
         return self._refusals
 
     @property
-    def running(self) -> dict[str, int]:
-        """Return a copy of this daemon's own counts by instance."""
+    def running(self) -> dict[Life, int]:
+        """Return a copy of this daemon's own counts by life."""
         with self._lock:
             return dict(self._running)
 
@@ -125,6 +126,11 @@
         with self._lock:
             before = self._upstreams
             self._upstreams = change(before)
+            # What was measured at a life ends with it. Without this a worker
+            # that crashes again and again would fill the memory.
+            living = self._upstreams.lives()
+            for life in self._records.keys() - living:
+                self._records.pop(life)
         self._room.wake()
         return before
 
@@ -166,7 +172,7 @@
         """
         counts = self._counts()
         usable = self._upstreams.usable(service, self._clock.elapsed())
-        return sum(counts.get(each.instance, 0) for each in usable)
+        return sum(counts.get(each.life, 0) for each in usable)
 
     def group_view(self, service: RoutedService, gap: timedelta) -> GroupView:
         """Return what is known of a rank group.
@@ -182,9 +188,9 @@
         usable = self._upstreams.usable(service.name, now)
         counts = self._counts()
         with self._lock:
-            own = [self._running.get(each.instance, 0) for each in usable]
+            own = [self._running.get(each.life, 0) for each in usable]
         count = GroupCount(
-            sum(counts.get(each.instance, 0) for each in usable),
+            sum(counts.get(each.life, 0) for each in usable),
             sum(own),
             len(usable),
         )
@@ -215,8 +221,8 @@
             else:
                 chosen = choose_rank(usable, counts, slow)
             if chosen is not None:
-                before = self._running.get(chosen.instance, 0)
-                self._running[chosen.instance] = before + 1
+                before = self._running.get(chosen.life, 0)
+                self._running[chosen.life] = before + 1
         self._on_change()
         return chosen
 
@@ -241,11 +247,11 @@
           upstream: What `take_upstream` returned.
         """
         with self._lock:
-            left = self._running.get(upstream.instance, 1) - 1
+            left = self._running.get(upstream.life, 1) - 1
             if left:
-                self._running[upstream.instance] = left
+                self._running[upstream.life] = left
             else:
-                self._running.pop(upstream.instance, None)
+                self._running.pop(upstream.life, None)
         self._on_change()
         self._room.note_end(upstream.service)
 
@@ -261,8 +267,8 @@
         """
         now = self._clock.elapsed()
         with self._lock:
-            record = self._records.get(upstream.instance, Record(now))
-            self._records[upstream.instance] = note_answer(
+            record = self._records.get(upstream.life, Record(now))
+            self._records[upstream.life] = note_answer(
                 record, now, took, failed=failed
             )
 
@@ -274,8 +280,8 @@
         """
         now = self._clock.elapsed()
         with self._lock:
-            record = self._records.get(upstream.instance, Record(now))
-            self._records[upstream.instance] = note_miss(record, now)
+            record = self._records.get(upstream.life, Record(now))
+            self._records[upstream.life] = note_miss(record, now)
 
     def _untried(
         self, service: RoutedService, tried: frozenset[str]
@@ -283,11 +289,11 @@
         usable = self._upstreams.usable(service.name, self._clock.elapsed())
         return [each for each in usable if each.instance not in tried]
 
-    def _counts(self) -> dict[str, int]:
+    def _counts(self) -> dict[Life, int]:
         counts = self._book.running(self._clock.elapsed())
         with self._lock:
-            for instance, count in self._running.items():
-                counts[instance] = counts.get(instance, 0) + count
+            for life, count in self._running.items():
+                counts[life] = counts.get(life, 0) + count
         return counts
 
 
--- /dev/null
+++ b/linnetwind/gateway_state_test.py
@@ -0,0 +1,113 @@
+"""Tests of what a gateway believes of an upstream that starts again."""
+
+from datetime import timedelta
+
+import pytest
+
+from linnetwind.address import Address
+from linnetwind.clock import SystemClock
+from linnetwind.gateway_state import GatewayState
+from linnetwind.peer_book import GroupBrief, PeerState
+from linnetwind.repeat_budget import BudgetTerms
+from linnetwind.routes import RoutedService
+from linnetwind.upstream_list import Registered
+from standins.gateway_fixtures import MS, SECOND, make_engine, make_upstream
+
+PLAIN = RoutedService('plain', '/health', 96, None)
+MODEL = RoutedService('model', '/health', 248, make_engine())
+
+
+@pytest.fixture(name='state')
+def _state():
+    terms = BudgetTerms(timedelta(seconds=10), 0.2, 88)
+    return GatewayState(SystemClock(), Address('127.0.0.1', 1), terms)
+
+
+def _register(state, offset, *entries):
+    records = [Registered(each.instance, offset, each) for each in entries]
+    state.change_upstreams(lambda known: known.take(records, offset + 1))
+
+
+def _start(state, born_ms, service='plain'):
+    """Register a life of upstream `a`, at an offset as its start."""
+    entry = make_upstream('a', service=service, born_ms=born_ms)
+    _register(state, born_ms, entry)
+    return entry
+
+
+def _peer(running, *groups):
+    return PeerState(
+        name='b',
+        start_id='one',
+        counter=1,
+        address=Address('127.0.0.1', 2),
+        config_version=1,
+        leaving=False,
+        can_plan=True,
+        running=running,
+        members=(),
+        groups=groups,
+    )
+
+
+def test_requests_at_the_life_before_take_no_place_of_the_next(state):
+    # Six streams run at a worker that crashes and starts again; their ends
+    # come in one by one. Counted for the next life they took all its slots.
+    _start(state, 5)
+    taken = [state.take_upstream(PLAIN, frozenset()) for _call in range(6)]
+    _start(state, 9)
+    assert state.group_running('plain') == 0
+    now = state.take_upstream(PLAIN, frozenset())
+    for each in taken:
+        state.give_back(each)
+    assert state.group_running('plain') == 1
+    state.give_back(now)
+    assert state.running == {}
+
+
+def test_a_peers_requests_at_the_life_before_are_not_counted(state):
+    # The peer holds an older list, and counts for the life that is over.
+    before = _start(state, 5)
+    state.hear(_peer({before.life: 4}))
+    assert state.group_running('plain') == 4
+    _start(state, 9)
+    assert state.group_running('plain') == 0
+
+
+def test_failures_of_the_life_before_do_not_bar_the_next(state):
+    # A worker could not be reached, and rests. Started again, it is new; the
+    # other worker of the service got all the calls.
+    before = _start(state, 5)
+    _register(state, 6, make_upstream('b', 81))
+    busy = next(
+        each
+        for each in state.upstreams.usable('plain', SECOND)
+        if each.instance == 'b'
+    )
+    state.note_miss(before)
+    state.note_answer(before, 900 * MS, failed=True)
+    state.note_answer(busy, 90 * MS, failed=False)
+    state.take_upstream(PLAIN, frozenset({'a'}))
+    after = _start(state, 9)
+    # Late news of the life before.
+    state.note_miss(before)
+    assert state.take_upstream(PLAIN, frozenset()) == after
+
+
+def test_a_slow_rank_that_starts_again_is_not_taken_for_slow(state):
+    before = _start(state, 5, 'model')
+    _register(state, 6, make_upstream('b', 81, 'model', slots=1))
+    brief = GroupBrief('model', 1, True, 2.0, 0, (before.life,))
+    state.hear(_peer({}, brief))
+    first = [state.take_upstream(MODEL, frozenset()) for _call in range(3)]
+    assert {each.instance for each in first} == {'b'}
+    after = _start(state, 9, 'model')
+    assert state.take_upstream(MODEL, frozenset()) == after
+
+
+def test_records_of_lives_that_are_over_are_dropped(state):
+    # A worker that crashes every few seconds must not fill the memory.
+    for born_ms in range(50):
+        state.note_miss(_start(state, born_ms))
+    _start(state, 50)
+    assert len(state._records) <= 1
--- a/linnetwind/peer_book.py
+++ b/linnetwind/peer_book.py
@@ -13,6 +13,7 @@
 from typing import Self
 
 from linnetwind.address import Address
+from linnetwind.lives import Life
 
 # A state goes out this often at least, and after a change at most this often.
 _SEND_INTERVAL_MS = 150
@@ -37,8 +38,8 @@
     """What the planner tells all of a rank group.
 
     `skew` is the slowest rank's expert load over the mean, `opens_in_ms` the
-    time until a broken group is expected to open. `slow` are the instances
-    whose rank runs slowly.
+    time until a broken group is expected to open. `slow` are the lives whose
+    rank runs slowly.
     """
 
     service: str
@@ -46,7 +47,7 @@
     is_open: bool
     skew: float
     opens_in_ms: int
-    slow: tuple[str, ...] = ()
+    slow: tuple[Life, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,7 +70,7 @@
 class PeerState:
     """The state that a daemon sends to the others.
 
-    `running` counts the requests that it has at each upstream instance;
+    `running` counts the requests that it has at each life of an upstream;
     `loads` tells of its streams; `members` are the addresses it knows of;
     `can_plan` says that it reaches all ranks. `refused` are the subjects
     whose callers were told to come back. `counter` grows with each message
@@ -83,7 +84,7 @@
     config_version: int
     leaving: bool
     can_plan: bool
-    running: dict[str, int]
+    running: dict[Life, int]
     members: tuple[Address, ...]
     groups: tuple[GroupBrief, ...]
     loads: tuple[StreamLoad, ...] = ()
@@ -157,19 +158,20 @@
             if now - each.at < silence
         ]
 
-    def running(self, now: timedelta) -> dict[str, int]:
+    def running(self, now: timedelta) -> dict[Life, int]:
         """Count the requests that live peers have at each upstream.
 
         Args:
           now: The monotonic time.
 
         Returns:
-          The counts by instance.
+          The counts by life. A peer with an older list counts for lives
+          that are over here; those have names of their own.
         """
-        counts: dict[str, int] = {}
+        counts: dict[Life, int] = {}
         for state in self.live(now):
-            for instance, count in state.running.items():
-                counts[instance] = counts.get(instance, 0) + count
+            for life, count in state.running.items():
+                counts[life] = counts.get(life, 0) + count
         return counts
 
     def forget(self, now: timedelta) -> Self:
--- a/linnetwind/stream_room.py
+++ b/linnetwind/stream_room.py
@@ -8,6 +8,7 @@
 from datetime import timedelta
 
 from linnetwind.clock import Clock
+from linnetwind.lives import Life
 from linnetwind.pass_meter import (
     USUAL_SKEW,
     PassMeter,
@@ -221,14 +222,14 @@
         with self._lock:
             return self._room(service).use
 
-    def slow(self, service: str) -> frozenset[str]:
-        """Return the instances whose ranks run slowly.
+    def slow(self, service: str) -> frozenset[Life]:
+        """Return the lives whose ranks run slowly.
 
         Args:
           service: The service's name.
 
         Returns:
-          The instances, as the planner has found them.
+          The lives, as the planner has found them.
         """
         now = self._clock.elapsed()
         with self._lock:
--- a/linnetwind/upstream_choice.py
+++ b/linnetwind/upstream_choice.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass, replace
 from datetime import timedelta
 
+from linnetwind.lives import Life
 from linnetwind.upstream_list import Upstream
 
 # The weight of the newest answer in the averages of latency and failures.
@@ -96,8 +97,8 @@
 
 def choose_rank(
     upstreams: Collection[Upstream],
-    running: Mapping[str, int],
-    slow: frozenset[str],
+    running: Mapping[Life, int],
+    slow: frozenset[Life],
 ) -> Upstream | None:
     """Return a rank that should have a free slot.
 
@@ -110,8 +111,8 @@
 
     Args:
       upstreams: The ranks that may be given work.
-      running: The streams at each instance, from all daemons.
-      slow: Instances that run slowly; each stream there would hold up the
+      running: The streams at each life, from all daemons.
+      slow: Lives that run slowly; each stream there would hold up the
         passes of all, so they get none while there are others.
 
     Returns:
@@ -120,32 +121,32 @@
     """
     if not upstreams:
         return None
-    quick = [each for each in upstreams if each.instance not in slow]
+    quick = [each for each in upstreams if each.life not in slow]
     upstreams = quick or upstreams
     ranks = list(upstreams)
     weights = [_chance(each, running) for each in ranks]
     if any(weights):
         return random.choices(ranks, weights)[0]
-    return min(ranks, key=lambda each: running.get(each.instance, 0))
+    return min(ranks, key=lambda each: running.get(each.life, 0))
 
 
-def _chance(upstream: Upstream, running: Mapping[str, int]) -> int:
-    free = upstream.slots - running.get(upstream.instance, 0)
+def _chance(upstream: Upstream, running: Mapping[Life, int]) -> int:
+    free = upstream.slots - running.get(upstream.life, 0)
     return max(0, free) ** FREE_SLOTS_POWER
 
 
 def choose_plain(
     upstreams: Collection[Upstream],
-    running: Mapping[str, int],
-    records: Mapping[str, Record],
+    running: Mapping[Life, int],
+    records: Mapping[Life, Record],
     now: timedelta,
 ) -> Upstream | None:
     """Return the plain upstream that should answer soonest.
 
     Args:
       upstreams: Those that may be given work.
-      running: The requests at each instance, from all daemons.
-      records: What requests did at each instance lately.
+      running: The requests at each life, from all daemons.
+      records: What requests did at each life lately.
       now: The monotonic time.
 
     Returns:
@@ -165,27 +166,27 @@
     return min(
         awake,
         key=lambda each: (
-            _cost(each, running, records.get(each.instance), usual, now),
+            _cost(each, running, records.get(each.life), usual, now),
             random.random(),
         ),
     )
 
 
 def _rests(
-    upstream: Upstream, records: Mapping[str, Record], now: timedelta
+    upstream: Upstream, records: Mapping[Life, Record], now: timedelta
 ) -> bool:
-    record = records.get(upstream.instance)
+    record = records.get(upstream.life)
     return record is not None and now < record.rests_until
 
 
 def _cost(
     upstream: Upstream,
-    running: Mapping[str, int],
+    running: Mapping[Life, int],
     record: Record | None,
     usual: float,
     now: timedelta,
 ) -> float:
-    load = (running.get(upstream.instance, 0) + 1) / max(1, upstream.slots)
+    load = (running.get(upstream.life, 0) + 1) / max(1, upstream.slots)
     if record is None or now - record.at > RECORD_AGE:
         return load * usual
     latency = usual if record.latency is None else record.latency
--- a/linnetwind/upstream_list.py
+++ b/linnetwind/upstream_list.py
@@ -173,6 +173,12 @@
             if each is not None and each.service == service
         ]
 
+    def lives(self) -> set[Life]:
+        """Return the lives of all upstreams that are registered or lapsed."""
+        registered = [each.upstream for each in self.records.values()]
+        lapsed = [upstream for _until, upstream in self.lapsed.values()]
+        return {each.life for each in (*registered, *lapsed) if each}
+
     def upstream(self, instance: str) -> Upstream:
         """Return a registered upstream.
 
