Keep the planner's beliefs about ranks by their lives

Cause: links, the map in use, the wish and the base of the counts were kept by the name or the rank's number. A rank that started again under its name at another address was asked at the old one for ever; the map of the life before stood for what the next one holds while epoch and version looked alike; and its counts, back at 0, gave a difference of -990 that hid 500 choices of another rank (ranks are added up first). Change: group_looks sorts what ranks said by rank and life, and leaves out counts or experts of another life than the report's; links lead to a life at an address; a new life ends wish, map and skew; counts go on only within one life, epoch and growing passes (for starts that are not stated or equal). Ruled out: comparing all counts for a step back (72 ranks x 1,728 numbers); the pass number says the same. A start that only one of two answers states does not part them, so that no deployment loses its counts by it. Conclusion: a group that lost a rank is planned from what its ranks now say.

--- a/linnetwind/expert_demand.py
+++ b/linnetwind/expert_demand.py
@@ -32,8 +32,8 @@
           now: The monotonic time.
 
         Returns:
-          The demand. A rank that is seen for the first time, or has formed
-          anew since, adds nothing yet.
+          The demand. A rank that is seen for the first time, has formed or
+          started anew since, adds nothing yet.
         """
         decay = 0.5 ** ((now - self.at) / HALF_LIFE)
         size = max((len(each.counts) for each in counts.values()), default=0)
@@ -76,6 +76,12 @@
     """Return whether counts go on where older ones of the rank ended."""
     if before is None or before.epoch != new.epoch:
         return False
+    # A rank that started again counts from nothing. Taken from what it had
+    # before, it would hide what the other ranks have counted. Its last pass
+    # shows it where the start is not stated or falls into the same
+    # millisecond.
+    if before.born_ms != new.born_ms or new.step < before.step:
+        return False
     return len(new.counts) == len(before.counts) == size
 
 
--- a/linnetwind/expert_demand_test.py
+++ b/linnetwind/expert_demand_test.py
@@ -37,3 +37,30 @@
     demand = ExpertDemand().take(_counts(0, 0, 0, 0), SECOND)
     demand = demand.take(_counts(1, 2, 3, 4), SECOND)
     assert demand.by_layer(2) == ((1, 2), (3, 4))
+
+
+def _two(first, second, step, born_ms):
+    return {
+        0: RankCounts(1, step, (first, 0), 1),
+        1: RankCounts(1, step, (second, 0), born_ms),
+    }
+
+
+def test_counts_of_a_rank_that_started_again_begin_anew():
+    # One rank of the group starts again in the same epoch and counts from 0.
+    # Its difference, -990, hid the 500 choices that the other one counted.
+    demand = ExpertDemand().take(_two(100, 1000, 5, born_ms=1), SECOND)
+    demand = demand.take(_two(600, 10, 6, born_ms=2), SECOND)
+    assert demand.recent == (500, 0)
+
+
+@pytest.mark.parametrize('born_ms', [None, 1])
+def test_counts_that_went_back_begin_anew(born_ms):
+    # No start is stated, or two lives share a millisecond: the pass that the
+    # rank counted last went back.
+    demand = ExpertDemand().take(_two(100, 1000, 5, born_ms), SECOND)
+    demand = demand.take(
+        {**_two(600, 10, 6, born_ms), 1: RankCounts(1, 0, (10, 0), born_ms)},
+        SECOND,
+    )
+    assert demand.recent == (500, 0)
--- /dev/null
+++ b/linnetwind/group_looks.py
@@ -0,0 +1,97 @@
+"""What the ranks of a group have said, kept apart by their lives.
+
+A rank that starts again under its name holds nothing of before and counts
+anew. Whatever was said by, or ordered for, the life before is not taken for
+news of the next.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
+
+from linnetwind.lives import Life, name_life
+from linnetwind.rank_messages import Seen
+from linnetwind.rank_types import RankMaps, RankReport
+from linnetwind.upstream_list import Upstream
+
+
+@dataclass(frozen=True, slots=True)
+class SeenRank:
+    """What one rank has said.
+
+    `upstream` is the entry by which it was reached; `life` is the one that
+    answered, which a list that is behind does not know yet.
+    """
+
+    upstream: Upstream
+    life: Life
+    report: RankReport
+    seen: Seen
+
+
+def sort_by_rank(answers: Mapping[Upstream, Seen]) -> dict[int, SeenRank]:
+    """Return what each rank has said.
+
+    After a restart two entries may lead to one rank: that of the life that
+    answers counts before that of the life before.
+
+    Args:
+      answers: The answer of each upstream that was asked.
+
+    Returns:
+      The ranks that have answered.
+    """
+    found = [
+        _seen_rank(upstream, seen)
+        for upstream, seen in answers.items()
+        if seen.report is not None
+    ]
+    found.sort(key=_is_of_its_entry)
+    return {each.report.rank: each for each in found}
+
+
+def held_maps(
+    ranks: Mapping[int, SeenRank], epoch: int, version: int
+) -> RankMaps | None:
+    """Return the map in use, as the ranks say what they hold.
+
+    Args:
+      ranks: What each rank has said.
+      epoch: The epoch in which the map is in use.
+      version: The map's version.
+
+    Returns:
+      The map, or None unless every rank has said what it holds of it.
+    """
+    by_rank = []
+    for _rank, each in sorted(ranks.items()):
+        held = each.seen.experts
+        if held is None or (held.epoch, held.version) != (epoch, version):
+            return None
+        by_rank.append(held.experts)
+    return tuple(zip(*by_rank, strict=True))
+
+
+def _seen_rank(upstream: Upstream, seen: Seen) -> SeenRank:
+    """Leave out what another life than that of the report has said.
+
+    The report, counts and experts of one answer come by calls of their own,
+    between which the rank may start again.
+    """
+    born_ms = seen.report.born_ms
+    if born_ms is None:
+        return SeenRank(upstream, upstream.life, seen.report, seen)
+    counts, experts = seen.counts, seen.experts
+    if counts is not None and counts.born_ms not in {born_ms, None}:
+        counts = None
+    if experts is not None and experts.born_ms not in {born_ms, None}:
+        experts = None
+    return SeenRank(
+        upstream,
+        name_life(upstream.instance, born_ms),
+        seen.report,
+        replace(seen, counts=counts, experts=experts),
+    )
+
+
+def _is_of_its_entry(rank: SeenRank) -> bool:
+    return rank.life == rank.upstream.life
--- a/linnetwind/map_planner.py
+++ b/linnetwind/map_planner.py
@@ -18,12 +18,14 @@
     OrderFailed,
 )
 from linnetwind.gateway_state import GatewayState
+from linnetwind.group_looks import SeenRank, held_maps, sort_by_rank
+from linnetwind.lives import Life
 from linnetwind.map_wish import even_demand, plan_map
 from linnetwind.pass_meter import USUAL_SKEW
 from linnetwind.peer_book import GroupBrief
 from linnetwind.peer_mesh import PeerMesh
 from linnetwind.rank_link import GroupLinks, RankLink
-from linnetwind.rank_messages import Look, Seen
+from linnetwind.rank_messages import Look
 from linnetwind.rank_types import OrderResult, RankMaps, RankReport
 from linnetwind.rollout import (
     LEAD_PASSES,
@@ -72,7 +74,8 @@
 
     links: GroupLinks
     whole_at: timedelta
-    instances: dict[int, str] = field(default_factory=dict)
+    ranks: dict[int, SeenRank] = field(default_factory=dict)
+    lives: dict[int, Life] = field(default_factory=dict)
     demand: ExpertDemand = field(default_factory=ExpertDemand)
     wish: MapWish | None = None
     reports: _Reports = field(default_factory=dict)
@@ -146,7 +149,7 @@
     def _plan_service(self, service: RoutedService) -> GroupBrief:
         group = self._groups.get(service.name)
         if group is None:
-            links = GroupLinks(self._link)
+            links = GroupLinks(self._open_link)
             group = _Group(links, self._clock.elapsed())
             self._groups[service.name] = group
         reports = self._look(
@@ -162,43 +165,29 @@
     def _counts_due(self, group: _Group) -> bool:
         """Return whether the counts are to be read, and note when."""
         now = self._clock.elapsed()
-        rest = timedelta(milliseconds=_LOOK_PER_RANK_MS * len(group.instances))
+        rest = timedelta(milliseconds=_LOOK_PER_RANK_MS * len(group.ranks))
         if now - group.counted_at < max(rest, LOOK_INTERVAL) - _COPY_LOOK:
             return False
         group.counted_at = now
         return True
 
-    def _link(self, instance: str) -> RankLink:
-        return self._open_link(self._state.upstreams.upstream(instance))
-
     def _look(
         self, service: RoutedService, group: _Group, *, with_counts: bool
     ) -> _Reports:
         registered = self._state.upstreams.registered(service.name)
         wanted = Look(with_counts, with_experts=with_counts and not group.maps)
-        answers = group.links.look(
-            [each.instance for each in registered], wanted
-        )
-        seen = {
-            each.report.rank: each
-            for each in answers.values()
-            if each.report is not None
-        }
-        group.instances = {
-            each.report.rank: instance
-            for instance, each in answers.items()
-            if each.report is not None
-        }
-        reports = {rank: each.report for rank, each in seen.items()}
+        group.ranks = sort_by_rank(group.links.look(registered, wanted))
+        reports = {rank: each.report for rank, each in group.ranks.items()}
         group.reports = reports
+        _note_lives(group)
         if is_whole(reports):
             group.whole_at = self._clock.elapsed()
-            _take_maps(group, reports, seen)
+            _take_maps(group, reports)
         if with_counts:
             counts = {
-                rank: each.counts
-                for rank, each in seen.items()
-                if each.counts is not None
+                rank: each.seen.counts
+                for rank, each in group.ranks.items()
+                if each.seen.counts is not None
             }
             group.demand = group.demand.take(counts, self._clock.elapsed())
         return reports
@@ -245,12 +234,13 @@
         takes from a report stays true, and orders are bound to it.
         """
         orders = {
-            group.instances[each.rank]: each.order for each in decided.commands
+            group.ranks[each.rank].upstream: each.order
+            for each in decided.commands
         }
         results = group.links.command(orders)
         newer = {}
         for command in decided.commands:
-            obeyed = results[group.instances[command.rank]]
+            obeyed = results[group.ranks[command.rank].upstream]
             if obeyed.result is OrderResult.NO_ANSWER:
                 group.unanswered_at = self._clock.elapsed()
             if obeyed.result in {OrderResult.REFUSED, OrderResult.NO_ANSWER}:
@@ -329,9 +319,7 @@
             return
         if group.was is not None and group.was[0] != epoch:
             # The group formed anew, with map 0 and nothing prepared.
-            group.wish = None
-            group.maps = None
-            group.skew = USUAL_SKEW
+            _forget_maps(group)
         group.was = now
         self._log.event(GroupChanged(service.name, *now, len(reports)))
 
@@ -347,14 +335,33 @@
     opens_in = 0 if is_open else int(service.engine.form_ms) + _RANK_BACK_MS
     epoch = max((each.epoch for each in reports.values()), default=0)
     slow = tuple(
-        group.instances[rank]
+        group.ranks[rank].life
         for rank, each in reports.items()
         if each.pace > SLOW_PACE
     )
     return GroupBrief(service.name, epoch, is_open, group.skew, opens_in, slow)
 
 
-def _take_maps(group: _Group, reports: _Reports, seen: dict[int, Seen]) -> None:
+def _note_lives(group: _Group) -> None:
+    """Forget the maps of a group of which a rank has started again.
+
+    It holds nothing of before, and what is planned from the map of its life
+    before would name copies that are gone. The epoch ends with that life too,
+    but the rank may report before the group has formed anew.
+    """
+    lives = {rank: each.life for rank, each in group.ranks.items()}
+    if any(group.lives.get(rank, life) != life for rank, life in lives.items()):
+        _forget_maps(group)
+    group.lives.update(lives)
+
+
+def _forget_maps(group: _Group) -> None:
+    group.wish = None
+    group.maps = None
+    group.skew = USUAL_SKEW
+
+
+def _take_maps(group: _Group, reports: _Reports) -> None:
     """Learn which map is in use: from the wish, or from the ranks."""
     versions = {each.map_version for each in reports.values()}
     if len(versions) > 1:
@@ -365,17 +372,5 @@
     if group.wish is not None and group.wish.version == in_use[1]:
         group.maps = group.wish.maps
     else:
-        group.maps = _held_maps(seen, in_use)
+        group.maps = held_maps(group.ranks, *in_use)
     group.maps_of = in_use
-
-
-def _held_maps(
-    seen: dict[int, Seen], in_use: tuple[int, int]
-) -> RankMaps | None:
-    by_rank = []
-    for _rank, each in sorted(seen.items()):
-        held = each.experts
-        if held is None or (held.epoch, held.version) != in_use:
-            return None
-        by_rank.append(held.experts)
-    return tuple(zip(*by_rank, strict=True))
--- /dev/null
+++ b/linnetwind/map_planner_test.py
@@ -0,0 +1,246 @@
+"""Tests of the planner's beliefs about ranks that start again."""
+
+from collections import Counter
+from dataclasses import dataclass, field, replace
+from datetime import timedelta
+
+import pytest
+
+from linnetwind.address import Address
+from linnetwind.clock import SystemClock
+from linnetwind.gateway_state import GatewayState
+from linnetwind.map_planner import MapPlanner
+from linnetwind.rank_messages import Obeyed, Seen
+from linnetwind.rank_types import (
+    OrderResult,
+    PrepareMap,
+    RankCounts,
+    RankExperts,
+    RankReport,
+)
+from linnetwind.repeat_budget import BudgetTerms
+from linnetwind.routes import RouteTable, RoutedService
+from linnetwind.upstream_list import Registered
+from standins.gateway_fixtures import make_engine, make_table, make_upstream
+from standins.gateway_harness import ListLog
+
+ENGINE = make_engine(layers=1, experts=4, slots_per_rank=3)
+MODEL = RoutedService('model', '/health', 248, ENGINE)
+REPORT = RankReport(
+    group='g',
+    rank=0,
+    size=2,
+    epoch=1,
+    is_open=True,
+    step=5,
+    sequence=1,
+    is_copying=False,
+    map_version=0,
+    prepared=None,
+    armed=None,
+    armed_step=None,
+    held=None,
+    pace=1.0,
+    running=0,
+    waiting=0,
+    born_ms=1,
+)
+
+
+class Mesh:
+    """Leads always, and keeps what it is told."""
+
+    def __init__(self):
+        self.briefs = ()
+
+    def leads(self):
+        return True
+
+    def publish(self, briefs, *, can_plan):
+        self.briefs = briefs
+
+
+@dataclass
+class Rank:
+    """A rank and the orders that it got."""
+
+    report: RankReport
+    counts: RankCounts
+    experts: RankExperts
+    orders: list = field(default_factory=list)
+    looks: Counter = field(default_factory=Counter)
+
+
+class Link:
+    """A planner's link to the rank at an address."""
+
+    def __init__(self, ranks, address):
+        self._ranks = ranks
+        self._address = address
+        self.closed = False
+
+    def look(self, wanted):
+        rank = self._ranks.get(self._address.port)
+        if rank is None:
+            return Seen(None)
+        rank.looks['experts'] += wanted.with_experts
+        experts = rank.experts if wanted.with_experts else None
+        counts = rank.counts if wanted.with_counts else None
+        return Seen(rank.report, counts, experts)
+
+    def command(self, order):
+        rank = self._ranks[self._address.port]
+        rank.orders.append(order)
+        return Obeyed(OrderResult.REFUSED, rank.report)
+
+    def close(self):
+        self.closed = True
+
+
+class Bed:
+    """A planner over two ranks at ports 81 and 82."""
+
+    def __init__(self):
+        terms = BudgetTerms(timedelta(seconds=10), 0.2, 88)
+        clock = SystemClock()
+        self.state = GatewayState(clock, Address('127.0.0.1', 1), terms)
+        self.mesh = Mesh()
+        self.ranks = {}
+        self.links = []
+        self.offset = 0
+        self.planner = MapPlanner(
+            self.state, self.mesh, self._open, clock, ListLog()
+        )
+        self.state.apply_table(_table())
+        for rank in range(2):
+            self.start(rank, 81 + rank, born_ms=1)
+
+    def _open(self, upstream):
+        link = Link(self.ranks, upstream.address)
+        self.links.append((upstream, link))
+        return link
+
+    def start(self, rank, port, born_ms, step=5, **changes):
+        """Start a life of a rank, which registers."""
+        held = ((0, 1), (2, 3))[rank]
+        report = replace(REPORT, rank=rank, born_ms=born_ms, **changes)
+        epoch = report.epoch
+        self.ranks[port] = Rank(
+            report,
+            RankCounts(epoch, step, (0, 0, 0, 0), born_ms),
+            RankExperts(epoch, report.map_version, (held,), born_ms),
+        )
+        entry = make_upstream(f'r{rank}', port, 'model', born_ms=born_ms)
+        self.register(entry)
+
+    def register(self, entry):
+        """Take an entry into the list."""
+        record = Registered(entry.instance, self.offset, entry)
+        self.offset += 1
+        self.state.change_upstreams(
+            lambda known: known.take([record], self.offset)
+        )
+
+    def count(self, port, step, *counts):
+        """Have a rank count."""
+        rank = self.ranks[port]
+        rank.counts = replace(rank.counts, step=step, counts=counts)
+
+    def look(self):
+        """Look once, with counts."""
+        for group in self.planner._groups.values():
+            group.counted_at = timedelta()
+        self.planner.run_once()
+        return self.planner._groups['model']
+
+
+def _table():
+    table = make_table()
+    return RouteTable(table.version, {}, {'model': MODEL}, table.limits, {}, {})
+
+
+@pytest.fixture(name='bed')
+def _bed():
+    return Bed()
+
+
+def test_a_rank_that_starts_again_elsewhere_is_reached_there(bed):
+    # A worker crashes and starts again under its name, at another address.
+    # The planner went on asking at the old one: it saw a rank less, and no
+    # map came any more.
+    bed.look()
+    bed.ranks.pop(82)
+    bed.start(1, 92, born_ms=2, epoch=2)
+    bed.ranks[81].report = replace(bed.ranks[81].report, epoch=2)
+    group = bed.look()
+    assert sorted(group.reports) == [0, 1]
+    assert [link.closed for _to, link in bed.links] == [False, True, False]
+
+
+def test_a_map_held_by_the_life_before_is_not_taken_for_the_next(bed):
+    # The rank starts again, and for a moment epoch and version look as before.
+    # A plan made from what the life before held names copies that are gone.
+    bed.look()
+    group = bed.look()
+    assert group.maps == (((0, 1), (2, 3)),)
+    bed.start(1, 82, born_ms=2, epoch=1)
+    bed.ranks[82].experts = replace(bed.ranks[82].experts, experts=((3,),))
+    bed.look()
+    group = bed.look()
+    assert group.maps == (((0, 1), (3,)),)
+
+
+def test_a_wish_made_before_a_rank_started_again_is_dropped(bed):
+    bed.look()
+    bed.count(81, 5, 0, 0, 0, 0)
+    bed.count(81, 6, 9_000, 0, 0, 0)
+    bed.count(82, 6, 0, 0, 0, 0)
+    group = bed.look()
+    assert group.wish is not None
+    assert any(isinstance(each, PrepareMap) for each in bed.ranks[81].orders)
+    wished = group.wish.version
+    bed.start(1, 82, born_ms=2, step=6)
+    group = bed.look()
+    assert group.wish is None or group.wish.version != wished
+
+
+def test_counts_of_the_life_before_are_no_base_of_the_next(bed):
+    # The counts of a rank that starts again go back to nothing. Taken
+    # together with those of the other ranks, they hid what these counted.
+    bed.count(82, 5, 5_000, 0, 0, 0)
+    bed.look()
+    bed.start(1, 82, born_ms=2, step=7)
+    bed.count(81, 7, 900, 0, 0, 0)
+    group = bed.look()
+    assert group.demand.recent[0] == pytest.approx(900)
+
+
+def test_counts_and_report_of_two_lives_are_not_mixed(bed):
+    # The agent reads counts, then the rank starts again, then it reads the
+    # report.
+    bed.look()
+    bed.ranks[82].report = replace(bed.ranks[82].report, born_ms=2)
+    bed.count(81, 6, 1_000, 0, 0, 0)
+    bed.count(82, 6, 7_000, 0, 0, 0)
+    group = bed.look()
+    assert group.demand.recent[0] == pytest.approx(1_000)
+
+
+def test_the_peers_are_told_which_life_is_slow(bed):
+    # The list here is behind, and names the life before; the rank that
+    # reports is the next one.
+    report = replace(bed.ranks[82].report, pace=3.0, born_ms=2)
+    bed.ranks[82].report = report
+    bed.look()
+    assert bed.mesh.briefs[0].slow == ('r1#2',)
+
+
+def test_the_entry_of_the_life_that_answers_is_taken(bed):
+    # The worker has started again under another name, and the entry of the
+    # dead one stays for three heartbeats; both lead to one process.
+    bed.register(make_upstream('z1', 82, 'model', born_ms=9))
+    group = bed.look()
+    assert group.ranks[1].upstream.instance == 'r1'
+    bed.ranks[82].report = replace(bed.ranks[82].report, born_ms=9)
+    group = bed.look()
+    assert group.ranks[1].upstream.instance == 'z1'
--- a/linnetwind/rank_link.py
+++ b/linnetwind/rank_link.py
@@ -8,6 +8,7 @@
 import socket
 from collections.abc import Callable, Iterable, Mapping
 from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
 from datetime import timedelta
 
 from result import Ok
@@ -15,6 +16,7 @@
 from linnetwind.address import Address
 from linnetwind.clock import Clock
 from linnetwind.frames import receive_frame, send_frame
+from linnetwind.lives import Life
 from linnetwind.rank_messages import (
     RANK_CODEC,
     Look,
@@ -32,6 +34,7 @@
     RankPort,
     ReleasePass,
 )
+from linnetwind.upstream_list import Upstream
 
 # The agent asks its engine on the same host; both answer in milliseconds. An
 # engine that leaves an order unanswered shows after the shorter time.
@@ -118,31 +121,46 @@
         return _read_answer(receive_frame(self._sock))
 
 
+@dataclass(frozen=True, slots=True)
+class _Target:
+    """Whom a link leads to.
+
+    A worker that starts again under its name may do so elsewhere; a link that
+    was kept under the name alone asked at the old address for ever.
+    """
+
+    life: Life
+    address: Address
+
+
 class GroupLinks:
     """The links to all upstreams of one group."""
 
-    def __init__(self, open_link: Callable[[str], RankLink]) -> None:
+    def __init__(self, open_link: Callable[[Upstream], RankLink]) -> None:
         """Start without links.
 
         Args:
-          open_link: Returns a link to an instance.
+          open_link: Returns a link to an upstream.
         """
         self._open_link = open_link
-        self._links: dict[str, RankLink] = {}
+        self._links: dict[_Target, RankLink] = {}
         self._pool = ThreadPoolExecutor(_THREADS, 'rank')
 
-    def look(self, instances: Iterable[str], wanted: Look) -> dict[str, Seen]:
-        """Ask all instances at once.
+    def look(
+        self, upstreams: Iterable[Upstream], wanted: Look
+    ) -> dict[Upstream, Seen]:
+        """Ask all upstreams at once.
 
         Args:
-          instances: The instances to ask.
+          upstreams: The upstreams to ask.
           wanted: What is wanted of each.
 
         Returns:
           What each of them said.
         """
-        asked = list(instances)
-        for gone in set(self._links) - set(asked):
+        asked = list(upstreams)
+        targets = {_target(each) for each in asked}
+        for gone in self._links.keys() - targets:
             self._links.pop(gone).close()
         jobs = {
             each: self._pool.submit(self._link(each).look, wanted)
@@ -150,11 +168,13 @@
         }
         return {each: job.result() for each, job in jobs.items()}
 
-    def command(self, orders: Mapping[str, RankOrder]) -> dict[str, Obeyed]:
-        """Give orders to several instances at once.
+    def command(
+        self, orders: Mapping[Upstream, RankOrder]
+    ) -> dict[Upstream, Obeyed]:
+        """Give orders to several upstreams at once.
 
         Args:
-          orders: The order for each instance.
+          orders: The order for each upstream.
 
         Returns:
           What became of each.
@@ -165,14 +185,19 @@
         }
         return {each: job.result() for each, job in jobs.items()}
 
-    def _link(self, instance: str) -> RankLink:
-        link = self._links.get(instance)
+    def _link(self, upstream: Upstream) -> RankLink:
+        target = _target(upstream)
+        link = self._links.get(target)
         if link is None:
-            link = self._open_link(instance)
-            self._links[instance] = link
+            link = self._open_link(upstream)
+            self._links[target] = link
         return link
 
 
+def _target(upstream: Upstream) -> _Target:
+    return _Target(upstream.life, upstream.address)
+
+
 def _read_answer(frame: bytes) -> Seen | Obeyed:
     match RANK_CODEC.decode(frame):
         case Ok(PackedSeen() as packed):
--- a/linnetwind/rank_messages.py
+++ b/linnetwind/rank_messages.py
@@ -47,6 +47,7 @@
     epoch: int
     step: int
     counts: bytes
+    born_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,7 +107,10 @@
     packed = None
     if counts is not None:
         packed = PackedCounts(
-            counts.epoch, counts.step, pack_counts(counts.counts)
+            counts.epoch,
+            counts.step,
+            pack_counts(counts.counts),
+            counts.born_ms,
         )
     return PackedSeen(seen.report, packed, seen.experts)
 
@@ -127,7 +131,10 @@
     counts = None
     if packed is not None:
         counts = RankCounts(
-            packed.epoch, packed.step, unpack_counts(packed.counts)
+            packed.epoch,
+            packed.step,
+            unpack_counts(packed.counts),
+            packed.born_ms,
         )
     return Seen(message.report, counts, message.experts)
 
--- a/linnetwind/upstream_list.py
+++ b/linnetwind/upstream_list.py
@@ -179,20 +179,6 @@
         lapsed = [upstream for _until, upstream in self.lapsed.values()]
         return {each.life for each in (*registered, *lapsed) if each}
 
-    def upstream(self, instance: str) -> Upstream:
-        """Return a registered upstream.
-
-        Args:
-          instance: Its instance, from `registered`.
-
-        Returns:
-          The upstream.
-        """
-        record = self.records.get(instance)
-        if record is not None and record.upstream is not None:
-            return record.upstream
-        return self.lapsed[instance][1]
-
     def take(self, records: Iterable[Registered], end: int) -> Self:
         """Return the list after newer records.
 
