Walks and explorer of the map switch: a rank that starts again under its name

What is new: the model of a group knows single ranks that start again (they hold nothing, count orders from 0, and name the old epoch until the group has formed anew); random walks with them; and a script that restarts each rank at each of 90 points of two rollouts, with orders of before carried out again while the group is broken, after, and with all that follows (1,620 scripts). The product's rollout needed no change; the cases are kept as tests. Ruled out: a start bound into orders (the engine takes none). Conclusion: what protects the next life is the epoch, and the count within it.

--- a/linnetwind/rollout.py
+++ b/linnetwind/rollout.py
@@ -13,7 +13,10 @@
   prepared and not armed. That rank can never be armed with the older version
   again, so nobody can have seen, or will see, all ranks armed with it.
 - Orders are bound to the group's epoch and, where they could do harm late,
-  to the number of orders that the rank has begun.
+  to the number of orders that the rank has begun. A rank that starts again
+  under its name counts these from 0 and names the old epoch until the group
+  has formed anew, which clears what late orders did until then; after that
+  the epoch refuses them.
 
 No planner keeps state that matters: each round is decided from the ranks'
 reports and a wish, and any planner can finish what another one began.
--- a/linnetwind/rollout_test.py
+++ b/linnetwind/rollout_test.py
@@ -6,7 +6,13 @@
 import pytest
 
 from linnetwind import rollout
-from linnetwind.rank_types import ArmMap, DisarmMap, HoldPass, ReleasePass
+from linnetwind.rank_types import (
+    ArmMap,
+    DisarmMap,
+    HoldPass,
+    PrepareMap,
+    ReleasePass,
+)
 from linnetwind.rollout import (
     LEAD_PASSES,
     LONG_LEAD_PASSES,
@@ -16,6 +22,7 @@
     next_round,
 )
 from standins.rank_orders import GroupModel, Walk
+from standins.rank_restarts import Restart, RestartScript
 
 SEEDS = range(40)
 STEPS = 1500
@@ -192,3 +199,115 @@
     seeds = range(20)
     assert sum(_blocked_passes(seed, LEAD_PASSES) for seed in seeds) >= 20
     assert sum(_blocked_passes(seed, LONG_LEAD_PASSES) for seed in seeds) == 0
+
+
+@pytest.mark.parametrize('planners', [1, 2, 3])
+def test_no_pass_mixes_two_maps_while_ranks_start_again(planners):
+    # Single ranks start again under their names, at any time: they hold
+    # nothing, count their orders from 0, and still name the old epoch until
+    # the group has formed anew. Orders for the life before come late.
+    for seed in SEEDS:
+        walk = Walk(seed, 4, planners, next_round, partly=True, alone=True)
+        walk.run(STEPS)
+        assert walk.group.mixed == [], seed
+        before = walk.group.step
+        walk.settle()
+        assert walk.group.mixed == [], seed
+        assert walk.group.step > before + 50, seed
+
+
+RANKS = 3
+FIRST, SECOND, THIRD = (
+    MapWish(version, (name,))
+    for version, name in ((1000, 'a'), (2000, 'b'), (2500, 'c'))
+)
+LATE = (None, PrepareMap, ArmMap, DisarmMap, HoldPass, ReleasePass)
+# Orders, copies and passes until the second map is in use.
+POINTS = range(90)
+RESTARTS = [
+    Restart(point, rank, late)
+    for point in POINTS
+    for rank in range(RANKS)
+    for late in LATE
+]
+
+
+def _explore(restart, wishes, **binds):
+    group = GroupModel(RANKS, **binds)
+    script = RestartScript(group, restart, next_round)
+    script.run(wishes, 60)
+    return script
+
+
+def _spoils(script, last):
+    """Return whether a pass mixed maps, or the last map never came."""
+    return bool(script.group.mixed) or last.version not in script.used
+
+
+@pytest.mark.parametrize('late', LATE)
+def test_a_rank_that_starts_again_at_any_point_spoils_no_rollout(late):
+    # At each order, end of a copy and pass of two rollouts one rank starts
+    # again, and all orders given before come once more. No pass mixes maps,
+    # the group goes on, and takes up the map that is wanted then.
+    cases = [each for each in RESTARTS if each.late == late]
+    for restart in cases:
+        script = _explore(restart, [FIRST, SECOND, THIRD])
+        assert script.happened > POINTS[-1]
+        assert not _spoils(script, THIRD), restart
+
+
+@pytest.mark.parametrize(
+    'seed, planners, unbound',
+    [
+        (48, 1, {'binds_epoch': False}),
+        (125, 2, {'binds_sequence': False}),
+        (8, 3, {'binds_sequence': False}),
+        (140, 2, {'binds_epoch': False, 'binds_sequence': False}),
+    ],
+)
+def test_orders_for_the_life_before_do_harm_unless_bound(
+    seed, planners, unbound
+):
+    # The engine takes orders of another epoch, or for another number of
+    # orders begun. One for the life before of a rank is carried out by the
+    # next, and a pass mixes two maps.
+    for binds, is_mixed in (({}, False), (unbound, True)):
+        walk = Walk(
+            seed,
+            4,
+            planners,
+            next_round,
+            partly=True,
+            group=GroupModel(4, **binds),
+            alone=True,
+        )
+        walk.run(STEPS)
+        assert bool(walk.group.mixed) == is_mixed
+
+
+def test_a_late_hold_for_the_life_before_stops_the_group_unless_bound():
+    # The rank that is held starts again, and its hold comes once more. Orders
+    # that it has begun are counted from 0 again, so that only the epoch tells
+    # the lives apart there; without both the group is held again and again.
+    first = [each for each in RESTARTS if each.late is HoldPass]
+    unbound = {'binds_epoch': False, 'binds_sequence': False}
+    wishes = [FIRST, SECOND, THIRD]
+    spoilt = [
+        each
+        for each in first
+        if _spoils(_explore(each, wishes, **unbound), THIRD)
+    ]
+    assert spoilt
+
+
+def test_a_version_drawn_again_for_another_map_does_harm_unless_bound():
+    # After a restart the ranks name no version any more, so that a planner
+    # may draw one that it had before. Orders for the old contents then pass
+    # for the new ones; the epoch alone refuses them.
+    again = replace(FIRST, maps=('z',))
+    wishes = [FIRST, again, THIRD]
+    cases = [each for each in RESTARTS if each.late is None]
+    bound = [_explore(each, wishes) for each in cases]
+    free = [_explore(each, wishes, binds_epoch=False) for each in cases]
+    assert not any(_spoils(each, THIRD) for each in bound)
+    assert any(each.group.mixed for each in free)
--- a/standins/rank_orders.py
+++ b/standins/rank_orders.py
@@ -1,8 +1,8 @@
 """A rank group that takes the engine's orders, and a walk through faults.
 
 Orders are lost, carried out late, and repeated; planners decide from old
-reports and send later; ranks restart. After each pass the maps of all ranks
-are compared.
+reports and send later; ranks restart, all at once or one alone under its
+name. After each pass the maps of all ranks are compared.
 """
 
 import random
@@ -19,13 +19,22 @@
 )
 from linnetwind.rollout import MapWish, RankCommand, Round
 
+# What may happen next in a walk, and how often; and what else where single
+# ranks start again.
+_EVENTS = (
+    ('look', 'act', 'late', 'copy', 'pass', 'restart'),
+    (20, 30, 10, 20, 20, 0.3),
+)
+_ALONE = (('restart one', 'form'), (1, 5))
+
 Decide = Callable[[dict[int, RankReport], MapWish | None], Round]
 
 
 @dataclass
 class RankModel:
-    """One rank's state; `had` is the highest version it was ever given."""
+    """One life of a rank; `had` is the highest version it was ever given."""
 
+    born_ms: int = 1
     sequence: int = 0
     had: int = 0
     maps: tuple[int, object] = (0, None)
@@ -37,10 +46,17 @@
 
 @dataclass
 class GroupModel:
-    """All ranks, in lock-step."""
+    """All ranks, in lock-step.
+
+    `binds_epoch` and `binds_sequence` say whether the engine refuses orders
+    of another epoch, or for another number of orders begun.
+    """
 
     size: int
+    binds_epoch: bool = True
+    binds_sequence: bool = True
     epoch: int = 1
+    is_open: bool = True
     step: int = 0
     ranks: list[RankModel] = field(default_factory=list)
     mixed: list[int] = field(default_factory=list)
@@ -62,7 +78,7 @@
             rank=rank,
             size=self.size,
             epoch=self.epoch,
-            is_open=True,
+            is_open=self.is_open,
             step=self.step,
             sequence=each.sequence,
             is_copying=each.copying is not None,
@@ -74,6 +90,7 @@
             pace=1,
             running=1,
             waiting=0,
+            born_ms=each.born_ms,
         )
 
     def obey(self, command: RankCommand) -> bool:
@@ -81,7 +98,9 @@
         each = self.ranks[command.rank]
         order = command.order
         expect = getattr(order, 'expect', each.sequence)
-        if order.epoch != self.epoch or expect != each.sequence:
+        if self.binds_epoch and order.epoch != self.epoch:
+            return False
+        if self.binds_sequence and expect != each.sequence:
             return False
         match order:
             case PrepareMap(version=version, maps=maps):
@@ -120,7 +139,7 @@
     def try_pass(self) -> bool:
         """Begin the next pass unless it is held; compare all maps."""
         coming = self.step + 1
-        if any(each.held == coming for each in self.ranks):
+        if not self.is_open or any(each.held == coming for each in self.ranks):
             return False
         self.step = coming
         for each in self.ranks:
@@ -133,9 +152,29 @@
         return True
 
     def restart(self) -> None:
-        """Form anew after a rank has crashed."""
+        """Form anew after all ranks have crashed."""
         self.epoch += 1
-        self.ranks = [RankModel() for _rank in range(self.size)]
+        self.is_open = True
+        self.ranks = [RankModel(each.born_ms + 1) for each in self.ranks]
+
+    def restart_rank(self, rank: int) -> None:
+        """Start one rank again under its name; the group is broken.
+
+        The rank still names the epoch of before, holds nothing, and takes
+        orders.
+        """
+        self.is_open = False
+        self.ranks[rank] = RankModel(self.ranks[rank].born_ms + 1)
+
+    def form(self) -> None:
+        """Open a broken group in a new epoch, with map 0 and nothing held."""
+        if self.is_open:
+            return
+        self.epoch += 1
+        self.is_open = True
+        self.ranks = [
+            RankModel(each.born_ms, each.sequence) for each in self.ranks
+        ]
 
 
 class Walk:
@@ -148,6 +187,8 @@
         planners: int,
         decide: Decide,
         partly: bool = False,
+        group: GroupModel | None = None,
+        alone: bool = False,
     ):
         """Set the walk up.
 
@@ -158,10 +199,13 @@
           decide: The decision under test.
           partly: Whether answers to orders bring the rank's report, so that
             a planner goes on with reports of different age.
+          group: The group; one whose engine refuses late orders if left out.
+          alone: Whether single ranks start again under their names, too.
         """
         self.partly = partly
+        self.alone = alone
         self.random = random.Random(seed)
-        self.group = GroupModel(size)
+        self.group = group or GroupModel(size)
         self.decide = decide
         self.wishes: list[MapWish | None] = [None] * planners
         self.views: list[dict[int, RankReport]] = [{}] * planners
@@ -183,6 +227,7 @@
     def settle(self, steps: int = 200) -> None:
         """Let one planner act alone, with nothing lost any more."""
         self.late.clear()
+        self.group.form()
         for _step in range(steps):
             self._look(0)
             self._act(0, loss=0)
@@ -192,10 +237,10 @@
 
     def _event(self) -> None:
         planner = self.random.randrange(len(self.wishes))
-        match self.random.choices(
-            ('look', 'act', 'late', 'copy', 'pass', 'restart'),
-            (20, 30, 10, 20, 20, 0.3),
-        )[0]:
+        events, weights = _EVENTS
+        if self.alone:
+            events, weights = events + _ALONE[0], weights + _ALONE[1]
+        match self.random.choices(events, weights)[0]:
             case 'look':
                 self._look(planner)
             case 'act':
@@ -209,6 +254,11 @@
                 self.group.try_pass()
             case 'restart':
                 self.group.restart()
+            case 'restart one':
+                rank = self.random.randrange(self.group.size)
+                self.group.restart_rank(rank)
+            case 'form':
+                self.group.form()
 
     def _look(self, planner: int) -> None:
         # Ranks answer one after the other: some reports are newer.
