--- a/standins/platform_cluster.py
+++ b/standins/platform_cluster.py
@@ -16,6 +16,7 @@
 ROOT = Path(__file__).parent.parent
 GRACE_S = 8
 _START_TRIES = 300
+_LOOKS = 400
 _RESERVING_IP = '127.0.0.9'
 
 
@@ -52,9 +53,14 @@
     }
 
 
-def entry_of(upstream, service='plain', state='ready'):
-    """Return an upstream's entry in the platform's format."""
+def entry_of(upstream, service='plain', state='ready', born=None):
+    """Return an upstream's entry in the platform's format.
+
+    `born` is left out if it is None, as on platforms that do not state it.
+    """
+    stated = {} if born is None else {'born': born}
     return {
+        **stated,
         'service': service,
         'address': f'127.0.0.1:{upstream.port}',
         'zone': 'z',
@@ -209,6 +215,19 @@
         self._reserved.close()
 
 
+def until(condition) -> None:
+    """Wait until a condition holds.
+
+    Raises:
+      TimeoutError: It does not.
+    """
+    for _try in range(_LOOKS):
+        if condition():
+            return
+        time.sleep(0.05)
+    raise TimeoutError
+
+
 def _reserve_ports():
     """Return ports below those that the system gives to connections.
 
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -71,15 +71,19 @@
 class Soak:
     """One run."""
 
-    def __init__(self, seed: int, seconds: float, folder: Path):
+    def __init__(
+        self, seed: int, seconds: float, folder: Path, restarts: bool = False
+    ):
         """Start everything, sound.
 
         Args:
           seed: Of all choices.
           seconds: How long faults are injected.
           folder: Where logs go.
+          restarts: Whether upstreams start again under their names, too.
         """
         self.book = Book()
+        self._restarts = restarts
         self._seed = seed
         self._seconds = seconds
         self._random = random.Random(seed)
@@ -112,6 +116,14 @@
             for number in range(_CALLERS)
         ]
         until = time.monotonic() + self._seconds
+        if self._restarts:
+            # With choices of its own, so that a seed's other faults stay.
+            thread = threading.Thread(
+                target=self._start_again,
+                args=(random.Random(self._seed), until),
+            )
+            self._threads.append(thread)
+            thread.start()
         while time.monotonic() < until:
             time.sleep(self._random.uniform(0.1, 1.2))
             self._fault()
@@ -270,6 +282,17 @@
     ) -> None:
         self._publish()
 
+    def _start_again(self, source: random.Random, until: float) -> None:
+        """Have one upstream after the other start again under its name."""
+        while time.monotonic() < until:
+            time.sleep(source.uniform(0.2, 2))
+            upstream = source.choice(self._upstreams)
+            start = time.monotonic()
+            if upstream.start_again():
+                self.book.note(f'{upstream.instance} starts again')
+                span = Span('start again', start, time.monotonic())
+                self._history.faults.append(span)
+
     def _mend(self) -> None:
         """Take all faults away; a fault's own end may have been overlapped."""
         self._cluster.store.outage = None
@@ -296,18 +319,21 @@
 }
 
 
-def soak(seed: int, seconds: float, folder: Path) -> tuple[list[str], str]:
+def soak(
+    seed: int, seconds: float, folder: Path, restarts: bool = False
+) -> tuple[list[str], str]:
     """Run once.
 
     Args:
       seed: Of all choices.
       seconds: How long faults are injected.
       folder: Where logs go.
+      restarts: Whether upstreams start again under their names, too.
 
     Returns:
       The broken promises and the timeline.
     """
-    run = Soak(seed, seconds, folder)
+    run = Soak(seed, seconds, folder, restarts)
     try:
         broken = run.run()
         return broken, timeline(run.book, run.start)
@@ -321,10 +347,11 @@
     parser.add_argument('--seed', type=int, required=True)
     parser.add_argument('--seconds', type=float, default=60)
     parser.add_argument('--folder', type=Path, default=None)
+    parser.add_argument('--restarts', action='store_true')
     chosen = parser.parse_args()
     folder = chosen.folder or Path(tempfile.mkdtemp(prefix='soak-'))
     folder.mkdir(parents=True, exist_ok=True)
-    broken, picture = soak(chosen.seed, chosen.seconds, folder)
+    broken, picture = soak(chosen.seed, chosen.seconds, folder, chosen.restarts)
     sys.stdout.write(f'{picture}\n')
     for line in broken:
         sys.stdout.write(f'BROKEN {line}\n')
--- a/standins/soak_test.py
+++ b/standins/soak_test.py
@@ -30,6 +30,14 @@
     assert broken == [], picture
 
 
+def test_promises_hold_while_upstreams_start_again(tmp_path):
+    # Upstreams crash and start again at once under their names, elsewhere,
+    # while everything else goes wrong as well.
+    broken, picture = soak(5, _SHORT_S, tmp_path, restarts=True)
+    assert ' starts again' in picture
+    assert broken == [], picture
+
+
 def _call(**changes):
     fields = {'name': 'a', 'kind': 'once', 'path': '/o/', 'gateway': 'g'}
     return Call(**{**fields, 'sent': 1, 'whole': True, **changes})
--- a/standins/soak_upstreams.py
+++ b/standins/soak_upstreams.py
@@ -25,6 +25,9 @@
         self.instance = instance
         self.mood = 'sound'
         self.last_runs: list[float] = []
+        self._born_ms = int(time.time() * 1000)
+        self._state = 'ready'
+        self._lock = threading.Lock()
         self._service = service
         self._book = book
         self._store = store
@@ -35,8 +38,24 @@
 
     def register(self, state: str) -> None:
         """Write the entry to the store."""
-        entry = entry_of(self.proxy, self._service, state)
-        self._store.put('keyed.servers', self.instance, entry)
+        with self._lock:
+            self._state = state
+            self._write()
+
+    def start_again(self) -> bool:
+        """Crash and start again at once, elsewhere under the same name.
+
+        Returns:
+          Whether it did; one that drains does not.
+        """
+        with self._lock:
+            if self._state != 'ready':
+                return False
+            self.proxy.close()
+            self.proxy = SoakProxy(self._upstream.port)
+            self._born_ms = int(time.time() * 1000)
+            self._write()
+            return True
 
     def leave(self) -> None:
         """Drop the entry."""
@@ -48,6 +67,10 @@
         self._upstream.close()
         self.proxy.close()
 
+    def _write(self) -> None:
+        entry = entry_of(self.proxy, self._service, self._state, self._born_ms)
+        self._store.put('keyed.servers', self.instance, entry)
+
     def _serve(self, connection, request) -> None:
         name = request.headers.get('attempt-id', '')
         if self.mood == 'full':
