--- a/standins/platform_cluster.py
+++ b/standins/platform_cluster.py
@@ -90,41 +90,17 @@
         self.metrics_port = control + 2
         self.log = folder / f'{ip}.log'
         settings = {
-            'node': f'edge-{ip}',
-            'zone': 'z',
-            'ip': ip,
+            **_settings(f'edge-{ip}', ip, store, control),
             'listen': {
                 'front': f'{ip}:{self.front}',
                 'readiness': f'{ip}:{self.readiness}',
                 'control': f'{ip}:{control}',
             },
-            'internalPorts': [control + 1, control + 1],
             'seeds': [f'{seed}:{control}' for seed in seeds],
-            'bounds': {
-                'graceS': GRACE_S,
-                'drainMs': 2000,
-                'retryRatio': 0.2,
-                'retryWindowS': 10,
-                'retryAllowance': 88,
-            },
-            'platform': {'address': f'127.0.0.1:{store}'},
         }
-        path = folder / f'{ip}.json'
-        path.write_text(json.dumps(settings))
-        with self.log.open('a') as output:
-            self.process = subprocess.Popen(
-                [
-                    sys.executable,
-                    '-m',
-                    'linnetwind.platform',
-                    'entry',
-                    str(self.metrics_port),
-                ],
-                cwd=ROOT,
-                env={**os.environ, 'LINNETWIND_CONFIG': str(path)},
-                stdout=output,
-                stderr=output,
-            )
+        self.process = _spawn(
+            self.log, settings, 'entry', str(self.metrics_port)
+        )
 
     def is_ready(self) -> bool:
         """Ask as the platform does."""
@@ -189,6 +165,62 @@
         self.process.wait()
 
 
+class AgentProcess:
+    """The agent process beside a rank."""
+
+    def __init__(self, folder: Path, ip: str, store: int, ports, rank: str):
+        """Start the process.
+
+        Args:
+          folder: Where its settings file and log go.
+          ip: The address of its host.
+          store: The port of the platform's store.
+          ports: The front, readiness and control port of all hosts.
+          rank: The address of the rank on its host.
+        """
+        settings = {
+            **_settings(f'side-{ip}', ip, store, ports[-1]),
+            'app': rank,
+        }
+        self.process = _spawn(folder / f'rank-{ip}.log', settings, 'rank')
+
+    def kill(self) -> None:
+        """Kill the process."""
+        self.process.kill()
+        self.process.wait()
+
+
+def _settings(name, ip, store, control):
+    """Return what the settings files of all processes have."""
+    return {
+        'node': name,
+        'zone': 'z',
+        'ip': ip,
+        'internalPorts': [control + 1, control + 1],
+        'bounds': {
+            'graceS': GRACE_S,
+            'drainMs': 2000,
+            'retryRatio': 0.2,
+            'retryWindowS': 10,
+            'retryAllowance': 88,
+        },
+        'platform': {'address': f'127.0.0.1:{store}'},
+    }
+
+
+def _spawn(log, settings, *arguments):
+    path = log.with_suffix('.json')
+    path.write_text(json.dumps(settings))
+    with log.open('a') as output:
+        return subprocess.Popen(
+            [sys.executable, '-m', 'linnetwind.platform', *arguments],
+            cwd=ROOT,
+            env={**os.environ, 'LINNETWIND_CONFIG': str(path)},
+            stdout=output,
+            stderr=output,
+        )
+
+
 class PlatformCluster:
     """A store and gateway processes."""
 
@@ -197,7 +229,7 @@
         self._folder = folder
         self.store = PlatformStore()
         self._reserved, self._ports = _reserve_ports()
-        self._started: list[GatewayProcess] = []
+        self._started: list[GatewayProcess | AgentProcess] = []
 
     def start(self, ip='127.0.0.1', store=None, seeds=()) -> GatewayProcess:
         """Start a gateway process on a host."""
@@ -207,6 +239,14 @@
         self._started.append(process)
         return process
 
+    def start_agent(self, ip: str, rank: str) -> AgentProcess:
+        """Start the agent process beside a rank."""
+        process = AgentProcess(
+            self._folder, ip, self.store.port, self._ports, rank
+        )
+        self._started.append(process)
+        return process
+
     def close(self) -> None:
         """Kill what was started."""
         for each in self._started:
