A report that comes with an answer counts only for the life that was ordered

Cause: a rank may start again between the look and the answer to an order. Change: such a report is left out, so that all ranks are looked at anew, which notes the new life and forgets wish and map. Ruled out: comparing epochs there; the rank names the old one until the group has formed anew. Conclusion: a rollout ends with the first answer of a next life.

--- a/linnetwind/map_planner.py
+++ b/linnetwind/map_planner.py
@@ -248,7 +248,7 @@
                 self._log.event(
                     OrderFailed(command.rank, name, obeyed.result.value)
                 )
-            elif obeyed.report is not None:
+            elif _goes_on(group.reports[command.rank], obeyed.report):
                 newer[command.rank] = obeyed.report
         return newer
 
@@ -324,6 +324,15 @@
         self._log.event(GroupChanged(service.name, *now, len(reports)))
 
 
+def _goes_on(before: RankReport, newer: RankReport | None) -> bool:
+    """Return whether a report that came with an answer is of the same life.
+
+    If the rank has started again meanwhile, all ranks are looked at anew, so
+    that what was believed of its life before ends.
+    """
+    return newer is not None and newer.born_ms == before.born_ms
+
+
 def _is_copying(group: _Group) -> bool:
     return group.stage.startswith('preparing')
 
--- a/linnetwind/map_planner_test.py
+++ b/linnetwind/map_planner_test.py
@@ -12,6 +12,7 @@
 from linnetwind.map_planner import MapPlanner
 from linnetwind.rank_messages import Obeyed, Seen
 from linnetwind.rank_types import (
+    HoldPass,
     OrderResult,
     PrepareMap,
     RankCounts,
@@ -68,6 +69,7 @@
     counts: RankCounts
     experts: RankExperts
     orders: list = field(default_factory=list)
+    restarts_at: type | None = None
     looks: Counter = field(default_factory=Counter)
 
 
@@ -91,6 +93,11 @@
     def command(self, order):
         rank = self._ranks[self._address.port]
         rank.orders.append(order)
+        if rank.restarts_at and isinstance(order, rank.restarts_at):
+            rank.report = replace(
+                rank.report, born_ms=2, sequence=0, prepared=None
+            )
+            return Obeyed(OrderResult.BEGUN, rank.report)
         return Obeyed(OrderResult.REFUSED, rank.report)
 
     def close(self):
@@ -244,3 +251,20 @@
     bed.ranks[82].report = replace(bed.ranks[82].report, born_ms=9)
     group = bed.look()
     assert group.ranks[1].upstream.instance == 'z1'
+
+
+def test_an_answer_of_the_next_life_is_not_taken_for_the_one_before(bed):
+    # The rank starts again as it is ordered; the answer brings the report of
+    # its next life. Taken for the one before, the wish stayed, though it was
+    # planned from a map that this life does not hold.
+    bed.look()
+    bed.count(81, 6, 9_000, 0, 0, 0)
+    wished = bed.look().wish.version
+    for rank in bed.ranks.values():
+        rank.report = replace(rank.report, prepared=wished)
+        rank.orders.clear()
+    bed.ranks[81].restarts_at = HoldPass
+    group = bed.look()
+    assert [type(each) for each in bed.ranks[81].orders] == [HoldPass]
+    assert (group.wish, group.maps) == (None, None)
+    assert group.ranks[0].life == 'r0#2'
