Stand-in of a rank group: what is armed as the platform writes it

Cause: the stand-in named it as a list, which the strict decoder refuses; workers write version and step by name. All three cases timed out without it. Conclusion: the three cases pass again (19 s).

--- a/standins/platform_ranks.py
+++ b/standins/platform_ranks.py
@@ -179,7 +179,7 @@
         report = self.model.report(rank)
         armed = None
         if report.armed is not None:
-            armed = [report.armed, report.armed_step]
+            armed = {'version': report.armed, 'step': report.armed_step}
         return {
             'born': report.born_ms,
             'busy': report.is_copying,
