Stopping gateways take turns; callers get 503 with a time instead of a reset

Cause: each gateway drained for itself and closed newcomers unread from 2.6 s after SIGTERM. Change: peers tell since when they stop and of which site they are. Those told first drain at once while half of the hosts serve; the others serve on, say that they are ready for 1.5 s, begin streams that end before the cut by the pace of the last 32, and drain when a peer is back and in rotation. Refusals are 503 with Retry-After: at once if the site has another host, else when the platform sends no more. The daemon told last plans maps while none stays.

--- a/linnetwind/answer_relay.py
+++ b/linnetwind/answer_relay.py
@@ -179,6 +179,13 @@
         self._journey.longest_pause = longest
         self._tools.state.note_pause(self._journey.service.name, pause)
 
+    def _note_run(self) -> None:
+        journey = self._journey
+        if journey.facts.tokens is None or journey.first_byte is None:
+            return
+        took = self._tools.clock.elapsed() - journey.first_byte
+        self._tools.runs.note(journey.service.name, journey.facts.tokens, took)
+
     def _end_stream(self, splitter: EventSplitter) -> Done | AttemptLost:
         if splitter.rest:
             # Passed on as it is, the answer would look complete.
@@ -188,6 +195,7 @@
                 reached=True,
             )
         if self._start_stream() and self._connection.finish():
+            self._note_run()
             return Done('answered', self._head.status)
         return CALLER_LEFT
 
--- a/linnetwind/caller_service.py
+++ b/linnetwind/caller_service.py
@@ -29,16 +29,16 @@
       open_work: Counts the connection and its requests.
     """
     stop = tools.stop
-    connection = CallerConnection(sock, limits, stop.is_closing, tools.clock)
+    connection = CallerConnection(sock, limits, stop.is_draining, tools.clock)
     # Counted before the stop is looked at: in the other order the process
     # could find nothing open and end while a connection passes this point.
     with open_work.connection():
-        goes_on = True
-        # Once the stop closes connections, a new one is closed unread, so
-        # that its caller knows that it may ask elsewhere. An answer that was
-        # begun before the stop has not told its caller that; its connection
-        # ends with it.
-        while goes_on and not stop.is_closing():
+        # The first request of a connection is always read and answered: a
+        # caller whose connection is closed unread is not told when to come
+        # back. An answer that was begun before the stop has not told its
+        # caller of it; its connection ends with it.
+        goes_on = _serve_next(connection, tools, open_work)
+        while goes_on and not stop.is_draining():
             goes_on = _serve_next(connection, tools, open_work)
 
 
--- a/linnetwind/gateway_daemon.py
+++ b/linnetwind/gateway_daemon.py
@@ -23,7 +23,7 @@
 from linnetwind.gateway_feeds import FeedPorts, GatewayFeeds
 from linnetwind.gateway_metrics import GatewayMetrics
 from linnetwind.gateway_state import GatewayState
-from linnetwind.gateway_stop import GatewayStop
+from linnetwind.gateway_stop import make_stop
 from linnetwind.journey import GatewayTools
 from linnetwind.map_planner import MapPlanner
 from linnetwind.open_work import OpenWork
@@ -34,6 +34,7 @@
 from linnetwind.routes import CallerLimits
 from linnetwind.step_log import StepLog
 from linnetwind.stop_signals import StopSignals
+from linnetwind.stop_turns import Host
 from linnetwind.upstream_call import open_call
 from linnetwind.upstream_list import Upstream
 
@@ -113,7 +114,9 @@
         log.observe_by(self._metrics.observe)
         self._threads = DaemonThreads(log)
         self._state = GatewayState(clock, setup.mesh, setup.repeats)
-        mesh = MeshSettings(setup.name, self._start_id, setup.mesh, setup.seeds)
+        mesh = MeshSettings(
+            setup.name, setup.site, self._start_id, setup.mesh, setup.seeds
+        )
         self._mesh = PeerMesh(mesh, self._state, clock)
         self._feeds = GatewayFeeds(
             ports.feeds, self._state, self._mesh, clock, log
@@ -121,7 +124,12 @@
         self._planner = MapPlanner(
             self._state, self._mesh, self._link, clock, log
         )
-        self._stop = GatewayStop(clock, setup.stop_within)
+        self._stop = make_stop(
+            clock,
+            setup.stop_within,
+            Host(setup.name, setup.site, told=None),
+            lambda: self._state.book,
+        )
         self._open = OpenWork()
         self._tools = GatewayTools(
             self._state,
@@ -170,7 +178,7 @@
 
     def _is_ready(self) -> bool:
         known = self._state.table is not None and self._state.upstreams.end > 0
-        return known and not self._stop.is_begun()
+        return known and self._stop.says_ready()
 
     def _say_ready(self, sock: socket.socket) -> None:
         connection = self._connection(sock)
@@ -196,7 +204,7 @@
 
     def _connection(self, sock: socket.socket) -> CallerConnection:
         return CallerConnection(
-            sock, self._limits, self._stop.is_closing, self._clock
+            sock, self._limits, self._stop.is_draining, self._clock
         )
 
     def _drain(self) -> None:
@@ -215,7 +223,7 @@
         pause = threading.Event()
         while not self._stop.is_over():
             pause.wait(_STOP_LOOK_S)
-            if self._stop.is_closing() and not self._open.connections:
+            if self._stop.may_end() and not self._open.connections:
                 break
         waited = self._clock.elapsed() - since
         self._log.event(Stopped(self._open.requests, waited))
--- a/linnetwind/journey.py
+++ b/linnetwind/journey.py
@@ -15,6 +15,7 @@
 from linnetwind.gateway_state import GatewayState
 from linnetwind.gateway_stop import GatewayStop
 from linnetwind.routes import Route, RoutedService, RouteTable
+from linnetwind.run_times import RunTimes
 from linnetwind.step_log import StepLog
 from linnetwind.upstream_call import (
     Broken,
@@ -36,6 +37,7 @@
     log: StepLog
     open_call: CallOpener
     stop: GatewayStop
+    runs: RunTimes = field(default_factory=RunTimes)
 
 
 @dataclass(slots=True)
--- a/linnetwind/peer_book.py
+++ b/linnetwind/peer_book.py
@@ -73,7 +73,8 @@
     `loads` tells of its streams; `members` are the addresses it knows of;
     `can_plan` says that it reaches all ranks. `refused` are the subjects
     whose callers were told to come back. `counter` grows with each message
-    of one `start_id`.
+    of one `start_id`. `stopping_ms` is how long ago a daemon that is
+    `leaving` was told to stop, `site` the data centre of its callers.
     """
 
     name: str
@@ -88,14 +89,17 @@
     groups: tuple[GroupBrief, ...]
     loads: tuple[StreamLoad, ...] = ()
     refused: tuple[str, ...] = ()
+    stopping_ms: int = 0
+    site: str = ''
 
 
 @dataclass(frozen=True)
 class Heard:
-    """A peer's newest state and when it came."""
+    """A peer's newest state, when it came, and since when it serves."""
 
     state: PeerState
     at: timedelta
+    serves_since: timedelta | None = None
 
 
 @dataclass(frozen=True)
@@ -122,7 +126,7 @@
         named = frozenset((state.address, *state.members))
         return replace(
             self,
-            heard={**self.heard, state.name: Heard(state, now)},
+            heard={**self.heard, state.name: _heard(before, state, now)},
             known=self.known | (named - {self.own}),
         )
 
@@ -216,6 +220,13 @@
     return min(able or (own_name, *(each.name for each in staying)))
 
 
+def _heard(before: Heard | None, state: PeerState, now: timedelta) -> Heard:
+    since = now if state.config_version else None
+    if before is not None and before.state.start_id == state.start_id:
+        since = before.serves_since or since
+    return Heard(state, now, since)
+
+
 def _overtaken(before: PeerState, state: PeerState) -> bool:
     same_life = before.start_id == state.start_id
     return same_life and state.counter <= before.counter
--- a/linnetwind/peer_mesh.py
+++ b/linnetwind/peer_mesh.py
@@ -32,6 +32,7 @@
     StoreUnavailable,
     Topic,
 )
+from linnetwind.stop_turns import Told, leads_to_the_end
 from linnetwind.wire import Codec
 
 _ASK_TIMEOUT_S = 0.4
@@ -62,6 +63,7 @@
     """This daemon's name and life, its address and first addresses."""
 
     name: str
+    site: str
     start_id: str
     own: Address
     seeds: tuple[Address, ...]
@@ -89,7 +91,7 @@
         self._counter = 0
         self._changed = threading.Event()
         self._briefs: tuple[GroupBrief, ...] = ()
-        self._leaving = False
+        self._leaving_at: timedelta | None = None
         self._can_plan = True
         self._copies: Callable[[Topic], Records | None] = _no_copy
         self._datagrams = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -132,8 +134,10 @@
 
     def leads(self) -> bool:
         """Return whether this daemon is the one that plans."""
-        if self._leaving:
-            return False
+        if self._leaving_at is not None:
+            own = Told(self._settings.name, self._leaving_at)
+            now = self._clock.elapsed()
+            return leads_to_the_end(self._state.book, own, now)
         first = leader(
             self._state.book,
             self._settings.name,
@@ -144,7 +148,7 @@
 
     def leave(self) -> None:
         """Tell the peers that this daemon is stopping."""
-        self._leaving = True
+        self._leaving_at = self._clock.elapsed()
         self._changed.set()
 
     def newest(self, topic: Topic) -> Records | StoreUnavailable:
@@ -198,13 +202,15 @@
             self._counter,
             self._settings.own,
             table.version if table else 0,
-            self._leaving,
+            self._leaving_at is not None,
             self._can_plan,
             self._state.running,
             tuple(self._state.book.known),
             self._briefs,
             self._state.room.loads(),
             self._state.refusals.tell(),
+            self._stopping_ms(),
+            self._settings.site,
         )
         content = _CODEC.encode(message)
         for address in self._addresses():
@@ -213,6 +219,12 @@
             with suppress(OSError):
                 self._datagrams.sendto(content, (address.ip, address.port))
 
+    def _stopping_ms(self) -> int:
+        if self._leaving_at is None:
+            return 0
+        since = self._clock.elapsed() - self._leaving_at
+        return int(since / timedelta(milliseconds=1))
+
     def _hear(self) -> None:
         content, _sender = self._datagrams.recvfrom(_MOST_DATAGRAM)
         heard = _CODEC.decode(content)
--- a/linnetwind/relay.py
+++ b/linnetwind/relay.py
@@ -23,6 +23,7 @@
 )
 from linnetwind.caller_connection import CallerConnection
 from linnetwind.gateway_events import AttemptFailed, RequestEnded
+from linnetwind.gateway_stop import Ending
 from linnetwind.journey import (
     CALLER_LEFT,
     Done,
@@ -103,15 +104,17 @@
                 journey.customer = customer
                 latest = self._request.received + route.timeout
                 journey.until = min(journey.until, latest)
-                if self._tools.stop.may_begin(journey.until):
-                    return self._serve(journey)
-                return self._refuse(journey, 'the daemon is stopping')
+                return self._serve(journey)
 
     def _serve(self, journey: Journey) -> Done:
         name = choose_service(journey.route, random.random())
         journey.service = journey.table.services.get(name)
         if journey.service is None:
             return self._refuse(journey, 'no such service')
+        stop = self._tools.stop
+        if not stop.may_begin(self._ending(journey)):
+            self._answer(_REFUSED, _retry_after(stop.retry_after()))
+            return Done('refused', _REFUSED, 'the daemon is stopping')
         self._tools.state.repeats.count_request(name)
         if journey.service.engine is not None:
             turned = self._wait_for_place(journey)
@@ -119,6 +122,15 @@
                 return turned
         return self._attempts(journey)
 
+    def _ending(self, journey: Journey) -> Ending:
+        """Return when the request ends if it is begun now."""
+        lasts = self._tools.runs.expect(
+            journey.service.name, journey.facts.tokens
+        )
+        if lasts is None:
+            return Ending(journey.until, journey.until)
+        return Ending(journey.until, self._tools.clock.elapsed() + lasts)
+
     def _wait_for_place(self, journey: Journey) -> Done | None:
         """Wait in line; return how the request ended if it was turned away."""
         route, service = journey.route, journey.service
--- a/standins/gateway_harness.py
+++ b/standins/gateway_harness.py
@@ -16,6 +16,7 @@
 from linnetwind.open_work import OpenWork
 from linnetwind.repeat_budget import BudgetTerms
 from linnetwind.routes import RouteTable
+from linnetwind.stop_turns import Fleet, Host
 from linnetwind.upstream_call import open_call
 from linnetwind.upstream_list import Registered
 from standins.gateway_fixtures import make_upstream
@@ -55,7 +56,12 @@
         """Start with a configuration and without upstreams."""
         self.clock = SystemClock()
         self.log = ListLog()
-        self.stop = GatewayStop(self.clock, _STOP_WITHIN)
+        self.stop = GatewayStop(
+            self.clock,
+            _STOP_WITHIN,
+            Host('gateway', 'a', None),
+            lambda _now: Fleet((), 1),
+        )
         terms = BudgetTerms(timedelta(seconds=10), 0.2, 88)
         self.state = GatewayState(self.clock, Address('127.0.0.1', 1), terms)
         if table is not None:
