Tell a refused caller of a stop to come when another daemon serves it

Change: at once only if another host of the site serves on (stays, or has no turn yet); while the fleet is out, after 1.5 s, when the first is back. Who is sent away for longer may wait in line as one that returns.

--- a/linnetwind/gateway_stop.py
+++ b/linnetwind/gateway_stop.py
@@ -14,7 +14,7 @@
     fleet_of,
     is_awaited,
     may_drain,
-    stand_ins,
+    serves_on,
 )
 
 # The platform asks each daemon once a second whether it is ready and takes it
@@ -33,10 +33,12 @@
 # wait. They are told to stop too, and have to drain after it.
 _TURN_MS = 3_000
 TURN = timedelta(milliseconds=_TURN_MS)
-# The part of the time for stopping after which requests are cut. A request
-# that lasts into the last sixth of it may be cut, one that ends before may
-# not; the rest is for the process to end before it is killed.
+# The part of the time for stopping in which a request is expected to end
+# that is begun; streams may last longer than any before.
 USE_OF_STOP = 0.9
+# The part of it after which requests are cut; the rest is for the process to
+# end before it is killed. What lasts into the last sixth may be cut.
+CUT_AT = 0.96
 # While no daemon takes a stream: a drain of some 2 s is halfway, and then the
 # next process starts within 1 s.
 _RETRY_LATER_MS = 1_500
@@ -47,12 +49,14 @@
 class StopPlan:
     """The monotonic times of a stop.
 
-    It begins at `begun_at`, is known to all callers at `closes_at`, and at
-    `cuts_at` the process ends with whatever still runs.
+    It begins at `begun_at` and is known to all callers at `closes_at`. What
+    is begun should end by `ends_at`; at `cuts_at` the process ends with
+    whatever still runs.
     """
 
     begun_at: timedelta
     closes_at: timedelta
+    ends_at: timedelta
     cuts_at: timedelta
 
 
@@ -67,7 +71,10 @@
       The times.
     """
     return StopPlan(
-        begun_at, begun_at + NOTICE, begun_at + stop_within * USE_OF_STOP
+        begun_at,
+        begun_at + NOTICE,
+        begun_at + stop_within * USE_OF_STOP,
+        begun_at + stop_within * CUT_AT,
     )
 
 
@@ -125,11 +132,11 @@
     Returns:
       Whether the request is begun.
     """
-    if ending.latest <= plan.cuts_at:
+    if ending.latest <= plan.ends_at:
         return True
     match phase:
         case Phase.SERVES:
-            return now < plan.closes_at or ending.expected <= plan.cuts_at
+            return now < plan.closes_at or ending.expected <= plan.ends_at
         case Phase.HURRIES:
             return ending.expected <= plan.begun_at + TURN
         case Phase.DRAINS:
@@ -153,12 +160,22 @@
     Returns:
       The time after which another daemon serves it.
     """
-    others = stand_ins(own, fleet)
-    if any(each.site == own.site for each in others):
+    phase = phase_of(plan, now, own, fleet)
+    others = [
+        each
+        for each in fleet.serving
+        if each.site == own.site and serves_on(each, own, fleet)
+    ]
+    if phase is not Phase.HURRIES:
+        # Those that were told too may have as little time as this one.
+        others = [each for each in others if each.told is None]
+    if others:
         return timedelta()
-    if not may_drain(own, fleet):
-        return _RETRY_LATER
-    return max(plan.begun_at + OUT - now, timedelta())
+    stays = any(each.told is None for each in fleet.serving)
+    if phase is Phase.HURRIES or stays:
+        return max(plan.begun_at + OUT - now, timedelta())
+    # The platform sends callers back to those that are not ready.
+    return _RETRY_LATER
 
 
 def make_stop(
--- a/linnetwind/relay.py
+++ b/linnetwind/relay.py
@@ -113,8 +113,7 @@
             return self._refuse(journey, 'no such service')
         stop = self._tools.stop
         if not stop.may_begin(self._ending(journey)):
-            self._answer(_REFUSED, _retry_after(stop.retry_after()))
-            return Done('refused', _REFUSED, 'the daemon is stopping')
+            return self._send_away(journey, stop.retry_after())
         self._tools.state.repeats.count_request(name)
         if journey.service.engine is not None:
             turned = self._wait_for_place(journey)
@@ -122,6 +121,14 @@
                 return turned
         return self._attempts(journey)
 
+    def _send_away(self, journey: Journey, after: timedelta) -> Done:
+        """Refuse a request that this daemon has no time for."""
+        if after:
+            # It is late when it comes back, and may wait longer.
+            self._tools.state.refusals.refuse(journey.facts.subject)
+        self._answer(_REFUSED, _retry_after(after))
+        return Done('refused', _REFUSED, 'the daemon is stopping')
+
     def _ending(self, journey: Journey) -> Ending:
         """Return when the request ends if it is begun now."""
         lasts = self._tools.runs.expect(
--- a/linnetwind/run_times.py
+++ b/linnetwind/run_times.py
@@ -12,7 +12,7 @@
 # The next one may run while more others do, and map changes may hold it.
 _MARGIN = 1.3
 # Until the first event: a wait in line, then the pass that reads the prompt.
-_START_MS = 800
+_START_MS = 400
 _START = timedelta(milliseconds=_START_MS)
 
 
--- a/linnetwind/stop_turns.py
+++ b/linnetwind/stop_turns.py
@@ -167,8 +167,27 @@
     Returns:
       Whether one of them was told to stop too and has to serve until then.
     """
-    told = [each for each in fleet.serving if each.told is not None]
-    return any(not may_drain(each, _seen_by(each, own, fleet)) for each in told)
+    return any(
+        each.told is not None and serves_on(each, own, fleet)
+        for each in fleet.serving
+    )
+
+
+def serves_on(other: Host, own: Host, fleet: Fleet) -> bool:
+    """Return whether another daemon serves while this one drains.
+
+    Args:
+      other: One of the fleet.
+      own: This daemon.
+      fleet: The others.
+
+    Returns:
+      Whether it stays, or was told to stop too and has no turn yet.
+    """
+    if other.told is None:
+        return True
+    serving = (own, *(each for each in fleet.serving if each != other))
+    return not may_drain(other, Fleet(serving, fleet.known))
 
 
 def _host(heard: Heard) -> Host:
@@ -180,11 +199,6 @@
     return since is not None and now - since >= BACK
 
 
-def _seen_by(other: Host, own: Host, fleet: Fleet) -> Fleet:
-    serving = (own, *(each for each in fleet.serving if each != other))
-    return Fleet(serving, fleet.known)
-
-
 def _goes_after(own: Host, other: Host) -> bool:
     if other.told is None or own.told is None:
         return other.told is None
