Keep the product's peer messages out of processes that only need the codec

Cause: whoever imported the frames' codec imported all messages of the product's own daemons as well. A host that restarts serves nobody until it has imported.

--- a/linnetwind/claims.py
+++ b/linnetwind/claims.py
@@ -11,9 +11,9 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from linnetwind.codec import Codec
 from linnetwind.log_port import Entry, Page
 from linnetwind.messages import Headers
-from linnetwind.wire import Codec
 
 STREAM_PREFIX = 'calls'
 
--- a/linnetwind/wire_test.py
+++ b/linnetwind/codec_test.py
@@ -8,8 +8,8 @@
 from hypothesis import strategies as st
 from result import Err, Ok
 
+from linnetwind.codec import Codec
 from linnetwind.record_store import KeyedRecord
-from linnetwind.wire import Codec
 from standins.bad_messages import plain_json
 
 
--- a/linnetwind/config_fold.py
+++ b/linnetwind/config_fold.py
@@ -19,11 +19,11 @@
 import msgspec
 from result import Err, Ok, Result
 
+from linnetwind.codec import BadFrame, Codec
 from linnetwind.config import Deployment
 from linnetwind.config_loader import deployment_from_plain
 from linnetwind.errors import ConfigError
 from linnetwind.log_port import Entry, Page
-from linnetwind.wire import BadFrame, Codec
 
 CONFIG_STREAM = 'config'
 BASE_PART = 'base'
--- a/linnetwind/engine_orders.py
+++ b/linnetwind/engine_orders.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from linnetwind.codec import Codec
 from linnetwind.mapswitch_types import (
     Order,
     OrderArm,
@@ -14,7 +15,6 @@
     OrderStart,
     RankStatus,
 )
-from linnetwind.wire import Codec
 
 ORDER_CODEC = Codec(
     (OrderStage, OrderArm, OrderConfirm, OrderDisarm, OrderStart)
--- a/linnetwind/group_log.py
+++ b/linnetwind/group_log.py
@@ -11,9 +11,9 @@
 
 import cbor2
 
+from linnetwind.codec import Codec
 from linnetwind.log_port import Entry
 from linnetwind.placement_types import ExpertMap
-from linnetwind.wire import Codec
 
 
 @dataclass(frozen=True, slots=True)
--- a/linnetwind/mapswitch.py
+++ b/linnetwind/mapswitch.py
@@ -30,8 +30,8 @@
     known_status,
     latest,
     refuse,
-    stands_for,
     send_to_peers,
+    stands_for,
 )
 from linnetwind.mapswitch_types import (
     Action,
--- a/linnetwind/mapswitch_types.py
+++ b/linnetwind/mapswitch_types.py
@@ -8,7 +8,7 @@
 import enum
 from dataclasses import dataclass
 
-from linnetwind.wire import Codec
+from linnetwind.codec import Codec
 
 
 @dataclass(frozen=True, slots=True, order=True)
--- a/linnetwind/peer_mesh.py
+++ b/linnetwind/peer_mesh.py
@@ -17,6 +17,7 @@
 
 from linnetwind.address import Address
 from linnetwind.clock import Clock
+from linnetwind.codec import Codec
 from linnetwind.daemon_threads import DaemonThreads
 from linnetwind.frames import receive_frame, send_frame
 from linnetwind.gateway_state import GatewayState
@@ -33,7 +34,6 @@
     Topic,
 )
 from linnetwind.stop_turns import Told, leads_to_the_end
-from linnetwind.wire import Codec
 
 _ASK_TIMEOUT_S = 0.4
 _MOST_DATAGRAM = 60_000
--- a/linnetwind/rank_messages.py
+++ b/linnetwind/rank_messages.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from linnetwind.codec import Codec
 from linnetwind.rank_packing import (
     pack_counts,
     pack_maps,
@@ -20,7 +21,6 @@
     RankReport,
     ReleasePass,
 )
-from linnetwind.wire import Codec
 
 
 @dataclass(frozen=True, slots=True)
