Let a planner rest that another one has overtaken

Changed: a planner whose map was overtaken rests for a random time up to 1 s, twice as long each further time up to 4 s, until a map of its own is in use. A held group gets its map at once all the same. What a planner knows of a group is a module of its own (planned_group; moves). Ruled out: yielding whenever another's copy is seen (one that died leaves its version prepared for ever).

--- a/linnetwind/map_planner.py
+++ b/linnetwind/map_planner.py
@@ -4,12 +4,11 @@
 loop around them.
 """
 
+import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from datetime import timedelta
 
 from linnetwind.clock import Clock
-from linnetwind.expert_demand import ExpertDemand
 from linnetwind.gateway_events import (
     GroupChanged,
     LeaderChanged,
@@ -18,15 +17,21 @@
     OrderFailed,
 )
 from linnetwind.gateway_state import GatewayState
-from linnetwind.group_looks import SeenRank, held_maps, sort_by_rank
-from linnetwind.lives import Life
+from linnetwind.group_looks import sort_by_rank
 from linnetwind.map_wish import even_demand, plan_map
-from linnetwind.pass_meter import USUAL_SKEW
 from linnetwind.peer_book import GroupBrief
 from linnetwind.peer_mesh import PeerMesh
+from linnetwind.planned_group import (
+    PlannedGroup,
+    Reports,
+    forget_maps,
+    note_lives,
+    take_maps,
+)
+from linnetwind.planner_rest import PlannerRest, rest_when_overtaken
 from linnetwind.rank_link import GroupLinks, RankLink
 from linnetwind.rank_messages import Look
-from linnetwind.rank_types import OrderResult, RankMaps, RankReport
+from linnetwind.rank_types import OrderResult, RankReport
 from linnetwind.rollout import (
     LEAD_PASSES,
     LONG_LEAD_PASSES,
@@ -65,28 +70,6 @@
 SLOW_PACE = 1.4
 
 LinkOpener = Callable[[Upstream], RankLink]
-_Reports = dict[int, RankReport]
-
-
-@dataclass
-class _Group:
-    """What the planner knows of one service's group."""
-
-    links: GroupLinks
-    whole_at: timedelta
-    ranks: dict[int, SeenRank] = field(default_factory=dict)
-    lives: dict[int, Life] = field(default_factory=dict)
-    demand: ExpertDemand = field(default_factory=ExpertDemand)
-    wish: MapWish | None = None
-    reports: _Reports = field(default_factory=dict)
-    maps: RankMaps | None = None
-    maps_of: tuple[int, int] | None = None
-    counted_at: timedelta = timedelta()
-    unanswered_at: timedelta | None = None
-    stage: str = ''
-    stage_since: timedelta = timedelta()
-    was: tuple[int, bool] | None = None
-    skew: float = USUAL_SKEW
 
 
 class MapPlanner:
@@ -114,7 +97,7 @@
         self._open_link = open_link
         self._clock = clock
         self._log = log
-        self._groups: dict[str, _Group] = {}
+        self._groups: dict[str, PlannedGroup] = {}
         self._led = False
 
     def run_once(self) -> timedelta:
@@ -143,14 +126,14 @@
         copying = any(_is_copying(each) for each in self._groups.values())
         return _COPY_LOOK if copying else LOOK_INTERVAL
 
-    def _sees(self, group: _Group) -> bool:
+    def _sees(self, group: PlannedGroup) -> bool:
         return self._clock.elapsed() - group.whole_at < _BLIND
 
     def _plan_service(self, service: RoutedService) -> GroupBrief:
         group = self._groups.get(service.name)
         if group is None:
             links = GroupLinks(self._open_link)
-            group = _Group(links, self._clock.elapsed())
+            group = PlannedGroup(links, self._clock.elapsed())
             self._groups[service.name] = group
         reports = self._look(
             service, group, with_counts=self._counts_due(group)
@@ -162,7 +145,7 @@
             reports = self._next(service, group, reports)
         return _brief(service, group, group.reports)
 
-    def _counts_due(self, group: _Group) -> bool:
+    def _counts_due(self, group: PlannedGroup) -> bool:
         """Return whether the counts are to be read, and note when."""
         now = self._clock.elapsed()
         rest = timedelta(milliseconds=_LOOK_PER_RANK_MS * len(group.ranks))
@@ -172,17 +155,17 @@
         return True
 
     def _look(
-        self, service: RoutedService, group: _Group, *, with_counts: bool
-    ) -> _Reports:
+        self, service: RoutedService, group: PlannedGroup, *, with_counts: bool
+    ) -> Reports:
         registered = self._state.upstreams.registered(service.name)
         wanted = Look(with_counts, with_experts=with_counts and not group.maps)
         group.ranks = sort_by_rank(group.links.look(registered, wanted))
         reports = {rank: each.report for rank, each in group.ranks.items()}
         group.reports = reports
-        _note_lives(group)
+        note_lives(group)
         if is_whole(reports):
             group.whole_at = self._clock.elapsed()
-            _take_maps(group, reports)
+            take_maps(group, reports)
         if with_counts:
             counts = {
                 rank: each.seen.counts
@@ -193,8 +176,8 @@
         return reports
 
     def _next(
-        self, service: RoutedService, group: _Group, reports: _Reports
-    ) -> _Reports:
+        self, service: RoutedService, group: PlannedGroup, reports: Reports
+    ) -> Reports:
         """Take one round.
 
         Returns:
@@ -205,7 +188,8 @@
         self._note_stage(service, group, decided.stage, reports)
         match decided.stage:
             case 'idle' | 'in use':
-                group.wish = self._wish(service, group, reports, force=False)
+                self._note_rest(group, decided.stage)
+                group.wish = self._new_wish(service, group, reports)
                 return reports if group.wish else {}
             case 'a new map is needed':
                 group.wish = self._wish(service, group, reports, force=True)
@@ -220,13 +204,29 @@
         group.reports = {**reports, **newer}
         return group.reports
 
-    def _lead(self, group: _Group) -> int:
+    def _note_rest(self, group: PlannedGroup, stage: str) -> None:
+        if stage == 'in use':
+            group.rest = PlannerRest()
+        elif group.wish is not None:
+            # Idle with a wish: a rank has another planner's newer version.
+            group.rest = rest_when_overtaken(
+                group.rest, self._clock.elapsed(), random.random()
+            )
+
+    def _new_wish(
+        self, service: RoutedService, group: PlannedGroup, reports: Reports
+    ) -> MapWish | None:
+        if self._clock.elapsed() < group.rest.until:
+            return None
+        return self._wish(service, group, reports, force=False)
+
+    def _lead(self, group: PlannedGroup) -> int:
         since = group.unanswered_at
         if since is None or self._clock.elapsed() - since > _LOSSES_LAST:
             return LEAD_PASSES
         return LONG_LEAD_PASSES
 
-    def _command(self, group: _Group, decided: Round) -> _Reports:
+    def _command(self, group: PlannedGroup, decided: Round) -> Reports:
         """Give the orders; return the reports that came with the answers.
 
         Ranks without an order keep the report that is known, so that a round
@@ -255,8 +255,8 @@
     def _wish(
         self,
         service: RoutedService,
-        group: _Group,
-        reports: _Reports,
+        group: PlannedGroup,
+        reports: Reports,
         *,
         force: bool,
     ) -> MapWish | None:
@@ -293,9 +293,9 @@
     def _note_stage(
         self,
         service: RoutedService,
-        group: _Group,
+        group: PlannedGroup,
         stage: str,
-        reports: _Reports,
+        reports: Reports,
     ) -> None:
         if stage == group.stage:
             return
@@ -311,7 +311,7 @@
         group.stage_since = now
 
     def _note_group(
-        self, service: RoutedService, group: _Group, reports: _Reports
+        self, service: RoutedService, group: PlannedGroup, reports: Reports
     ) -> None:
         epoch = max((each.epoch for each in reports.values()), default=0)
         now = (epoch, is_whole(reports))
@@ -319,7 +319,7 @@
             return
         if group.was is not None and group.was[0] != epoch:
             # The group formed anew, with map 0 and nothing prepared.
-            _forget_maps(group)
+            forget_maps(group)
         group.was = now
         self._log.event(GroupChanged(service.name, *now, len(reports)))
 
@@ -333,12 +333,12 @@
     return newer is not None and newer.born_ms == before.born_ms
 
 
-def _is_copying(group: _Group) -> bool:
+def _is_copying(group: PlannedGroup) -> bool:
     return group.stage.startswith('preparing')
 
 
 def _brief(
-    service: RoutedService, group: _Group, reports: _Reports
+    service: RoutedService, group: PlannedGroup, reports: Reports
 ) -> GroupBrief:
     is_open = all(each.is_open for each in reports.values())
     opens_in = 0 if is_open else int(service.engine.form_ms) + _RANK_BACK_MS
@@ -349,37 +349,3 @@
         if each.pace > SLOW_PACE
     )
     return GroupBrief(service.name, epoch, is_open, group.skew, opens_in, slow)
-
-
-def _note_lives(group: _Group) -> None:
-    """Forget the maps of a group of which a rank has started again.
-
-    It holds nothing of before, and what is planned from the map of its life
-    before would name copies that are gone. The epoch ends with that life too,
-    but the rank may report before the group has formed anew.
-    """
-    lives = {rank: each.life for rank, each in group.ranks.items()}
-    if any(group.lives.get(rank, life) != life for rank, life in lives.items()):
-        _forget_maps(group)
-    group.lives.update(lives)
-
-
-def _forget_maps(group: _Group) -> None:
-    group.wish = None
-    group.maps = None
-    group.skew = USUAL_SKEW
-
-
-def _take_maps(group: _Group, reports: _Reports) -> None:
-    """Learn which map is in use: from the wish, or from the ranks."""
-    versions = {each.map_version for each in reports.values()}
-    if len(versions) > 1:
-        return
-    in_use = (reports[0].epoch, min(versions))
-    if group.maps_of == in_use and group.maps is not None:
-        return
-    if group.wish is not None and group.wish.version == in_use[1]:
-        group.maps = group.wish.maps
-    else:
-        group.maps = held_maps(group.ranks, *in_use)
-    group.maps_of = in_use
