Close before the cut also where little time is given to stop

Hurrying daemons began what ends by 3 s, after the end of a grace of 3 s. Changed: it closes at 0.6 of the time at the latest; the turn ends before the cut. Ruled out: a smaller share (it would come before the platform's notice at 5 s).

--- a/linnetwind/gateway_stop.py
+++ b/linnetwind/gateway_stop.py
@@ -33,6 +33,10 @@
 # wait. They are told to stop too, and have to drain after it.
 _TURN_MS = 3_000
 TURN = timedelta(milliseconds=_TURN_MS)
+# The part of the time for stopping after which newcomers are known to be sent
+# elsewhere even if the platform is not that fast. With 1 or 2 s in all, a
+# daemon took requests up to its end: 11 and 12 were cut in a test.
+CLOSES_AT = 0.6
 # The part of the time for stopping in which a request is expected to end
 # that is begun; streams may last longer than any before.
 USE_OF_STOP = 0.9
@@ -49,9 +53,9 @@
 class StopPlan:
     """The monotonic times of a stop.
 
-    It begins at `begun_at` and is known to all callers at `closes_at`. What
-    is begun should end by `ends_at`; at `cuts_at` the process ends with
-    whatever still runs.
+    It begins at `begun_at`; from `closes_at` on newcomers are expected to go
+    elsewhere. What is begun should end by `ends_at`; at `cuts_at` the process
+    ends with whatever still runs.
     """
 
     begun_at: timedelta
@@ -64,7 +68,7 @@
     """Return the times of a stop.
 
     Args:
-      begun_at: The monotonic time of SIGTERM.
+      begun_at: The monotonic time at which SIGTERM was heard.
       stop_within: The time until the process is killed.
 
     Returns:
@@ -72,7 +76,7 @@
     """
     return StopPlan(
         begun_at,
-        begun_at + NOTICE,
+        begun_at + min(NOTICE, stop_within * CLOSES_AT),
         begun_at + stop_within * USE_OF_STOP,
         begun_at + stop_within * CUT_AT,
     )
@@ -138,7 +142,7 @@
         case Phase.SERVES:
             return now < plan.closes_at or ending.expected <= plan.ends_at
         case Phase.HURRIES:
-            return ending.expected <= plan.begun_at + TURN
+            return ending.expected <= min(plan.begun_at + TURN, plan.ends_at)
         case Phase.DRAINS:
             return False
 
--- a/linnetwind/gateway_stop_test.py
+++ b/linnetwind/gateway_stop_test.py
@@ -49,6 +49,18 @@
     assert 5 / 6 < USE_OF_STOP < CUT_AT < 1
 
 
+@pytest.mark.parametrize('grace', [1, 2, 3, 5, 8, 30])
+@pytest.mark.parametrize('phase', Phase)
+def test_nothing_is_begun_last_that_cannot_end(grace, phase):
+    # The platform gives a daemon 1 or 2 s to stop, less than the time after
+    # which callers go elsewhere by themselves. Requests that it took until
+    # its end were cut.
+    plan = plan_stop(timedelta(), _seconds(grace))
+    assert plan.closes_at < plan.ends_at < plan.cuts_at
+    late = Ending(LONG, plan.ends_at + MOMENT)
+    assert not may_begin(plan, plan.closes_at, late, phase)
+
+
 def test_callers_that_do_not_know_of_the_stop_yet_are_served():
     plan = plan_stop(timedelta(), GRACE)
     assert may_begin(plan, NOTICE - MOMENT, ENDLESS, Phase.SERVES)
