Refuse streams in line for which a stopping daemon has no time left

A stream in line was not told of a stop: with a short time to stop or a long target it was still there at the cut, or began right before it. Changed: those that wait look, after the notice, whether they would end before the cut, by their limit or as others of their kind did; if not they are refused as not run, with the stop's time to come back. Ruled out: the same look before the notice (it would refuse streams that are begun then if they come without a line).

--- a/linnetwind/gateway_stop.py
+++ b/linnetwind/gateway_stop.py
@@ -282,6 +282,21 @@
         now = self._clock.elapsed()
         return may_begin(plan, now, ending, self._phase(plan, now))
 
+    def has_time(self, ending: Ending) -> bool:
+        """Return whether a request that waits is still worth its place.
+
+        Args:
+          ending: When the request ends if it is begun now.
+
+        Returns:
+          Whether that is before requests are cut, or callers do not know of
+          the stop yet.
+        """
+        plan = self._plan
+        if plan is None or self._clock.elapsed() < plan.closes_at:
+            return True
+        return min(ending.latest, ending.expected) <= plan.ends_at
+
     def retry_after(self) -> timedelta:
         """Return when a caller may come back that is refused now."""
         plan = self._plan
--- a/linnetwind/gateway_stop_test.py
+++ b/linnetwind/gateway_stop_test.py
@@ -299,3 +299,14 @@
 
 def test_daemons_that_stop_in_turn_cut_no_long_stream():
     assert len(_play((0, 0.8, 1.6, 2.4), _seconds(3.5))) * STEP < _seconds(3)
+
+
+def test_what_waits_in_line_has_time_until_it_would_be_cut():
+    clock = ManualClock(datetime.now(UTC))
+    stop = _stop(clock)
+    assert stop.has_time(ENDLESS)
+    stop.begin()
+    assert stop.has_time(ENDLESS)
+    clock.advance(NOTICE)
+    assert not stop.has_time(ENDLESS)
+    assert stop.has_time(Ending(LONG, GRACE * USE_OF_STOP))
--- a/linnetwind/relay.py
+++ b/linnetwind/relay.py
@@ -33,7 +33,7 @@
     as_lost,
 )
 from linnetwind.routes import RouteKind, RouteTable, choose_service
-from linnetwind.stream_gate import Claim, TurnAway
+from linnetwind.stream_gate import STOPPING, Claim, TurnAway
 from linnetwind.upstream_call import Head, NotReached, OutOfTime, UpstreamCall
 from linnetwind.upstream_list import Upstream
 
@@ -127,7 +127,7 @@
             # It is late when it comes back, and may wait longer.
             self._tools.state.refusals.refuse(journey.facts.subject)
         self._answer(_REFUSED, _retry_after(after))
-        return Done('refused', _REFUSED, 'the daemon is stopping')
+        return Done('refused', _REFUSED, STOPPING.reason)
 
     def _ending(self, journey: Journey) -> Ending:
         """Return when the request ends if it is begun now."""
@@ -153,11 +153,14 @@
             claim,
             lambda gap: state.group_view(service, gap),
             lambda: state.take_upstream(service, frozenset()),
+            lambda: self._tools.stop.has_time(self._ending(journey)),
         )
         journey.queued = self._tools.clock.elapsed() - self._request.received
         if not isinstance(verdict, TurnAway):
             journey.claimed = verdict
             return None
+        if verdict == STOPPING:
+            return self._send_away(journey, self._tools.stop.retry_after())
         state.refusals.refuse(journey.facts.subject)
         self._answer(_REFUSED, _retry_after(verdict.retry_after))
         return Done('refused', _REFUSED, verdict.reason)
--- a/linnetwind/stream_gate.py
+++ b/linnetwind/stream_gate.py
@@ -96,6 +96,9 @@
 
 
 Verdict = RunNow | WaitFor | TurnAway
+# Of a stream in line when the daemon has no time left; when its caller may
+# come back is for the stop to say.
+STOPPING = TurnAway(timedelta(), 'the daemon is stopping')
 
 
 def judge(view: GroupView, waiter: Waiter) -> Verdict:
@@ -200,6 +203,7 @@
         claim: Claim,
         look: Callable[[timedelta], GroupView],
         take: Callable[[], Upstream | None],
+        has_time: Callable[[], bool],
     ) -> Upstream | TurnAway | None:
         """Wait for a place while that is worth it.
 
@@ -211,6 +215,7 @@
           claim: The stream.
           look: Returns the present view of the group, for a longest pause.
           take: Takes an upstream and counts the stream there.
+          has_time: Whether the stream can still end if it is begun now.
 
         Returns:
           What `take` returned, or that the stream is refused.
@@ -220,7 +225,7 @@
             self._waiting.append(place)
             self._waiting.sort()
             try:
-                verdict = self._wait(place, look)
+                verdict = self._wait(place, look, has_time)
                 return verdict if isinstance(verdict, TurnAway) else take()
             finally:
                 self._views.clear()
@@ -230,9 +235,11 @@
         self,
         place: _Place,
         look: Callable[[timedelta], GroupView],
+        has_time: Callable[[], bool],
     ) -> Verdict:
         claim = place.claim
-        while True:  # noqa: WPS457
+        # A daemon that was told to stop meanwhile would cut the stream.
+        while has_time():
             waiter = Waiter(
                 self._waiting.index(place),
                 self._clock.elapsed() - claim.since,
@@ -244,6 +251,7 @@
                 return verdict
             wait = min(verdict.most, _LOOK)
             self._changed.wait(wait.total_seconds())
+        return STOPPING
 
     def _see(
         self, gap: timedelta, look: Callable[[timedelta], GroupView]
--- a/linnetwind/stream_gate_test.py
+++ b/linnetwind/stream_gate_test.py
@@ -8,6 +8,7 @@
 from linnetwind.stream_gate import (
     LEAST_RETRY,
     MOST_RETRY,
+    STOPPING,
     Claim,
     GroupView,
     RunNow,
@@ -98,7 +99,7 @@
 
     def ask():
         claim = Claim(clock.elapsed(), SECOND, 120 * MS, returning=True)
-        found = line.enter(claim, look, take)
+        found = line.enter(claim, look, take, _always)
         ended.append(found)
 
     threads = [threading.Thread(target=ask) for _stream in range(20)]
@@ -132,7 +133,7 @@
             order.append(name)
 
         claim = Claim(clock.elapsed(), 1.5 * SECOND, 120 * MS, returning)
-        line.enter(claim, look, take)
+        line.enter(claim, look, take, _always)
 
     threads = [
         threading.Thread(target=ask, args=('returned', True))
@@ -167,7 +168,7 @@
 
     def ask(gap):
         claim = Claim(clock.elapsed(), SECOND, gap, returning=True)
-        line.enter(claim, look, lambda: None)
+        line.enter(claim, look, lambda: None, _always)
 
     gaps = [120 * MS] * 15 + [200 * MS] * 15
     threads = [threading.Thread(target=ask, args=(gap,)) for gap in gaps]
@@ -221,3 +222,24 @@
 
     assert _play_overload(by_end_of_wait) < 0.6
     assert _play_overload(precedence) > 0.95
+
+
+def _always():
+    return True
+
+
+def test_a_stream_in_line_is_refused_when_the_daemon_has_no_time_left():
+    # A stream waits for a place when the daemon is told to stop. It was left
+    # in line, and got its place when the daemon had no time for it any more,
+    # or none at all: its caller saw a connection closed without an answer.
+    line = WaitingLine(SystemClock())
+    full = GroupView(0, 1, timedelta(), None)
+    claim = Claim(
+        SystemClock().elapsed(), timedelta(hours=1), timedelta(seconds=1), False
+    )
+    answers = iter([True, True, False])
+    refused = line.enter(
+        claim, lambda _gap: full, lambda: None, lambda: next(answers)
+    )
+    assert refused == STOPPING
+    assert line.length == 0
--- a/linnetwind/stream_room.py
+++ b/linnetwind/stream_room.py
@@ -82,6 +82,7 @@
         claim: Claim,
         look: Callable[[timedelta], GroupView],
         take: Callable[[], Upstream | None],
+        has_time: Callable[[], bool],
     ) -> Upstream | TurnAway | None:
         """Wait for a place in a service's group while that is worth it.
 
@@ -90,6 +91,7 @@
           claim: The stream.
           look: Returns the present view of the group, for a longest pause.
           take: Takes an upstream and counts the stream there.
+          has_time: Whether the stream can still end if it is begun now.
 
         Returns:
           What `take` returned, or that the stream is refused.
@@ -99,7 +101,7 @@
             room = self._room(service)
             room.arrivals.append(now)
             _forget(room.arrivals, now)
-        return room.line.enter(claim, look, take)
+        return room.line.enter(claim, look, take, has_time)
 
     def wake(self) -> None:
         """Let all that wait look again."""
