--- a/standins/vary_site.py
+++ b/standins/vary_site.py
@@ -113,7 +113,10 @@
 
 
 def _vary_allowance(site: Table, luck: Random) -> None:
-    site['bounds']['budget_slack'] *= luck.choice(WIDE)
+    bounds = site['bounds']
+    bounds['budget_slack'] = round(
+        bounds['budget_slack'] * luck.choice(WIDE), 1
+    )
 
 
 def _require_fencing(site: Table, _luck: Random) -> None:
