Failing tests: two groups in one service are taken for one

Cause: planner and sort_by_rank know ranks by service and number only, and is_whole does not compare the groups that the reports name. Two tests fail: whole-group check of the rollout, maps for both groups in the planner. No product change here: a proposal for the mend is one planner group for each group name, plus is_whole comparing names as the guard.

--- a/linnetwind/map_planner_test.py
+++ b/linnetwind/map_planner_test.py
@@ -268,3 +268,29 @@
     assert [type(each) for each in bed.ranks[81].orders] == [HoldPass]
     assert (group.wish, group.maps) == (None, None)
     assert group.ranks[0].life == 'r0#2'
+
+
+def test_both_groups_of_a_service_get_maps(bed):
+    # The ranks of two groups of one service have the same numbers. Taken for
+    # one group, half of them are never planned for; while reports come in
+    # another order, some ranks of each group are armed and others are not, and
+    # the next pass of a group mixes two maps.
+    for rank in range(2):
+        bed.start(rank, 83 + rank, born_ms=1, group='h')
+        bed.register(make_upstream(f'r{rank}', 81 + rank, 'model', born_ms=1))
+        bed.register(make_upstream(f's{rank}', 83 + rank, 'model', born_ms=1))
+    bed.look()
+    for port in bed.ranks:
+        bed.count(port, 5, 0, 0, 0, 0)
+    bed.look()
+    for port in (81, 83):
+        bed.count(port, 6, 9_000, 0, 0, 0)
+    for port in (82, 84):
+        bed.count(port, 6, 0, 0, 0, 0)
+    bed.look()
+    prepared = {
+        port
+        for port, rank in bed.ranks.items()
+        if any(isinstance(each, PrepareMap) for each in rank.orders)
+    }
+    assert prepared == {81, 82, 83, 84}
--- a/linnetwind/rollout_test.py
+++ b/linnetwind/rollout_test.py
@@ -19,6 +19,7 @@
     MapWish,
     RankCommand,
     Round,
+    is_whole,
     next_round,
 )
 from standins.rank_orders import GroupModel, Walk
@@ -57,6 +58,16 @@
         assert walk.group.step > before + 50, seed
 
 
+def test_ranks_of_two_groups_are_no_whole_group():
+    # Two groups have ranks of the same numbers. If rank 0 of one and rank 1
+    # of the other are taken for a group, both are armed, the other ranks of
+    # the two groups are not, and the next pass of each mixes two maps.
+    reports = dict(_walk(1, planners=1).group.reports())
+    assert is_whole(reports)
+    reports[1] = replace(reports[1], group='another')
+    assert not is_whole(reports)
+
+
 def test_maps_are_switched_in_spite_of_faults():
     switches = [_walk(seed).group.switches for seed in SEEDS]
     assert sum(each > 0 for each in switches) > len(switches) / 2
