Plan each rank group of a service by itself

Cause: the planner kept one group a service and one report a rank number. Changed: ranks are sorted by the group that they name; each group has a plan of its own, over shared links; the rollout calls no mixture of groups whole (the guard). Not taken: limits on streams by group (the limit is measured over the service's pauses and holds for it as a whole).

--- a/linnetwind/group_looks.py
+++ b/linnetwind/group_looks.py
@@ -10,7 +10,7 @@
 
 from linnetwind.lives import Life, name_life
 from linnetwind.rank_messages import Seen
-from linnetwind.rank_types import RankMaps, RankReport
+from linnetwind.rank_types import RankCounts, RankMaps, RankReport
 from linnetwind.upstream_list import Upstream
 
 
@@ -29,7 +29,7 @@
 
 
 def sort_by_rank(answers: Mapping[Upstream, Seen]) -> dict[int, SeenRank]:
-    """Return what each rank has said.
+    """Return what each rank of a group has said.
 
     After a restart two entries may lead to one rank: that of the life that
     answers counts before that of the life before.
@@ -49,6 +49,45 @@
     return {each.report.rank: each for each in found}
 
 
+def sort_by_group(
+    answers: Mapping[Upstream, Seen],
+) -> dict[str, dict[int, SeenRank]]:
+    """Return what each rank has said, by the name of its group.
+
+    A service may have several groups, whose ranks have the same numbers.
+    Taken for one group, some ranks of each were armed and others were not,
+    and the next pass of each mixed two maps.
+
+    Args:
+      answers: The answer of each upstream that was asked.
+
+    Returns:
+      The ranks that have answered.
+    """
+    by_group: dict[str, dict[Upstream, Seen]] = {}
+    for upstream, seen in answers.items():
+        if seen.report is not None:
+            members = by_group.setdefault(seen.report.group, {})
+            members[upstream] = seen
+    return {name: sort_by_rank(members) for name, members in by_group.items()}
+
+
+def counts_of(ranks: Mapping[int, SeenRank]) -> dict[int, RankCounts]:
+    """Return the counts of the ranks that have told them.
+
+    Args:
+      ranks: What each rank has said.
+
+    Returns:
+      The counts by rank.
+    """
+    return {
+        rank: each.seen.counts
+        for rank, each in ranks.items()
+        if each.seen.counts is not None
+    }
+
+
 def held_maps(
     ranks: Mapping[int, SeenRank], epoch: int, version: int
 ) -> RankMaps | None:
--- a/linnetwind/map_planner.py
+++ b/linnetwind/map_planner.py
@@ -17,16 +17,19 @@
     OrderFailed,
 )
 from linnetwind.gateway_state import GatewayState
-from linnetwind.group_looks import sort_by_rank
+from linnetwind.group_brief import make_brief
+from linnetwind.group_looks import counts_of, sort_by_group
 from linnetwind.map_wish import even_demand, plan_map
 from linnetwind.peer_book import GroupBrief
 from linnetwind.peer_mesh import PeerMesh
 from linnetwind.planned_group import (
     PlannedGroup,
+    PlannedService,
     Reports,
     forget_maps,
-    note_lives,
-    take_maps,
+    needs_experts,
+    take_groups,
+    take_ranks,
 )
 from linnetwind.planner_rest import PlannerRest, rest_when_overtaken
 from linnetwind.rank_link import GroupLinks, RankLink
@@ -62,13 +65,6 @@
 _BLIND = timedelta(seconds=1)
 # After an order that was not answered, others are expected to be lost too.
 _LOSSES_LAST = timedelta(seconds=4)
-# What is said of the time until a broken group opens, beyond its forming.
-_RANK_BACK_MS = 800
-
-# A rank that takes so many times the usual time for the same work gets no new
-# streams; smaller differences are left to the placement of experts.
-SLOW_PACE = 1.4
-
 LinkOpener = Callable[[Upstream], RankLink]
 
 
@@ -97,7 +93,7 @@
         self._open_link = open_link
         self._clock = clock
         self._log = log
-        self._groups: dict[str, PlannedGroup] = {}
+        self._services: dict[str, PlannedService] = {}
         self._led = False
 
     def run_once(self) -> timedelta:
@@ -112,7 +108,7 @@
             self._led = leads
             self._log.event(LeaderChanged(leads))
         if not leads:
-            self._groups.clear()
+            self._services.clear()
             self._mesh.publish((), can_plan=True)
             return LOOK_INTERVAL
         briefs = []
@@ -121,59 +117,65 @@
                 brief = self._plan_service(service)
                 self._state.room.take_brief(brief)
                 briefs.append(brief)
-        able = all(self._sees(each) for each in self._groups.values())
+        groups = [
+            group
+            for each in self._services.values()
+            for group in each.groups.values()
+        ]
+        able = all(self._sees(each) for each in groups)
         self._mesh.publish(tuple(briefs), can_plan=able)
-        copying = any(_is_copying(each) for each in self._groups.values())
+        copying = any(_is_copying(each) for each in groups)
         return _COPY_LOOK if copying else LOOK_INTERVAL
 
     def _sees(self, group: PlannedGroup) -> bool:
         return self._clock.elapsed() - group.whole_at < _BLIND
 
     def _plan_service(self, service: RoutedService) -> GroupBrief:
-        group = self._groups.get(service.name)
-        if group is None:
-            links = GroupLinks(self._open_link)
-            group = PlannedGroup(links, self._clock.elapsed())
-            self._groups[service.name] = group
-        reports = self._look(
-            service, group, with_counts=self._counts_due(group)
-        )
-        self._note_group(service, group, reports)
-        rounds = _MOST_ROUNDS
-        while reports and rounds:
-            rounds -= 1
-            reports = self._next(service, group, reports)
-        return _brief(service, group, group.reports)
-
-    def _counts_due(self, group: PlannedGroup) -> bool:
+        planned = self._services.get(service.name)
+        if planned is None:
+            planned = PlannedService(GroupLinks(self._open_link))
+            self._services[service.name] = planned
+        self._look(service, planned)
+        for group in planned.groups.values():
+            self._note_group(service, group)
+            reports = group.reports
+            rounds = _MOST_ROUNDS
+            while reports and rounds:
+                rounds -= 1
+                reports = self._next(service, group, reports)
+        return make_brief(service, planned.groups.values())
+
+    def _counts_due(self, planned: PlannedService) -> bool:
         """Return whether the counts are to be read, and note when."""
         now = self._clock.elapsed()
-        rest = timedelta(milliseconds=_LOOK_PER_RANK_MS * len(group.ranks))
-        if now - group.counted_at < max(rest, LOOK_INTERVAL) - _COPY_LOOK:
+        ranks = sum(len(each.ranks) for each in planned.groups.values())
+        rest = timedelta(milliseconds=_LOOK_PER_RANK_MS * ranks)
+        if now - planned.counted_at < max(rest, LOOK_INTERVAL) - _COPY_LOOK:
             return False
-        group.counted_at = now
+        planned.counted_at = now
         return True
 
-    def _look(
-        self, service: RoutedService, group: PlannedGroup, *, with_counts: bool
-    ) -> Reports:
+    def _look(self, service: RoutedService, planned: PlannedService) -> None:
+        """Look at all ranks of a service."""
         registered = self._state.upstreams.registered(service.name)
-        wanted = Look(with_counts, with_experts=with_counts and not group.maps)
-        group.ranks = sort_by_rank(group.links.look(registered, wanted))
-        reports = {rank: each.report for rank, each in group.ranks.items()}
-        group.reports = reports
-        note_lives(group)
-        if is_whole(reports):
-            group.whole_at = self._clock.elapsed()
-            take_maps(group, reports)
-        if with_counts:
-            counts = {
-                rank: each.seen.counts
-                for rank, each in group.ranks.items()
-                if each.seen.counts is not None
-            }
-            group.demand = group.demand.take(counts, self._clock.elapsed())
-        return reports
+        planned.links.keep(registered)
+        with_counts = self._counts_due(planned)
+        wanted = Look(with_counts, with_counts and needs_experts(planned))
+        seen = sort_by_group(planned.links.look(registered, wanted))
+        now = self._clock.elapsed()
+        take_groups(planned, seen, now)
+        for group in planned.groups.values():
+            take_ranks(group, seen.get(group.name, {}), now)
+            if with_counts:
+                group.demand = group.demand.take(counts_of(group.ranks), now)
+
+    def _look_again(self, group: PlannedGroup) -> Reports:
+        """Look at the ranks of a group between two rounds."""
+        asked = [each.upstream for each in group.ranks.values()]
+        seen = sort_by_group(group.links.look(asked, Look(with_counts=False)))
+        now = self._clock.elapsed()
+        take_ranks(group, seen.get(group.name, {}), now)
+        return group.reports
 
     def _next(
         self, service: RoutedService, group: PlannedGroup, reports: Reports
@@ -200,7 +202,7 @@
         if _is_copying(group):
             return {}
         if len(newer) < len(decided.commands):
-            return self._look(service, group, with_counts=False)
+            return self._look_again(group)
         group.reports = {**reports, **newer}
         return group.reports
 
@@ -279,7 +281,7 @@
         if planned.wish is not None:
             self._log.event(
                 MapPlanned(
-                    service.name,
+                    _full_name(service, group),
                     planned.wish.version,
                     planned.moves,
                     round(planned.skew_before, 3),
@@ -305,14 +307,15 @@
         before = group.stage
         took = now - group.stage_since if before else timedelta()
         self._log.event(
-            MapStep(service.name, version, before, stage, step, took)
+            MapStep(
+                _full_name(service, group), version, before, stage, step, took
+            )
         )
         group.stage = stage
         group.stage_since = now
 
-    def _note_group(
-        self, service: RoutedService, group: PlannedGroup, reports: Reports
-    ) -> None:
+    def _note_group(self, service: RoutedService, group: PlannedGroup) -> None:
+        reports = group.reports
         epoch = max((each.epoch for each in reports.values()), default=0)
         now = (epoch, is_whole(reports))
         if now == group.was:
@@ -321,7 +324,12 @@
             # The group formed anew, with map 0 and nothing prepared.
             forget_maps(group)
         group.was = now
-        self._log.event(GroupChanged(service.name, *now, len(reports)))
+        name = _full_name(service, group)
+        self._log.event(GroupChanged(name, *now, len(reports)))
+
+
+def _full_name(service: RoutedService, group: PlannedGroup) -> str:
+    return f'{service.name}/{group.name}'
 
 
 def _goes_on(before: RankReport, newer: RankReport | None) -> bool:
@@ -335,17 +343,3 @@
 
 def _is_copying(group: PlannedGroup) -> bool:
     return group.stage.startswith('preparing')
-
-
-def _brief(
-    service: RoutedService, group: PlannedGroup, reports: Reports
-) -> GroupBrief:
-    is_open = all(each.is_open for each in reports.values())
-    opens_in = 0 if is_open else int(service.engine.form_ms) + _RANK_BACK_MS
-    epoch = max((each.epoch for each in reports.values()), default=0)
-    slow = tuple(
-        group.ranks[rank].life
-        for rank, each in reports.items()
-        if each.pace > SLOW_PACE
-    )
-    return GroupBrief(service.name, epoch, is_open, group.skew, opens_in, slow)
--- a/linnetwind/map_planner_test.py
+++ b/linnetwind/map_planner_test.py
@@ -156,10 +156,10 @@
 
     def look(self):
         """Look once, with counts."""
-        for group in self.planner._groups.values():
-            group.counted_at = timedelta()
+        for service in self.planner._services.values():
+            service.counted_at = timedelta()
         self.planner.run_once()
-        return self.planner._groups['model']
+        return self.planner._services['model'].groups['g']
 
 
 def _table():
--- a/linnetwind/planned_group.py
+++ b/linnetwind/planned_group.py
@@ -1,5 +1,6 @@
-"""What a planner knows of one service's rank group."""
+"""What a planner knows of a service's rank groups."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -10,15 +11,24 @@
 from linnetwind.planner_rest import PlannerRest
 from linnetwind.rank_link import GroupLinks
 from linnetwind.rank_types import RankMaps, RankReport
-from linnetwind.rollout import MapWish
+from linnetwind.rollout import MapWish, is_whole
 
 Reports = dict[int, RankReport]
 
+# A group of which nobody has answered for this long is no longer planned.
+_FORGOTTEN_S = 30
+GROUP_FORGOTTEN = timedelta(seconds=_FORGOTTEN_S)
+
 
 @dataclass
 class PlannedGroup:
-    """What the planner knows of one service's group."""
+    """What the planner knows of one rank group.
+
+    `name` tells it from the other groups of its service. `whole_at` is the
+    monotonic time at which all its ranks were last seen.
+    """
 
+    name: str
     links: GroupLinks
     whole_at: timedelta
     ranks: dict[int, SeenRank] = field(default_factory=dict)
@@ -28,7 +38,6 @@
     reports: Reports = field(default_factory=dict)
     maps: RankMaps | None = None
     maps_of: tuple[int, int] | None = None
-    counted_at: timedelta = timedelta()
     unanswered_at: timedelta | None = None
     stage: str = ''
     stage_since: timedelta = timedelta()
@@ -37,6 +46,65 @@
     rest: PlannerRest = PlannerRest()
 
 
+@dataclass
+class PlannedService:
+    """What the planner knows of a service; `groups` are by their names."""
+
+    links: GroupLinks
+    groups: dict[str, PlannedGroup] = field(default_factory=dict)
+    counted_at: timedelta = timedelta()
+
+
+def needs_experts(service: PlannedService) -> bool:
+    """Return whether the ranks are to be asked which experts they hold.
+
+    Args:
+      service: The service.
+
+    Returns:
+      Whether the map of a group is not known.
+    """
+    groups = service.groups.values()
+    return not groups or any(each.maps is None for each in groups)
+
+
+def take_groups(
+    service: PlannedService,
+    seen: Mapping[str, Mapping[int, SeenRank]],
+    now: timedelta,
+) -> None:
+    """Take in which groups a service has.
+
+    Args:
+      service: The service.
+      seen: The ranks of each group that have just answered.
+      now: The monotonic time.
+    """
+    for name in seen.keys() - service.groups.keys():
+        service.groups[name] = PlannedGroup(name, service.links, now)
+    for group in tuple(service.groups.values()):
+        if group.name not in seen and now - group.whole_at > GROUP_FORGOTTEN:
+            service.groups.pop(group.name)
+
+
+def take_ranks(
+    group: PlannedGroup, ranks: dict[int, SeenRank], now: timedelta
+) -> None:
+    """Take in what the ranks of a group have said.
+
+    Args:
+      group: The group.
+      ranks: Those that have just answered.
+      now: The monotonic time.
+    """
+    group.ranks = ranks
+    group.reports = {rank: each.report for rank, each in ranks.items()}
+    note_lives(group)
+    if is_whole(group.reports):
+        group.whole_at = now
+        take_maps(group, group.reports)
+
+
 def note_lives(group: PlannedGroup) -> None:
     """Forget the maps of a group of which a rank has started again.
 
--- a/linnetwind/rank_link.py
+++ b/linnetwind/rank_link.py
@@ -134,7 +134,7 @@
 
 
 class GroupLinks:
-    """The links to all upstreams of one group."""
+    """The links to all upstreams of one service."""
 
     def __init__(self, open_link: Callable[[Upstream], RankLink]) -> None:
         """Start without links.
@@ -146,10 +146,20 @@
         self._links: dict[_Target, RankLink] = {}
         self._pool = ThreadPoolExecutor(_THREADS, 'rank')
 
+    def keep(self, upstreams: Iterable[Upstream]) -> None:
+        """Close the links to all other upstreams.
+
+        Args:
+          upstreams: The upstreams that are registered now.
+        """
+        targets = {_target(each) for each in upstreams}
+        for gone in self._links.keys() - targets:
+            self._links.pop(gone).close()
+
     def look(
         self, upstreams: Iterable[Upstream], wanted: Look
     ) -> dict[Upstream, Seen]:
-        """Ask all upstreams at once.
+        """Ask several upstreams at once.
 
         Args:
           upstreams: The upstreams to ask.
@@ -158,13 +168,9 @@
         Returns:
           What each of them said.
         """
-        asked = list(upstreams)
-        targets = {_target(each) for each in asked}
-        for gone in self._links.keys() - targets:
-            self._links.pop(gone).close()
         jobs = {
             each: self._pool.submit(self._link(each).look, wanted)
-            for each in asked
+            for each in upstreams
         }
         return {each: job.result() for each, job in jobs.items()}
 
--- a/linnetwind/rollout.py
+++ b/linnetwind/rollout.py
@@ -87,7 +87,9 @@
     if not reports:
         return False
     size = max(each.size for each in reports.values())
-    epochs = {each.epoch for each in reports.values()}
+    # Ranks of two groups have the same numbers; orders for a mixture of them
+    # would leave each group with two maps.
+    epochs = {(each.group, each.epoch) for each in reports.values()}
     all_open = all(each.is_open for each in reports.values())
     return len(reports) == size and len(epochs) == 1 and all_open
 
