Begin nothing from the moment at which a gateway process ends

Changed: when no connection is open the stop is told that the process ends; from then on nothing is begun, and the process ends only if there is still no connection, since one that was counted later is refused and one that was counted before is waited for. Ruled out: closing newcomers unread again (they are not told when to come back); a longer wait (moves the gap).

--- a/linnetwind/gateway_daemon.py
+++ b/linnetwind/gateway_daemon.py
@@ -211,11 +211,12 @@
         """Stop in an order that loses no request.
 
         First the platform is told, while callers that do not know yet are
-        still served. Then new connections are closed unread, idle ones are
-        closed, and the rest finishes. A process that ended as soon as no
-        request was open took calls in its last milliseconds and cut them
-        after they had reached their upstream; it therefore ends when no
-        connection is open.
+        still served. Then newcomers are refused, idle connections are closed,
+        and the rest finishes. A process that ended as soon as nothing was
+        open took calls in its last milliseconds and cut them after they had
+        reached their upstream. It therefore begins nothing from the moment
+        at which no connection is open, and ends if then, still, none is: what
+        was begun before that moment is on a connection that is counted.
         """
         self._log.event(Stopping(self._open.requests))
         self._mesh.leave()
@@ -224,7 +225,10 @@
         while not self._stop.is_over():
             pause.wait(_STOP_LOOK_S)
             if self._stop.may_end() and not self._open.connections:
-                break
+                self._stop.end()
+                if not self._open.connections:
+                    break
+        self._stop.end()
         waited = self._clock.elapsed() - since
         self._log.event(Stopped(self._open.requests, waited))
         # Lets the log's thread write the last lines.
--- a/linnetwind/gateway_stop.py
+++ b/linnetwind/gateway_stop.py
@@ -229,6 +229,7 @@
         self._host = own
         self._fleet = fleet
         self._plan: StopPlan | None = None
+        self._is_ending = False
 
     def begin(self) -> None:
         """Take note that the process was told to stop."""
@@ -267,6 +268,14 @@
         plan = self._plan
         return plan is not None and self._clock.elapsed() >= plan.cuts_at
 
+    def end(self) -> None:
+        """Take note that the process ends: nothing is begun any more.
+
+        A call that came while the process wrote its last lines was passed on,
+        since its own limit was short enough, and broke off with the process.
+        """
+        self._is_ending = True
+
     def may_begin(self, ending: Ending) -> bool:
         """Return whether a request may be begun now.
 
@@ -279,6 +288,8 @@
         plan = self._plan
         if plan is None:
             return True
+        if self._is_ending:
+            return False
         now = self._clock.elapsed()
         return may_begin(plan, now, ending, self._phase(plan, now))
 
--- a/linnetwind/gateway_stop_test.py
+++ b/linnetwind/gateway_stop_test.py
@@ -310,3 +310,14 @@
     clock.advance(NOTICE)
     assert not stop.has_time(ENDLESS)
     assert stop.has_time(Ending(LONG, GRACE * USE_OF_STOP))
+
+
+def test_a_process_that_ends_begins_nothing():
+    clock = ManualClock(datetime.now(UTC))
+    stop = _stop(clock)
+    stop.begin()
+    clock.advance(NOTICE)
+    short = Ending(clock.elapsed() + MOMENT, clock.elapsed() + MOMENT)
+    assert stop.may_begin(short)
+    stop.end()
+    assert not stop.may_begin(short)
