One report of a rank for all tests

Cause: the same seventeen lines stood in three tests. Changed: make_report in the fixtures; moves only.

--- a/linnetwind/group_brief_test.py
+++ b/linnetwind/group_brief_test.py
@@ -12,9 +12,8 @@
     take_groups,
 )
 from linnetwind.rank_messages import Seen
-from linnetwind.rank_types import RankReport
 from linnetwind.routes import RoutedService
-from standins.gateway_fixtures import make_engine, make_upstream
+from standins.gateway_fixtures import make_engine, make_report, make_upstream
 
 SERVICE = RoutedService('model', '/health', 248, make_engine())
 SECOND = timedelta(seconds=1)
@@ -24,23 +23,13 @@
     ranks = {}
     for rank, pace in enumerate(paces):
         upstream = make_upstream(f'{name}{rank}', 81 + rank, 'model')
-        report = RankReport(
+        report = make_report(
             group=name,
             rank=rank,
             size=len(paces),
             epoch=epoch,
             is_open=is_open,
-            step=5,
-            sequence=1,
-            is_copying=False,
-            map_version=0,
-            prepared=None,
-            armed=None,
-            armed_step=None,
-            held=None,
             pace=pace,
-            running=0,
-            waiting=0,
         )
         ranks[rank] = SeenRank(upstream, upstream.life, report, Seen(report))
     group = PlannedGroup(name, None, timedelta(), ranks=ranks, skew=skew)
--- a/linnetwind/map_planner_test.py
+++ b/linnetwind/map_planner_test.py
@@ -23,30 +23,17 @@
 from linnetwind.repeat_budget import BudgetTerms
 from linnetwind.routes import RouteTable, RoutedService
 from linnetwind.upstream_list import Registered
-from standins.gateway_fixtures import make_engine, make_table, make_upstream
+from standins.gateway_fixtures import (
+    make_engine,
+    make_report,
+    make_table,
+    make_upstream,
+)
 from standins.gateway_harness import ListLog
 
 ENGINE = make_engine(layers=1, experts=4, slots_per_rank=3)
 MODEL = RoutedService('model', '/health', 248, ENGINE)
-REPORT = RankReport(
-    group='g',
-    rank=0,
-    size=2,
-    epoch=1,
-    is_open=True,
-    step=5,
-    sequence=1,
-    is_copying=False,
-    map_version=0,
-    prepared=None,
-    armed=None,
-    armed_step=None,
-    held=None,
-    pace=1.0,
-    running=0,
-    waiting=0,
-    born_ms=1,
-)
+REPORT = make_report(born_ms=1)
 
 
 class Mesh:
--- a/linnetwind/rank_link_test.py
+++ b/linnetwind/rank_link_test.py
@@ -23,29 +23,12 @@
     OrderResult,
     PrepareMap,
     RankCounts,
-    RankReport,
 )
+from standins.gateway_fixtures import make_report
 from standins.gateway_harness import ListLog
 from standins.scripted_upstream import serve_in_threads
 
-REPORT = RankReport(
-    group='g',
-    rank=0,
-    size=1,
-    epoch=1,
-    is_open=True,
-    step=5,
-    sequence=1,
-    is_copying=False,
-    map_version=0,
-    prepared=None,
-    armed=None,
-    armed_step=None,
-    held=None,
-    pace=1.0,
-    running=0,
-    waiting=0,
-)
+REPORT = make_report(size=1)
 MAPS = (((0, 1), (2, 3)), ((3,), (0, 1, 2)))
 
 
--- a/standins/gateway_fixtures.py
+++ b/standins/gateway_fixtures.py
@@ -1,9 +1,11 @@
 """Routes, tables and upstreams for tests of the gateway."""
 
 from collections.abc import Mapping
+from dataclasses import replace
 from datetime import timedelta
 
 from linnetwind.address import Address
+from linnetwind.rank_types import RankReport
 from linnetwind.routes import (
     CallerLimits,
     EngineFigures,
@@ -78,6 +80,29 @@
     )
 
 
+def make_report(**changes):
+    """Return the report of rank 0 of an idle group of two."""
+    report = RankReport(
+        group='g',
+        rank=0,
+        size=2,
+        epoch=1,
+        is_open=True,
+        step=5,
+        sequence=1,
+        is_copying=False,
+        map_version=0,
+        prepared=None,
+        armed=None,
+        armed_step=None,
+        held=None,
+        pace=1.0,
+        running=0,
+        waiting=0,
+    )
+    return replace(report, **changes)
+
+
 def make_upstream(instance, port=80, service='plain', **changes):
     """Return an upstream on the loopback interface."""
     fields = {
