Other writers in the fault soak

Cause: the soak knew no entries of other writers. Choices of their own, so that old seeds play as before. Ruled out: new kinds among the drawn faults (they would change every seed).

--- a/standins/foreign_entries_test.py
+++ b/standins/foreign_entries_test.py
@@ -1,13 +1,12 @@
 """Tests of real gateway processes among entries of other writers."""
 
-import json
 import time
 
 import pytest
 from typer.testing import CliRunner
 
 from linnetwind.cli import app
-from standins.bad_messages import BORN
+from standins.bad_messages import bad_entries
 from standins.platform_cluster import (
     PlatformCluster,
     configuration,
@@ -27,32 +26,6 @@
     connection.answer(request)
 
 
-def _bad_entries(upstream):
-    """Return entries of other writers for an upstream's address."""
-    good = entry_of(upstream)
-    wrong = [
-        *({**good, 'state': bad} for bad in ('gone', None, 3)),
-        *({**good, 'service': bad} for bad in (5, ['plain'], 'unknown')),
-        *({**good, 'slots': bad} for bad in (0, -1, True, '6', 10**30)),
-        *({**good, 'coldRemainingMs': bad} for bad in (10**30, '0')),
-        *({**good, 'address': bad} for bad in ('x:1', '127.0.0.1:70000', 7)),
-        *({**good, 'born': bad} for bad in BORN),
-        *(
-            {name: good[name] for name in good if name != left_out}
-            for left_out in good
-        ),
-        [],
-        None,
-    ]
-    return [
-        *(json.dumps(each).encode() for each in wrong),
-        b'\xff\xfe\x00',
-        b'{"service":',
-        b'{"a":' * 20_000,
-        b'[' * 200_000,
-    ]
-
-
 def _publish(cluster, upstream, version=1):
     cluster.store.put('keyed.servers', 'i-1', entry_of(upstream))
     cluster.store.put('keyed.op', 'config', configuration(version, 'plain'))
@@ -68,7 +41,7 @@
 
 def _spoil(cluster, upstream):
     """Write each bad entry; the list's other entries are good."""
-    for number, content in enumerate(_bad_entries(upstream)):
+    for number, content in enumerate(bad_entries(entry_of(upstream))):
         cluster.store.put_bytes('keyed.servers', f'x-{number:03}', content)
 
 
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -15,15 +15,18 @@
 import tempfile
 import threading
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from standins.bad_messages import bad_entries
 from standins.platform_cluster import (
+    entry_of,
     GatewayProcess,
     PlatformCluster,
     configuration,
 )
-from standins.soak_book import Book, timeline
+from standins.soak_book import Book, Extras, timeline
 from standins.soak_callers import Caller
 from standins.soak_checks import (
     History,
@@ -52,6 +55,9 @@
 )
 _MOODS = ('failing', 'full', 'hanging', 'breaking', 'wrong')
 _OUTAGES = ('busy', 'cut', 'silent')
+# The share of bad entries that stand beside the upstreams' own, and their keys.
+_BESIDE = 0.5
+_STRANGERS = 20
 
 
 @dataclass
@@ -71,19 +77,17 @@
 class Soak:
     """One run."""
 
-    def __init__(
-        self, seed: int, seconds: float, folder: Path, restarts: bool = False
-    ):
+    def __init__(self, seed: int, seconds: float, folder: Path, extras: Extras):
         """Start everything, sound.
 
         Args:
           seed: Of all choices.
           seconds: How long faults are injected.
           folder: Where logs go.
-          restarts: Whether upstreams start again under their names, too.
+          extras: What goes wrong besides.
         """
         self.book = Book()
-        self._restarts = restarts
+        self._extras = extras
         self._seed = seed
         self._seconds = seconds
         self._random = random.Random(seed)
@@ -116,14 +120,10 @@
             for number in range(_CALLERS)
         ]
         until = time.monotonic() + self._seconds
-        if self._restarts:
-            # With choices of its own, so that a seed's other faults stay.
-            thread = threading.Thread(
-                target=self._start_again,
-                args=(random.Random(self._seed), until),
-            )
-            self._threads.append(thread)
-            thread.start()
+        if self._extras.restarts:
+            self._begin(self._start_again, until)
+        if self._extras.strangers:
+            self._begin(self._write_as_others, until)
         while time.monotonic() < until:
             time.sleep(self._random.uniform(0.1, 1.2))
             self._fault()
@@ -282,6 +282,29 @@
     ) -> None:
         self._publish()
 
+    def _begin(self, extra: Callable[..., None], until: float) -> None:
+        """Run an extra, with choices of its own: a seed's others stay."""
+        thread = threading.Thread(
+            target=extra, args=(random.Random(self._seed), until)
+        )
+        self._threads.append(thread)
+        thread.start()
+
+    def _write_as_others(self, source: random.Random, until: float) -> None:
+        """Write bad entries beside good ones and in place of them."""
+        bad = bad_entries(entry_of(self._upstreams[0].proxy))
+        while time.monotonic() < until:
+            time.sleep(source.uniform(0.1, 1))
+            content = source.choice(bad)
+            upstream = source.choice(self._upstreams)
+            if source.random() < _BESIDE:
+                key = f'x-{source.randrange(_STRANGERS)}'
+                self._cluster.store.put_bytes('keyed.servers', key, content)
+            elif upstream.spoil(content):
+                self.book.note(f'the entry of {upstream.instance} is spoilt')
+                time.sleep(source.uniform(0.1, 0.6))
+                upstream.write_again()
+
     def _start_again(self, source: random.Random, until: float) -> None:
         """Have one upstream after the other start again under its name."""
         while time.monotonic() < until:
@@ -320,7 +343,7 @@
 
 
 def soak(
-    seed: int, seconds: float, folder: Path, restarts: bool = False
+    seed: int, seconds: float, folder: Path, extras: Extras = Extras()
 ) -> tuple[list[str], str]:
     """Run once.
 
@@ -328,12 +351,12 @@
       seed: Of all choices.
       seconds: How long faults are injected.
       folder: Where logs go.
-      restarts: Whether upstreams start again under their names, too.
+      extras: What goes wrong besides.
 
     Returns:
       The broken promises and the timeline.
     """
-    run = Soak(seed, seconds, folder, restarts)
+    run = Soak(seed, seconds, folder, extras)
     try:
         broken = run.run()
         return broken, timeline(run.book, run.start)
@@ -348,10 +371,12 @@
     parser.add_argument('--seconds', type=float, default=60)
     parser.add_argument('--folder', type=Path, default=None)
     parser.add_argument('--restarts', action='store_true')
+    parser.add_argument('--strangers', action='store_true')
     chosen = parser.parse_args()
     folder = chosen.folder or Path(tempfile.mkdtemp(prefix='soak-'))
     folder.mkdir(parents=True, exist_ok=True)
-    broken, picture = soak(chosen.seed, chosen.seconds, folder, chosen.restarts)
+    extras = Extras(chosen.restarts, chosen.strangers)
+    broken, picture = soak(chosen.seed, chosen.seconds, folder, extras)
     sys.stdout.write(f'{picture}\n')
     for line in broken:
         sys.stdout.write(f'BROKEN {line}\n')
--- a/standins/soak_book.py
+++ b/standins/soak_book.py
@@ -9,6 +9,18 @@
 REFUSALS = frozenset((408, 421, 429, 503))
 
 
+@dataclass(frozen=True, slots=True)
+class Extras:
+    """What goes wrong besides the faults that every seed draws.
+
+    `restarts`: upstreams start again under their names; `strangers`: other
+    writers write among the entries of upstreams.
+    """
+
+    restarts: bool = False
+    strangers: bool = False
+
+
 @dataclass
 class Call:
     """One call as its caller saw it.
--- a/standins/soak_test.py
+++ b/standins/soak_test.py
@@ -3,7 +3,7 @@
 import pytest
 
 from standins.soak import soak
-from standins.soak_book import Book, Call
+from standins.soak_book import Book, Call, Extras
 
 _SHORT_S = 12
 # Each seed failed once within so many seconds; the cause stands beside it.
@@ -33,11 +33,19 @@
 def test_promises_hold_while_upstreams_start_again(tmp_path):
     # Upstreams crash and start again at once under their names, elsewhere,
     # while everything else goes wrong as well.
-    broken, picture = soak(5, _SHORT_S, tmp_path, restarts=True)
+    broken, picture = soak(5, _SHORT_S, tmp_path, Extras(restarts=True))
     assert ' starts again' in picture
     assert broken == [], picture
 
 
+def test_promises_hold_while_others_write_among_the_entries(tmp_path):
+    # Other writers put bad entries beside those of the upstreams and in their
+    # place, while everything else goes wrong as well.
+    broken, picture = soak(6, _SHORT_S, tmp_path, Extras(strangers=True))
+    assert ' is spoilt' in picture
+    assert broken == [], picture
+
+
 def _call(**changes):
     fields = {'name': 'a', 'kind': 'once', 'path': '/o/', 'gateway': 'g'}
     return Call(**{**fields, 'sent': 1, 'whole': True, **changes})
--- a/standins/soak_upstreams.py
+++ b/standins/soak_upstreams.py
@@ -57,6 +57,27 @@
             self._write()
             return True
 
+    def spoil(self, content: bytes) -> bool:
+        """Have another writer replace the entry.
+
+        Args:
+          content: What it writes.
+
+        Returns:
+          Whether it did; the entry of one that drains stays.
+        """
+        with self._lock:
+            if self._state != 'ready':
+                return False
+            self._store.put_bytes('keyed.servers', self.instance, content)
+            return True
+
+    def write_again(self) -> None:
+        """Write the entry as it stands, as with each heartbeat."""
+        with self._lock:
+            if self._state == 'ready':
+                self._write()
+
     def leave(self) -> None:
         """Drop the entry."""
         self._store.put('keyed.servers', self.instance, None)
