Choose the ports of test clusters by a generator of their own

A test of upstream_choice seeds the module's generator, from which the ports are drawn, so that both runs drew the same ones and the clients of one met the servers of the other. Ruled out: load (the same test, the same moment, in both). Changed: a generator of its own, seeded by the system.

--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -25,6 +25,9 @@
 IP = '127.0.0.1'
 PORTS = (10_000, 32_000)
 TAKEN: set[int] = set()
+# Of its own: a test that seeds the module's choices gave the same ports to two
+# test runs at once, and the daemons of one spoke to the log of the other.
+_PORT_CHOICE = random.Random()
 
 
 def free_ports(count: int) -> list[int]:
@@ -36,7 +39,7 @@
     """
     found: list[int] = []
     while len(found) < count:
-        port = random.randrange(*PORTS)
+        port = _PORT_CHOICE.randrange(*PORTS)
         if port not in TAKEN and not reachable(port):
             TAKEN.add(port)
             found.append(port)
