Listen for callers before a gateway says that it is ready

Class: a promise before the means. Changed: the order of two lines; connections wait in the queue until they are accepted. The whole suite was not run again on this commit by us.

--- a/linnetwind/gateway_daemon.py
+++ b/linnetwind/gateway_daemon.py
@@ -150,6 +150,9 @@
         self._feeds.start(self._threads)
         self._mesh.start(self._threads, self._feeds.copy)
         self._threads.for_ever(self._planner.run_once, 'planner')
+        # Before anybody is told that the daemon is ready: on a busy host
+        # callers were refused by the port just after a 200.
+        front = _listen(setup.front)
         self._threads.accept(
             _listen(setup.readiness), self._say_ready, 'ready', _MOST_QUESTIONS
         )
@@ -159,9 +162,7 @@
             'metrics',
             _MOST_QUESTIONS,
         )
-        self._threads.accept(
-            _listen(setup.front), self._serve, 'caller', _MOST_CONNECTIONS
-        )
+        self._threads.accept(front, self._serve, 'caller', _MOST_CONNECTIONS)
         signals.wait(self._on_reload)
         self._stop.begin()
         self._drain()
