Plan in short steps, and only where balance can gain; write the last log lines

Hypothesis: the planner holds up the streams of its own host.

Known red: the last line of a stopping gateway. Cause: lines were made under the log's lock, so that the main thread waited up to 0.95 s for it beside callers that are refused in a loop (seen in a log: Stopped 0.95 s after its 'waited'), and the writer had 50 ms. Lines are made outside the lock; the process waits for its last lines within the time it has; a refusal no longer counts as an open request.

--- a/linnetwind/caller_service.py
+++ b/linnetwind/caller_service.py
@@ -9,7 +9,6 @@
     CallerGone,
 )
 from linnetwind.journey import GatewayTools
-from linnetwind.open_work import OpenWork
 from linnetwind.relay import Relay
 from linnetwind.routes import CallerLimits
 
@@ -18,7 +17,6 @@
     sock: socket,
     tools: GatewayTools,
     limits: Callable[[], CallerLimits],
-    open_work: OpenWork,
 ) -> None:
     """Serve a connection until its caller or the daemon's stop ends it.
 
@@ -26,25 +24,22 @@
       sock: The connection; the caller of this function closes it.
       tools: What every request needs.
       limits: Returns what a caller may send at present.
-      open_work: Counts the connection and its requests.
     """
     stop = tools.stop
     connection = CallerConnection(sock, limits, stop.is_draining, tools.clock)
     # Counted before the stop is looked at: in the other order the process
     # could find nothing open and end while a connection passes this point.
-    with open_work.connection():
+    with tools.open_work.connection():
         # The first request of a connection is always read and answered: a
         # caller whose connection is closed unread is not told when to come
         # back. An answer that was begun before the stop has not told its
         # caller of it; its connection ends with it.
-        goes_on = _serve_next(connection, tools, open_work)
+        goes_on = _serve_next(connection, tools)
         while goes_on and not stop.is_draining():
-            goes_on = _serve_next(connection, tools, open_work)
+            goes_on = _serve_next(connection, tools)
 
 
-def _serve_next(
-    connection: CallerConnection, tools: GatewayTools, open_work: OpenWork
-) -> bool:
+def _serve_next(connection: CallerConnection, tools: GatewayTools) -> bool:
     """Serve the next request; return whether another may follow."""
     asked = connection.read_request()
     match asked:
@@ -54,5 +49,4 @@
             close = ((b'Connection', b'close'),)
             connection.answer(status, close, b'')
             return False
-    with open_work.request():
-        return Relay(tools, connection, asked).run()
+    return Relay(tools, connection, asked).run()
--- a/linnetwind/gateway_daemon.py
+++ b/linnetwind/gateway_daemon.py
@@ -1,6 +1,7 @@
 """The gateway's process: listeners, signals, and stopping."""
 
 import socket
+import sys
 import threading
 import uuid
 from collections.abc import Callable
@@ -26,7 +27,6 @@
 from linnetwind.gateway_stop import make_stop
 from linnetwind.journey import GatewayTools
 from linnetwind.map_planner import MapPlanner
-from linnetwind.open_work import OpenWork
 from linnetwind.peer_mesh import MeshSettings, PeerMesh
 from linnetwind.rank_link import RankLink
 from linnetwind.rank_types import RankPort
@@ -43,7 +43,16 @@
 _MOST_QUESTIONS = 4
 _STACK_BYTES = 262_144
 _BACKLOG = 512
+# How long a thread computes before others get their turn. A stream's thread
+# waits for its turn after each read and write; at the interpreter's usual
+# 5 ms, streams passed on beside a thread that computes for 0.1 s paused for
+# all of it.
+_TURN_S = 0.0005
 _STOP_LOOK_S = 0.05
+# How long the last lines of the log may take, and the part for them of the
+# time until the process is killed.
+_LAST_LINES = timedelta(seconds=1)
+_USE_OF_TIME_LEFT = 0.7
 _METRICS_TYPE = b'text/plain; version=0.0.4; charset=utf-8'
 
 # Limits before the first configuration.
@@ -105,6 +114,7 @@
           log: The log.
         """
         threading.stack_size(_STACK_BYTES)
+        sys.setswitchinterval(_TURN_S)
         self._setup = setup
         self._ports = ports
         self._clock = clock
@@ -130,7 +140,6 @@
             Host(setup.name, setup.site, told=None),
             lambda: self._state.book,
         )
-        self._open = OpenWork()
         self._tools = GatewayTools(
             self._state,
             ports.dialect,
@@ -201,7 +210,7 @@
             connection.answer(HTTPStatus.OK, kind, self._metrics.render())
 
     def _serve(self, sock: socket.socket) -> None:
-        serve_caller(sock, self._tools, self._limits, self._open)
+        serve_caller(sock, self._tools, self._limits)
 
     def _connection(self, sock: socket.socket) -> CallerConnection:
         return CallerConnection(
@@ -219,21 +228,22 @@
         at which no connection is open, and ends if then, still, none is: what
         was begun before that moment is on a connection that is counted.
         """
-        self._log.event(Stopping(self._open.requests))
+        self._log.event(Stopping(self._tools.open_work.requests))
         self._mesh.leave()
         since = self._clock.elapsed()
         pause = threading.Event()
         while not self._stop.is_over():
             pause.wait(_STOP_LOOK_S)
-            if self._stop.may_end() and not self._open.connections:
+            if self._stop.may_end() and not self._tools.open_work.connections:
                 self._stop.end()
-                if not self._open.connections:
+                if not self._tools.open_work.connections:
                     break
         self._stop.end()
         waited = self._clock.elapsed() - since
-        self._log.event(Stopped(self._open.requests, waited))
-        # Lets the log's thread write the last lines.
-        pause.wait(_STOP_LOOK_S)
+        self._log.event(Stopped(self._tools.open_work.requests, waited))
+        self._log.finish(
+            min(_LAST_LINES, self._stop.time_left() * _USE_OF_TIME_LEFT)
+        )
 
     def _on_reload(self) -> None:
         self._threads.once(self._reload, 'reload')
--- a/linnetwind/gateway_stop.py
+++ b/linnetwind/gateway_stop.py
@@ -268,6 +268,14 @@
         plan = self._plan
         return plan is not None and self._clock.elapsed() >= plan.cuts_at
 
+    def time_left(self) -> timedelta:
+        """Return the time until the process is killed."""
+        plan = self._plan
+        if plan is None:
+            return timedelta()
+        killed_at = plan.begun_at + self._stop_within
+        return max(timedelta(), killed_at - self._clock.elapsed())
+
     def end(self) -> None:
         """Take note that the process ends: nothing is begun any more.
 
--- a/linnetwind/journey.py
+++ b/linnetwind/journey.py
@@ -14,6 +14,7 @@
 from linnetwind.clock import Clock
 from linnetwind.gateway_state import GatewayState
 from linnetwind.gateway_stop import GatewayStop
+from linnetwind.open_work import OpenWork
 from linnetwind.routes import Route, RoutedService, RouteTable
 from linnetwind.run_times import RunTimes
 from linnetwind.step_log import StepLog
@@ -38,6 +39,7 @@
     open_call: CallOpener
     stop: GatewayStop
     runs: RunTimes = field(default_factory=RunTimes)
+    open_work: OpenWork = field(default_factory=OpenWork)
 
 
 @dataclass(slots=True)
--- a/linnetwind/map_planner.py
+++ b/linnetwind/map_planner.py
@@ -5,6 +5,7 @@
 """
 
 import random
+import threading
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -19,7 +20,12 @@
 from linnetwind.gateway_state import GatewayState
 from linnetwind.group_brief import make_brief
 from linnetwind.group_looks import counts_of, sort_by_group
-from linnetwind.map_wish import even_demand, plan_map
+from linnetwind.map_wish import (
+    even_demand,
+    map_skew,
+    may_gain,
+    plan_map,
+)
 from linnetwind.peer_book import GroupBrief
 from linnetwind.peer_mesh import PeerMesh
 from linnetwind.planned_group import (
@@ -61,6 +67,13 @@
 # too few the group waits at its held pass: at 8, for 0.12 to 0.15 s in a
 # quarter of the rollouts.
 _MOST_ROUNDS = 40
+# A plan rests this long after each step of a millisecond or less, so that
+# the streams of its own host are passed on in between. Planned in one go, a
+# third of them had pauses of 0.12 s and more on a calm day.
+_BREATH_S = 0.002
+# For how long a plan that found too small a gain is not made again while the
+# skew stays: made at each look, there were ten of them in a second.
+_SETTLED = timedelta(seconds=1)
 # A planner that has not seen the whole group for this long lets another try.
 _BLIND = timedelta(seconds=1)
 # After an order that was not answered, others are expected to be lost too.
@@ -95,6 +108,7 @@
         self._log = log
         self._services: dict[str, PlannedService] = {}
         self._led = False
+        self._breath = threading.Event()
 
     def run_once(self) -> timedelta:
         """Look at all groups and go on with what each needs.
@@ -269,15 +283,24 @@
             tokens = even_demand(service.engine) if force else ()
         if group.maps is None or not tokens:
             return None
+        group.skew = map_skew(group.maps, tokens, reports, service.engine)
+        now = self._clock.elapsed()
+        settled = group.settled if now - group.settled_at < _SETTLED else 0
+        use = self._state.room.use(service.name)
+        if not force and not may_gain(group.skew, use, settled):
+            return None
         planned = plan_map(
             group.maps,
             tokens,
             reports,
             service.engine,
-            use=self._state.room.use(service.name),
+            use=use,
             force=force,
+            pause=self._breathe,
         )
-        group.skew = planned.skew_before
+        if planned.wish is None:
+            group.settled = group.skew
+            group.settled_at = now
         if planned.wish is not None:
             self._log.event(
                 MapPlanned(
@@ -292,6 +315,9 @@
             )
         return planned.wish
 
+    def _breathe(self) -> None:
+        self._breath.wait(_BREATH_S)
+
     def _note_stage(
         self,
         service: RoutedService,
--- a/linnetwind/map_wish.py
+++ b/linnetwind/map_wish.py
@@ -6,10 +6,10 @@
 """
 
 import random
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
-from linnetwind.placement import plan_moves
+from linnetwind.placement import go_on, plan_moves, skew
 from linnetwind.placement_types import (
     CopyLimits,
     ExpertMap,
@@ -41,6 +41,9 @@
 # days, 1,800 GB in 34 s, for passes of half the time allowed.
 LEAST_GAIN = 0.12
 LEAST_GAIN_EMPTY = 0.42
+# Up to so many times a skew at which nothing could be gained, nothing new is
+# expected: demand is counted over some passes and differs by a few per cent.
+_SAME_SKEW = 1.05
 _MS_PER_S = 1000
 # The part of the mean demand that every expert is taken to have, so that one
 # that nobody chose lately is not piled up with others.
@@ -66,6 +69,7 @@
     *,
     use: float,
     force: bool,
+    pause: Callable[[], None] = go_on,
 ) -> PlannedMap:
     """Plan the next map.
 
@@ -76,6 +80,7 @@
       engine: The figures of the engines.
       use: The streams that run over those that could, from 0 to 1.
       force: Whether a new version is needed even without a gain.
+      pause: Called again and again while a plan is made.
 
     Returns:
       The plan.
@@ -88,8 +93,9 @@
         max_moves=COPIES_PER_RANK * len(reports),
         copies=CopyLimits(COPIES_PER_RANK, engine.new_experts, engine.experts),
     )
-    current = _slots(maps, engine)
-    plan = plan_moves(current, _load(tokens, reports), prices)
+    plan = plan_moves(
+        _slots(maps, engine), _load(tokens, reports), prices, pause
+    )
     gain = 1 - plan.skew_after / plan.skew_before
     reason = plan.reason
     wish = None
@@ -103,6 +109,47 @@
     )
 
 
+def map_skew(
+    maps: RankMaps,
+    tokens: tuple[tuple[float, ...], ...],
+    reports: Mapping[int, RankReport],
+    engine: EngineFigures,
+) -> float:
+    """Return how uneven the present map is.
+
+    Args:
+      maps: The map in use.
+      tokens: The recent demand of each expert, by layer.
+      reports: The ranks' reports, for their pace.
+      engine: The figures of the engines.
+
+    Returns:
+      A pass's time over that of a group in perfect balance.
+    """
+    return skew(_slots(maps, engine), _load(tokens, reports))
+
+
+def may_gain(present: float, use: float, settled: float) -> bool:
+    """Return whether a plan can be worth a change.
+
+    Most looks find a group near balance. Planned at each of them all the
+    same, 10 times a second, two groups of 8 ranks kept their planner's
+    process busy, and 78 in 100 of the streams that it passed on had a pause
+    that was too long.
+
+    Args:
+      present: The skew of the map in use.
+      use: The streams that run over those that could, from 0 to 1.
+      settled: The skew at which a plan was in vain just now, 0 without one.
+
+    Returns:
+      Whether perfect balance would gain enough, and the skew has grown since
+      a plan gained too little.
+    """
+    grown = present >= settled * _SAME_SKEW
+    return grown and 1 - 1 / present >= _least_gain(use)
+
+
 def even_demand(engine: EngineFigures) -> tuple[tuple[float, ...], ...]:
     """Return the demand of a group of which nothing is known.
 
--- a/linnetwind/open_work.py
+++ b/linnetwind/open_work.py
@@ -1,4 +1,4 @@
-"""How many connections and requests a daemon serves now."""
+"""How many connections and begun requests a daemon serves now."""
 
 import threading
 from collections.abc import Iterator
@@ -21,7 +21,11 @@
 
     @property
     def requests(self) -> int:
-        """Return the requests that have no whole answer yet."""
+        """Return the requests that were begun and have no whole answer yet.
+
+        One that is refused was not begun: callers that came back at once to a
+        stopping daemon were taken for requests that it had cut.
+        """
         return self._requests
 
     @contextmanager
--- a/linnetwind/placement.py
+++ b/linnetwind/placement.py
@@ -7,7 +7,7 @@
 """
 
 import heapq
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import replace
 
 from linnetwind.placement_layer import Change, CopyRoom, LayerState
@@ -86,8 +86,15 @@
     return slowest / mean if mean else 1
 
 
+def go_on() -> None:
+    """Plan without pauses."""
+
+
 def plan_moves(
-    current: ExpertMap, load: GroupLoad, prices: PlacementPrices
+    current: ExpertMap,
+    load: GroupLoad,
+    prices: PlacementPrices,
+    pause: Callable[[], None] = go_on,
 ) -> Plan:
     """Plan the changes that are worth their cost.
 
@@ -95,6 +102,8 @@
       current: The map in use.
       load: The load that is expected.
       prices: What a gain is worth and what a move costs.
+      pause: Called after each search for a change, so that a process that
+        also serves callers can do so in between.
 
     Returns:
       The plan; without moves if nothing is worth it.
@@ -111,7 +120,7 @@
     whole = sum(sum(each.loads) / len(each.loads) for each in layers)
     if not whole:
         return Plan(current, (), 1, 1, 'no load is known')
-    moves, reason = _improve(layers, whole, prices)
+    moves, reason = _improve(layers, whole, prices, pause)
     target = replace(current, layers=tuple(each.layer for each in layers))
     before = skew(current, load)
     return Plan(target, tuple(moves), before, skew(target, load), reason)
@@ -137,11 +146,15 @@
 
 
 def _improve(
-    layers: list[LayerState], whole: float, prices: PlacementPrices
+    layers: list[LayerState],
+    whole: float,
+    prices: PlacementPrices,
+    pause: Callable[[], None],
 ) -> tuple[list[Move], str]:
     queue: list[_Queued] = []
     for number, _layer in enumerate(layers):
         _push(queue, layers, number)
+        pause()
     moves: list[Move] = []
     while queue:
         _key, best, change = heapq.heappop(queue)
@@ -149,6 +162,7 @@
             # Another layer has taken the room at one of its ranks since it
             # was found.
             _push(queue, layers, best)
+            pause()
             continue
         if len(moves) + len(change.moves) > prices.max_moves:
             return moves, 'as many moves as one plan may have'
@@ -157,6 +171,7 @@
         layers[best].apply(change)
         moves.extend(change.moves)
         _push(queue, layers, best)
+        pause()
     return moves, 'balanced'
 
 
--- a/linnetwind/placement_layer.py
+++ b/linnetwind/placement_layer.py
@@ -6,10 +6,11 @@
 """
 
 import heapq
+from bisect import bisect_left
 from collections import Counter, defaultdict
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
-from itertools import product
+from itertools import islice
 
 from linnetwind.placement_pack import repack
 from linnetwind.placement_types import CopyLimits, LayerMap, Move
@@ -17,6 +18,15 @@
 # The lightest ranks that are tried as a target for a part of the slowest
 # rank's work; more make a plan slower and hardly better.
 TARGETS = 4
+# Of the slowest rank's experts only the heaviest, and of a target's only the
+# lightest, are tried as a replica: a lighter part gains less, and a heavier
+# one that gives way costs more. Of exchanges those two are tried that come
+# nearest to halving the difference of the ranks. Tried all with all, a plan
+# for 8 ranks of 11 places in 6 layers took 116 ms of processor in the mean
+# and 205 at most; so it takes 21 and 34, with the same skew (made demand).
+HEAVIEST = 5
+LIGHTEST = 3
+NEAREST = 2
 
 
 @dataclass(frozen=True)
@@ -120,12 +130,22 @@
             if self._room is not None and self._is_copy(rank, move.expert):
                 self._room.take(rank, self._number)
             gone = self._slots[move.slot]
+            touched = {gone, move.expert}
+            self._add_loads(touched, -1)
             self._slots[move.slot] = move.expert
-            self._counts[gone] -= 1
-            self._counts[move.expert] += 1
-            self._holders[gone] -= Counter((rank,))
+            self._counts.subtract((gone,))
+            self._counts.update((move.expert,))
+            self._holders[gone][rank] -= 1
+            if not self._holders[gone][rank]:
+                self._holders[gone].pop(rank)
             self._holders[move.expert][rank] += 1
-        self._loads = self._add_up()
+            self._add_loads(touched, 1)
+
+    def _add_loads(self, experts: set[int], sign: int) -> None:
+        for expert in experts:
+            share = sign * self._share(expert) if self._counts[expert] else 0
+            for holder, slots in self._holders[expert].items():
+                self._loads[holder] += share * slots * self._slowness[holder]
 
     def allows(self, change: Change) -> bool:
         """Return whether there still is room for a change's copies.
@@ -200,22 +220,45 @@
 
     def _candidates(self, slowest: int, rank: int) -> Iterator[_Candidate]:
         """Yield replicas of the slowest rank's experts, and exchanges."""
-        mine = self._slots_of(slowest)
-        theirs = self._slots_of(rank)
-        own = {self._slots[slot] for slot in mine}
-        held = {self._slots[slot] for slot in theirs}
-        for slot, other in product(mine, theirs):
-            heavy = self._slots[slot]
-            light = self._slots[other]
-            if heavy in held:
-                continue
-            there = Move(self._number, other, heavy)
-            if self._counts[light] > 1:
-                yield (there,), self._replicated(heavy, light, rank)
-            if light not in own and self._may_go(slowest, light):
-                back = Move(self._number, slot, light)
-                deltas = self._exchanged(heavy, light, slowest, rank)
-                yield (there, back), deltas
+        mine = self._by_share(slowest)
+        theirs = self._by_share(rank)
+        held = self._experts_at(theirs)
+        heavy = [slot for slot in mine if self._slots[slot] not in held]
+        # Many changes gain the same, as far as the next rank that is slow.
+        # The heaviest comes first and so is the one that is made: in the other
+        # order 72 ranks kept a skew of 3.2 where this leaves 2.6.
+        heaviest = heavy[: -HEAVIEST - 1 : -1]
+        for slot in heaviest:
+            yield from self._replicas(self._slots[slot], theirs, rank)
+        own = self._experts_at(mine)
+        foreign = [slot for slot in theirs if self._slots[slot] not in own]
+        half = (self._loads[slowest] - self._loads[rank]) / 2
+        for slot in heaviest:
+            share = self._share_at(slot) - half
+            place = bisect_left(foreign, share, key=self._share_at)
+            first = max(0, place - NEAREST // 2)
+            for other in foreign[first : first + NEAREST]:
+                if self._may_go(slowest, self._slots[other]):
+                    yield self._exchange(slot, other)
+
+    def _replicas(
+        self, heavy: int, slots: Sequence[int], rank: int
+    ) -> Iterator[_Candidate]:
+        spare = (each for each in slots if self._counts[self._slots[each]] > 1)
+        for light in islice(spare, LIGHTEST):
+            there = Move(self._number, light, heavy)
+            yield (there,), self._replicated(there, rank)
+
+    def _experts_at(self, slots: Sequence[int]) -> set[int]:
+        return {self._slots[slot] for slot in slots}
+
+    def _share_at(self, slot: int) -> float:
+        return self._share(self._slots[slot])
+
+    def _by_share(self, rank: int) -> list[int]:
+        """Return the slots of a rank, that with the lightest part first."""
+        slots = range(rank * self._size, (rank + 1) * self._size)
+        return sorted(slots, key=self._share_at)
 
     def _has_room(self, rank: int) -> bool:
         return self._room is None or self._room.allows(rank, self._number)
@@ -227,14 +270,10 @@
         blank = self._room.limits.blank if self._room else None
         return expert != blank and (rank, expert) not in self._first
 
-    def _slots_of(self, rank: int) -> range:
-        return range(rank * self._size, (rank + 1) * self._size)
-
-    def _replicated(
-        self, heavy: int, light: int, rank: int
-    ) -> dict[int, float]:
+    def _replicated(self, move: Move, rank: int) -> dict[int, float]:
+        light = self._slots[move.slot]
         deltas: dict[int, float] = defaultdict(float)
-        for expert, extra in ((heavy, 1), (light, -1)):
+        for expert, extra in ((move.expert, 1), (light, -1)):
             change = self._share(expert, extra) - self._share(expert)
             for holder, slots in self._holders[expert].items():
                 deltas[holder] += change * slots * self._slowness[holder]
@@ -242,11 +281,14 @@
             deltas[rank] += extra * share * self._slowness[rank]
         return deltas
 
-    def _exchanged(
-        self, heavy: int, light: int, slowest: int, rank: int
-    ) -> dict[int, float]:
+    def _exchange(self, slot: int, other: int) -> _Candidate:
+        heavy, light = self._slots[slot], self._slots[other]
+        slowest, rank = slot // self._size, other // self._size
+        there = Move(self._number, other, heavy)
+        back = Move(self._number, slot, light)
         difference = self._share(heavy) - self._share(light)
-        return {
+        deltas = {
             slowest: -difference * self._slowness[slowest],
             rank: difference * self._slowness[rank],
         }
+        return (there, back), deltas
--- a/linnetwind/planned_group.py
+++ b/linnetwind/planned_group.py
@@ -25,7 +25,8 @@
     """What the planner knows of one rank group.
 
     `name` tells it from the other groups of its service. `whole_at` is the
-    monotonic time at which all its ranks were last seen.
+    monotonic time at which all its ranks were last seen; at `settled_at` a
+    plan found no gain worth a change, at the skew `settled`.
     """
 
     name: str
@@ -44,6 +45,8 @@
     was: tuple[int, bool] | None = None
     skew: float = USUAL_SKEW
     rest: PlannerRest = PlannerRest()
+    settled: float = 0
+    settled_at: timedelta = timedelta()
 
 
 @dataclass
@@ -130,6 +133,7 @@
     group.wish = None
     group.maps = None
     group.skew = USUAL_SKEW
+    group.settled = 0
 
 
 def take_maps(group: PlannedGroup, reports: Reports) -> None:
--- a/linnetwind/relay.py
+++ b/linnetwind/relay.py
@@ -114,7 +114,11 @@
         stop = self._tools.stop
         if not stop.may_begin(self._ending(journey)):
             return self._send_away(journey, stop.retry_after())
-        self._tools.state.repeats.count_request(name)
+        with self._tools.open_work.request():
+            return self._begin(journey)
+
+    def _begin(self, journey: Journey) -> Done:
+        self._tools.state.repeats.count_request(journey.service.name)
         if journey.service.engine is not None:
             turned = self._wait_for_place(journey)
             if turned is not None:
@@ -234,7 +238,8 @@
         if failed is not None:
             return as_lost(failed)
         head = call.next(self._patience(journey, upstream, now))
-        if isinstance(head, OutOfTime) and not self._time_is_over(journey):
+        has_time = self._tools.clock.elapsed() < journey.until
+        if isinstance(head, OutOfTime) and has_time:
             return AttemptLost(
                 'silent upstream', may_have_run=True, reached=True
             )
@@ -283,9 +288,6 @@
             return journey.until
         return now + (journey.until - now) * _PATIENCE
 
-    def _time_is_over(self, journey: Journey) -> bool:
-        return self._tools.clock.elapsed() >= journey.until
-
     def _after(
         self, journey: Journey, upstream: Upstream, lost: AttemptLost
     ) -> Done | None:
--- a/linnetwind/step_log.py
+++ b/linnetwind/step_log.py
@@ -48,6 +48,8 @@
         self._stream = stream
         self._lines: deque[str] = deque()
         self._dropped = 0
+        self._accepted = 0
+        self._written = 0
         self._observe: Callable[[Any], None] = _nothing
         self._wake = threading.Condition()
         threading.Thread(target=self._write, name='log', daemon=True).start()
@@ -67,6 +69,10 @@
           event: A data class; its type's name and fields make the line.
         """
         self._observe(event)
+        # Made before the lock is taken: a thread that lost its turn while it
+        # made its line held up all others, and a stopping daemon's last event
+        # came 0.9 s late beside eight callers that were refused in a loop.
+        line = self._line(event)
         with self._wake:
             if len(self._lines) >= MOST_WAITING:
                 self._dropped += 1
@@ -74,10 +80,33 @@
             if self._dropped:
                 dropped = LinesDropped(self._dropped)
                 self._observe(dropped)
-                self._lines.append(self._line(dropped))
+                self._append(self._line(dropped))
                 self._dropped = 0
-            self._lines.append(self._line(event))
-            self._wake.notify()
+            self._append(line)
+            self._wake.notify_all()
+
+    def finish(self, most: timedelta) -> bool:
+        """Wait until all lines so far are written.
+
+        A process that ended 50 ms after its last event lost that line in
+        half of its ends when it was refusing some 800 callers a second on a
+        busy host: the writer was behind by more than that.
+
+        Args:
+          most: How long to wait at most, since nobody may read the log.
+
+        Returns:
+          Whether they are written.
+        """
+        with self._wake:
+            last = self._accepted
+            return self._wake.wait_for(
+                lambda: self._written >= last, most.total_seconds()
+            )
+
+    def _append(self, line: str) -> None:
+        self._lines.append(line)
+        self._accepted += 1
 
     def _line(self, event: Any) -> str:
         line = {
@@ -94,6 +123,7 @@
                 while not self._lines:
                     self._wake.wait()
                 text = ''.join(self._lines)
+                count = len(self._lines)
                 self._lines.clear()
             try:
                 self._stream.write(text)
@@ -101,6 +131,9 @@
             except OSError:
                 # Nobody can be told: standard output itself is gone.
                 return
+            with self._wake:
+                self._written += count
+                self._wake.notify_all()
 
 
 def stdout_log(daemon: str, clock: Clock) -> StepLog:
--- a/linnetwind/step_log_test.py
+++ b/linnetwind/step_log_test.py
@@ -60,3 +60,27 @@
         assert written + sum(each['count'] for each in dropped) == len(
             seen
         ) - 1 - len(dropped)
+
+
+def test_the_last_lines_are_written_before_a_process_ends():
+    # A process that stops refuses callers up to its end, a line for each, and
+    # its log is read slowly. It ended while its last line, that it stopped,
+    # still waited behind them, and an engineer could not see that it had.
+    reader, writer = os.pipe()
+    with os.fdopen(reader) as source, os.fdopen(writer, 'w') as stream:
+        log = StepLog('d', ManualClock(NOW), stream)
+        for _line in range(2000):
+            log.event(Happened('refused' * 20))
+        log.event(Happened('stopped'))
+        assert not log.finish(timedelta(milliseconds=1))
+        read = []
+        threading.Thread(
+            target=lambda: read.extend(source.readline() for _ in range(2001)),
+            daemon=True,
+        ).start()
+        assert log.finish(timedelta(seconds=30))
+        for _look in range(3000):
+            if len(read) == 2001:
+                break
+            threading.Event().wait(0.01)
+        assert json.loads(read[-1])['what'] == 'stopped'
--- a/standins/gateway_harness.py
+++ b/standins/gateway_harness.py
@@ -13,7 +13,6 @@
 from linnetwind.gateway_state import GatewayState
 from linnetwind.gateway_stop import GatewayStop
 from linnetwind.journey import GatewayTools
-from linnetwind.open_work import OpenWork
 from linnetwind.repeat_budget import BudgetTerms
 from linnetwind.routes import RouteTable
 from linnetwind.stop_turns import Fleet, Host
@@ -112,7 +111,7 @@
 
     def _serve(self, sock: socket.socket) -> None:
         with sock:
-            serve_caller(sock, self._tools, self._limits, OpenWork())
+            serve_caller(sock, self._tools, self._limits)
 
     def _limits(self):
         return self.state.table.limits
