--- a/linnetwind/placement_layer.py
+++ b/linnetwind/placement_layer.py
@@ -231,7 +231,7 @@
         for slot in heaviest:
             yield from self._replicas(self._slots[slot], theirs, rank)
         own = self._experts_at(mine)
-        foreign = [slot for slot in theirs if self._slots[slot] not in own]
+        foreign = [each for each in theirs if self._slots[each] not in own]
         half = (self._loads[slowest] - self._loads[rank]) / 2
         for slot in heaviest:
             share = self._share_at(slot) - half
