Take the newest of two entries that lead to one rank

Five plans a group were begun and forgotten, each time entries of dead workers went from the list (36.72, 37.13, 37.53, 37.94 s): a rank answered by its old and new entry, the one that came last in the list's order was taken, so that its life seemed to change. Ruled out: a second planner (only edge-kochi-1 planned). Entries are read oldest first now, and the newest counts. Both tests fail on the code before.

--- a/linnetwind/group_looks.py
+++ b/linnetwind/group_looks.py
@@ -32,10 +32,14 @@
     """Return what each rank of a group has said.
 
     After a restart two entries may lead to one rank: that of the life that
-    answers counts before that of the life before.
+    answers counts before that of the life before, and where no start is
+    stated the newest. Taken as they came, a rank was now one life and now the
+    other while the old entries were dropped; its planner forgot the group's
+    map each time, and after a power loss the first map came 2.5 s late.
 
     Args:
-      answers: The answer of each upstream that was asked.
+      answers: The answer of each upstream that was asked, the newest entry
+        last.
 
     Returns:
       The ranks that have answered.
--- a/linnetwind/map_planner_test.py
+++ b/linnetwind/map_planner_test.py
@@ -22,7 +22,7 @@
 )
 from linnetwind.repeat_budget import BudgetTerms
 from linnetwind.routes import RouteTable, RoutedService
-from linnetwind.upstream_list import Registered
+from linnetwind.upstream_list import Registered, UpstreamList
 from standins.gateway_fixtures import (
     make_engine,
     make_report,
@@ -136,6 +136,24 @@
             lambda known: known.take([record], self.offset)
         )
 
+    def read_by_key(self):
+        """Read the whole list, which comes by its keys."""
+        records = sorted(
+            self.state.upstreams.records.values(),
+            key=lambda each: each.instance,
+        )
+        self.state.change_upstreams(
+            lambda _known: UpstreamList().take(records, self.offset)
+        )
+
+    def drop(self, instance):
+        """Have an entry lapse."""
+        record = Registered(instance, self.offset, None)
+        self.offset += 1
+        self.state.change_upstreams(
+            lambda known: known.take([record], self.offset)
+        )
+
     def count(self, port, step, *counts):
         """Have a rank count."""
         rank = self.ranks[port]
@@ -230,6 +248,27 @@
     assert bed.mesh.briefs[0].slow == ('r1#2',)
 
 
+def test_entries_of_dead_workers_do_not_end_a_plan_as_they_go(bed):
+    # All streams of a group were late for two seconds after it had formed
+    # anew. Its workers had registered again while their old entries stood on
+    # for three heartbeats, and a rank answered by both. As the old entries
+    # were dropped, one after the other, the planner believed that a rank had
+    # restarted, forgot the group's map and planned it from the start.
+    for rank in range(2):
+        bed.start(rank, 81 + rank, born_ms=None)
+        bed.register(make_upstream(f'a{rank}', 81 + rank, 'model'))
+    bed.read_by_key()
+    bed.look()
+    group = bed.look()
+    assert [group.ranks[rank].life for rank in range(2)] == ['a0', 'a1']
+    maps = group.maps
+    assert maps is not None
+    for gone in ('r0', 'r1'):
+        bed.drop(gone)
+        bed.look()
+        assert bed.look().maps is maps
+
+
 def test_the_entry_of_the_life_that_answers_is_taken(bed):
     # The worker has started again under another name, and the entry of the
     # dead one stays for three heartbeats; both lead to one process.
--- a/linnetwind/upstream_list.py
+++ b/linnetwind/upstream_list.py
@@ -105,21 +105,13 @@
           Those that are registered and not draining, and those that lapsed
           with the store a moment ago.
         """
-        entries = [
-            (_LAPSED_OFFSET, upstream)
-            for until, upstream in self.lapsed.values()
-            if now < until
-        ]
-        entries.extend(
-            (each.offset, each.upstream)
-            for each in self.records.values()
-            if each.upstream is not None and self._is_named(each.upstream)
-        )
-        entries.sort(key=_offset)
-        by_address = {each.address: (at, each) for at, each in entries}
+        lapsed = [each for until, each in self.lapsed.values() if now < until]
+        newest = {
+            each.address: (at, each) for at, each in self._by_offset(lapsed)
+        }
         return [
             each
-            for at, each in by_address.values()
+            for at, each in newest.values()
             if at >= self.replaced.get(each.instance, at)
             and _serves(each, service)
         ]
@@ -163,15 +155,12 @@
           service: The service's name.
 
         Returns:
-          Those with an entry, and those whose entries lapsed.
+          Those with an entry, and those whose entries lapsed; the newest
+          entry last.
         """
-        entries = [each.upstream for each in self.records.values()]
-        entries.extend(upstream for _until, upstream in self.lapsed.values())
-        return [
-            each
-            for each in entries
-            if each is not None and each.service == service
-        ]
+        lapsed = [each for _until, each in self.lapsed.values()]
+        entries = self._by_offset(lapsed)
+        return [each for _at, each in entries if each.service == service]
 
     def lives(self) -> set[Life]:
         """Return the lives of all upstreams that are registered or lapsed."""
@@ -253,6 +242,16 @@
         )
         return known.take(listed, end)
 
+    def _by_offset(self, lapsed: list[Upstream]) -> list[tuple[int, Upstream]]:
+        """Return entries with their offsets, the newest last."""
+        entries = [(_LAPSED_OFFSET, upstream) for upstream in lapsed]
+        entries.extend(
+            (each.offset, each.upstream)
+            for each in self.records.values()
+            if each.upstream is not None and self._is_named(each.upstream)
+        )
+        return sorted(entries, key=_offset)
+
     def _is_named(self, upstream: Upstream) -> bool:
         return self.named is None or upstream.service in self.named
 
--- a/linnetwind/upstream_list_test.py
+++ b/linnetwind/upstream_list_test.py
@@ -27,6 +27,16 @@
     assert [each.instance for each in known.registered('plain')] == ['a']
 
 
+def test_the_newest_entry_is_the_last_that_is_registered():
+    known = _known(
+        Registered('a', 3, make_upstream('a')),
+        Registered('old-b', 1, make_upstream('old-b', 81)),
+        Registered('b', 2, make_upstream('b', 81)),
+    )
+    registered = known.registered('plain')
+    assert [each.instance for each in registered] == ['old-b', 'b', 'a']
+
+
 def test_an_old_record_does_not_bring_a_drained_upstream_back():
     # The store serves a copy of its records that is seconds old. The list
     # already knows that the upstream drains; work sent there would be late
