Wait for a group that opens soon instead of refusing

A stream now waits if the group is expected to open within its wait, and goes behind those that can be in time.

--- a/linnetwind/stream_gate.py
+++ b/linnetwind/stream_gate.py
@@ -5,7 +5,8 @@
 only while its first event can still be in time; one that could not is
 refused at once and told when there will be room, so that the caller's wait
 is used instead of lost. A caller that comes back then may wait longer: its
-answer is late in any case, and refused twice it gets none.
+answer is late in any case, and refused twice it gets none. While a group is
+broken, streams wait for it if it opens soon enough.
 
 Of those that wait, newcomers go first, and callers that came back take what
 they leave. In the other order, or by the end of their waits, an overload
@@ -17,9 +18,8 @@
 import itertools
 import threading
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
-from typing import NamedTuple
 
 from linnetwind.clock import Clock
 from linnetwind.upstream_list import Upstream
@@ -66,7 +66,8 @@
 
     `ahead` streams go before it in its line. `target` is the latency of a
     first event that is on time, and `returning` says that the caller was
-    refused before and told to return.
+    refused before and told to return, or has waited for a broken group; its
+    answer is late in any case.
     """
 
     ahead: int
@@ -111,14 +112,12 @@
     Returns:
       The verdict.
     """
+    if view.opens_in is not None:
+        return _await_group(view.opens_in, waiter)
     most = RETURN_WAIT
     if not waiter.returning:
         most = waiter.target - view.start_time
     left = most - waiter.waited
-    if view.opens_in is not None:
-        if waiter.returning and left > timedelta():
-            return WaitFor(left)
-        return _turn_away(view.opens_in, 'group is broken')
     if view.free > waiter.ahead:
         return RunNow()
     places = waiter.ahead + 1 - view.free
@@ -129,6 +128,19 @@
     return WaitFor(left)
 
 
+def _await_group(opens_in: timedelta, waiter: Waiter) -> Verdict:
+    """Decide on a stream whose group cannot run.
+
+    After a power loss all that was under way came back before the groups had
+    formed anew, half a second later. Refused then, most callers had used up
+    their second try: 50 of 150 requests of these seconds got no answer.
+    """
+    left = RETURN_WAIT - waiter.waited
+    if left > timedelta() and (waiter.returning or opens_in < left):
+        return WaitFor(left)
+    return _turn_away(opens_in, 'group is broken')
+
+
 def _turn_away(wait: timedelta, reason: str) -> TurnAway:
     return TurnAway(min(max(wait, LEAST_RETRY), MOST_RETRY), reason)
 
@@ -161,13 +173,18 @@
     return claim.returning, claim.since + most
 
 
-class _Place(NamedTuple):
-    """A place in line; places are sorted by their first fields."""
+@dataclass(eq=False)
+class _Place:
+    """A place in line; `number` counts all that came."""
 
-    precedence: tuple[bool, timedelta]
     number: int
     claim: Claim
 
+    @property
+    def order(self) -> tuple[bool, timedelta, int]:
+        """Return the key by which places are sorted."""
+        return (*precedence(self.claim), self.number)
+
 
 _NO_VIEW = (timedelta(), None)
 
@@ -220,10 +237,10 @@
         Returns:
           What `take` returned, or that the stream is refused.
         """
-        place = _Place(precedence(claim), next(self._numbers), claim)
+        place = _Place(next(self._numbers), claim)
         with self._changed:
             self._waiting.append(place)
-            self._waiting.sort()
+            self._sort()
             try:
                 verdict = self._wait(place, look, has_time)
                 return verdict if isinstance(verdict, TurnAway) else take()
@@ -237,22 +254,30 @@
         look: Callable[[timedelta], GroupView],
         has_time: Callable[[], bool],
     ) -> Verdict:
-        claim = place.claim
         # A daemon that was told to stop meanwhile would cut the stream.
         while has_time():
+            claim = place.claim
+            view = self._see(claim.gap, look)
             waiter = Waiter(
                 self._waiting.index(place),
                 self._clock.elapsed() - claim.since,
                 claim.target,
                 claim.returning,
             )
-            verdict = judge(self._see(claim.gap, look), waiter)
+            verdict = judge(view, waiter)
             if not isinstance(verdict, WaitFor):
                 return verdict
+            if view.opens_in is not None and not claim.returning:
+                # Once the group is open, those that can be in time go first.
+                place.claim = replace(claim, returning=True)
+                self._sort()
             wait = min(verdict.most, _LOOK)
             self._changed.wait(wait.total_seconds())
         return STOPPING
 
+    def _sort(self) -> None:
+        self._waiting.sort(key=lambda place: place.order)
+
     def _see(
         self, gap: timedelta, look: Callable[[timedelta], GroupView]
     ) -> GroupView:
