--- a/linnetwind/gateway_daemon.py
+++ b/linnetwind/gateway_daemon.py
@@ -87,12 +87,17 @@
 
 @dataclass(frozen=True, slots=True)
 class GatewayPorts:
-    """What the gateway needs from the platform it runs on."""
+    """What the gateway needs from the platform it runs on.
+
+    `front` listens where callers connect. It was opened first of all, so that
+    callers wait in its queue while the daemon starts.
+    """
 
     dialect: Dialect
     feeds: FeedPorts
     open_rank: Callable[[Upstream], RankPort]
     reload: Callable[[], GatewaySetup]
+    front: socket.socket
 
 
 class GatewayDaemon:
@@ -159,9 +164,6 @@
         self._feeds.start(self._threads)
         self._mesh.start(self._threads, self._feeds.copy)
         self._threads.for_ever(self._planner.run_once, 'planner')
-        # Before anybody is told that the daemon is ready: on a busy host
-        # callers were refused by the port just after a 200.
-        front = _listen(setup.front)
         self._threads.accept(
             _listen(setup.readiness), self._say_ready, 'ready', _MOST_QUESTIONS
         )
@@ -171,7 +173,9 @@
             'metrics',
             _MOST_QUESTIONS,
         )
-        self._threads.accept(front, self._serve, 'caller', _MOST_CONNECTIONS)
+        self._threads.accept(
+            self._ports.front, self._serve, 'caller', _MOST_CONNECTIONS
+        )
         signals.wait(self._on_reload)
         self._stop.begin()
         self._drain()
--- a/linnetwind/platform/__main__.py
+++ b/linnetwind/platform/__main__.py
@@ -13,9 +13,12 @@
         imports only what it needs; memory is the rank agents' main cost.
     """
     if role == 'entry':
+        from linnetwind.platform.front_port import open_front
+
+        front = open_front()
         from linnetwind.platform.entry import run_entry
 
-        run_entry(int(ports[0]))
+        run_entry(int(ports[0]), front)
     else:
         from linnetwind.platform.rank import run_rank
 
--- a/linnetwind/platform/entry.py
+++ b/linnetwind/platform/entry.py
@@ -1,5 +1,7 @@
 """Wires the gateway to the platform."""
 
+import socket
+
 from linnetwind.address import Address
 from linnetwind.clock import SystemClock
 from linnetwind.gateway_daemon import GatewayDaemon, GatewayPorts, GatewaySetup
@@ -13,11 +15,12 @@
 from linnetwind.step_log import stdout_log
 
 
-def run_entry(metrics_port: int) -> None:
+def run_entry(metrics_port: int, front: socket.socket) -> None:
     """Run the gateway until it is told to stop.
 
     Args:
       metrics_port: The port of the metrics, as in the deploy file.
+      front: Listens where callers connect.
     """
     settings = read_settings()
     clock = SystemClock()
@@ -34,6 +37,7 @@
             upstream.address, REMOTE_TIMEOUT, log
         ),
         reload=lambda: _setup(read_settings(), metrics_port),
+        front=front,
     )
     GatewayDaemon(_setup(settings, metrics_port), ports, clock, log).run()
 
