Admit each rank group of a service by itself

The planner tells each group by itself, with its members; a daemon keeps meter, limit, allowance and news for each group, one line for the service, and draws the group by its free places. A stream whose group failed it goes on in another; a rank of no known group gets nothing.

--- a/linnetwind/answer_relay.py
+++ b/linnetwind/answer_relay.py
@@ -177,7 +177,7 @@
         pause = now - before
         longest = max(self._journey.longest_pause, pause)
         self._journey.longest_pause = longest
-        self._tools.state.note_pause(self._journey.service.name, pause)
+        self._tools.state.note_pause(self._journey.at, pause)
 
     def _note_run(self) -> None:
         journey = self._journey
--- a/linnetwind/gateway_state.py
+++ b/linnetwind/gateway_state.py
@@ -1,20 +1,23 @@
 """What the requests of one gateway daemon share: counts, records, budgets."""
 
+import random
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from datetime import timedelta
 
 from linnetwind.address import Address
 from linnetwind.clock import Clock
+from linnetwind.group_room import UNNAMED, GroupCount
 from linnetwind.lives import Life
 from linnetwind.peer_book import PeerBook, PeerState
 from linnetwind.refusal_book import Refusals
 from linnetwind.repeat_budget import BudgetTerms, SharedRepeats
 from linnetwind.routes import RoutedService, RouteTable
 from linnetwind.stream_gate import GroupView
-from linnetwind.stream_room import GroupCount, StreamRoom
+from linnetwind.stream_room import StreamRoom
 from linnetwind.upstream_choice import (
     Record,
+    choose_group,
     choose_plain,
     choose_rank,
     note_answer,
@@ -152,14 +155,18 @@
             self._room.take_brief(brief)
         self._room.wake()
 
-    def note_pause(self, service: str, length: timedelta) -> None:
+    def note_pause(self, upstream: Upstream, length: timedelta) -> None:
         """Take note of a pause between two events of a stream.
 
         Args:
-          service: The stream's service.
+          upstream: Where the stream runs.
           length: The pause.
         """
-        self._room.note_pause(service, length, self.group_running(service))
+        group = self._room.group_of(upstream)
+        members = self._groups(upstream.service).get(group, [])
+        counts = self._counts()
+        running = sum(counts.get(each.life, 0) for each in members)
+        self._room.note_pause(upstream, length, running)
 
     def group_running(self, service: str) -> int:
         """Return the requests that all daemons have at a service.
@@ -175,28 +182,22 @@
         return sum(counts.get(each.life, 0) for each in usable)
 
     def group_view(self, service: RoutedService, gap: timedelta) -> GroupView:
-        """Return what is known of a rank group.
+        """Return what is known of a service's rank groups.
 
         Args:
           service: The service, which has engines.
           gap: The longest pause that is in time.
 
         Returns:
-          The view.
+          The view of all groups together.
         """
         now = self._clock.elapsed()
-        usable = self._upstreams.usable(service.name, now)
-        counts = self._counts()
-        with self._lock:
-            own = [self._running.get(each.life, 0) for each in usable]
-        count = GroupCount(
-            sum(counts.get(each.life, 0) for each in usable),
-            sum(own),
-            len(usable),
+        counts = _count_streams(
+            self._groups(service.name), self._counts(), self.running
         )
         book = self._book
         return self._room.view(
-            service, gap, count, book.live(now), book.send_interval
+            service, gap, counts, book.live(now), book.send_interval
         )
 
     def take_upstream(
@@ -211,12 +212,12 @@
         Returns:
           The upstream, or None if there is none. `give_back` ends the count.
         """
-        now = self._clock.elapsed()
-        usable = self._untried(service, tried)
+        usable = self.candidates(service, tried)
         counts = self._counts()
         slow = self._room.slow(service.name)
         with self._lock:
             if service.engine is None:
+                now = self._clock.elapsed()
                 chosen = choose_plain(usable, counts, self._records, now)
             else:
                 chosen = choose_rank(usable, counts, slow)
@@ -226,19 +227,35 @@
         self._on_change()
         return chosen
 
-    def has_upstream(
+    def _groups(self, service: str) -> dict[str, list[Upstream]]:
+        usable = self._upstreams.usable(service, self._clock.elapsed())
+        return self._room.by_group(service, usable)
+
+    def candidates(
         self, service: RoutedService, tried: frozenset[str]
-    ) -> bool:
-        """Return whether a service has an upstream that was not tried.
+    ) -> list[Upstream]:
+        """Return the upstreams that may take a request now.
 
         Args:
           service: The service.
           tried: Instances that are left out.
 
         Returns:
-          Whether `take_upstream` would find one.
+          Plain upstreams, or the ranks of the group that is to take a stream.
         """
-        return bool(self._untried(service, tried))
+        groups = self._groups(service.name)
+        name = UNNAMED
+        if service.engine is not None:
+            counts = _count_streams(groups, self._counts(), self.running)
+            failed = frozenset(
+                name
+                for name, members in groups.items()
+                if any(each.instance in tried for each in members)
+            )
+            places = self._room.places(service.name, counts)
+            name = choose_group(places, failed, random.random())
+        members = groups.get(name, [])
+        return [each for each in members if each.instance not in tried]
 
     def give_back(self, upstream: Upstream) -> None:
         """End the count of a request at an upstream.
@@ -253,7 +270,7 @@
             else:
                 self._running.pop(upstream.life, None)
         self._on_change()
-        self._room.note_end(upstream.service)
+        self._room.note_end(upstream)
 
     def note_answer(
         self, upstream: Upstream, took: timedelta, *, failed: bool
@@ -283,12 +300,6 @@
             record = self._records.get(upstream.life, Record(now))
             self._records[upstream.life] = note_miss(record, now)
 
-    def _untried(
-        self, service: RoutedService, tried: frozenset[str]
-    ) -> list[Upstream]:
-        usable = self._upstreams.usable(service.name, self._clock.elapsed())
-        return [each for each in usable if each.instance not in tried]
-
     def _counts(self) -> dict[Life, int]:
         counts = self._book.running(self._clock.elapsed())
         with self._lock:
@@ -297,5 +308,20 @@
         return counts
 
 
+def _count_streams(
+    groups: Mapping[str, list[Upstream]],
+    running: Mapping[Life, int],
+    own: Mapping[Life, int],
+) -> dict[str, GroupCount]:
+    return {
+        name: GroupCount(
+            sum(running.get(each.life, 0) for each in members),
+            sum(own.get(each.life, 0) for each in members),
+            len(members),
+        )
+        for name, members in groups.items()
+    }
+
+
 def _nothing() -> None:
     """Do nothing, until a listener is set."""
--- a/linnetwind/group_brief.py
+++ b/linnetwind/group_brief.py
@@ -1,66 +1,72 @@
 """What the planner tells all gateways of a service's rank groups."""
 
 from collections.abc import Collection
+from datetime import timedelta
 
-from linnetwind.lives import Life
-from linnetwind.pass_meter import USUAL_SKEW
 from linnetwind.peer_book import GroupBrief
 from linnetwind.planned_group import PlannedGroup
 from linnetwind.routes import RoutedService
 
-# What is said of the time until a broken group opens, beyond its forming.
+# The least time until a rank that is away is expected back.
 _RANK_BACK_MS = 800
+_RANK_BACK = timedelta(milliseconds=_RANK_BACK_MS)
 # A rank that takes so many times the usual time for the same work gets no new
 # streams; smaller differences are left to the placement of experts.
 SLOW_PACE = 1.4
 
 
-def make_brief(
-    service: RoutedService, groups: Collection[PlannedGroup]
-) -> GroupBrief:
+def make_briefs(
+    service: RoutedService, groups: Collection[PlannedGroup], now: timedelta
+) -> list[GroupBrief]:
     """Return what the gateways need to know of a service's groups.
 
-    A service takes streams while one of its groups is open. The ranks of the
-    others then get none: they would only refuse them.
-
     Args:
       service: The service.
       groups: Its groups, as they were last seen.
+      now: The monotonic time.
 
     Returns:
-      The brief.
+      A brief of each group that was seen.
     """
-    seen = [each for each in groups if each.reports]
-    open_groups = [each for each in seen if _is_open(each)]
-    is_open = not seen or bool(open_groups)
-    opens_in = 0 if is_open else int(service.engine.form_ms) + _RANK_BACK_MS
-    passed_over = [
-        life
-        for each in seen
-        for life in _passed_over(each, beside_open=bool(open_groups))
+    return [_brief(service, each, now) for each in groups if each.reports]
+
+
+def _brief(
+    service: RoutedService, group: PlannedGroup, now: timedelta
+) -> GroupBrief:
+    is_open = _is_open(group)
+    opens_in = timedelta() if is_open else _opens_in(service, group, now)
+    slow = [
+        group.ranks[rank].life
+        for rank, each in group.reports.items()
+        if each.pace > SLOW_PACE
     ]
     return GroupBrief(
-        service.name,
-        max((_epoch(each) for each in seen), default=0),
-        is_open,
-        max((each.skew for each in groups), default=USUAL_SKEW),
-        opens_in,
-        tuple(passed_over),
+        service=service.name,
+        group=group.name,
+        epoch=max(each.epoch for each in group.reports.values()),
+        is_open=is_open,
+        skew=group.skew,
+        opens_in_ms=int(opens_in / timedelta(milliseconds=1)),
+        members=tuple(each.life for each in group.ranks.values()),
+        slow=tuple(slow),
     )
 
 
-def _is_open(group: PlannedGroup) -> bool:
-    return all(each.is_open for each in group.reports.values())
-
+def _opens_in(
+    service: RoutedService, group: PlannedGroup, now: timedelta
+) -> timedelta:
+    """Return when a broken group is expected to open.
 
-def _epoch(group: PlannedGroup) -> int:
-    return max(each.epoch for each in group.reports.values())
+    With all ranks back only its forming is left. A rank that has been away
+    for some time is expected to be away for as long again.
+    """
+    forming = timedelta(milliseconds=service.engine.form_ms)
+    size = max(each.size for each in group.reports.values())
+    if len(group.reports) == size:
+        return forming
+    return forming + max(_RANK_BACK, now - group.whole_at)
 
 
-def _passed_over(group: PlannedGroup, *, beside_open: bool) -> list[Life]:
-    broken = beside_open and not _is_open(group)
-    return [
-        group.ranks[rank].life
-        for rank, each in group.reports.items()
-        if broken or each.pace > SLOW_PACE
-    ]
+def _is_open(group: PlannedGroup) -> bool:
+    return all(each.is_open for each in group.reports.values())
--- /dev/null
+++ b/linnetwind/group_room.py
@@ -0,0 +1,127 @@
+"""What a daemon knows of one rank group, to say how many streams fit in."""
+
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from linnetwind.pass_meter import USUAL_SKEW, PassMeter, stream_limit
+from linnetwind.peer_book import GroupBrief
+from linnetwind.place_shares import Allowance
+from linnetwind.routes import EngineFigures
+
+# Arrived and ended streams that count for their rates.
+RATE_WINDOW = timedelta(seconds=1)
+# A brief of the planner is used this long.
+_BRIEF_AGE = timedelta(seconds=2)
+# A group of which no planner has said anything for this long is gone.
+GROUP_GONE = timedelta(seconds=10)
+# The group of ranks while no planner has said which groups there are.
+UNNAMED = ''
+
+
+@dataclass(frozen=True, slots=True)
+class GroupCount:
+    """The streams of a group and its ranks, as this daemon counts them."""
+
+    running: int
+    own_running: int
+    ranks: int
+
+
+@dataclass
+class GroupRoom:
+    """Pauses and ends of a group's streams, and the planner's last brief.
+
+    `allowance` says how many streams this daemon may run there; `use` is the
+    part of the limit that was in use when a stream last asked.
+    """
+
+    meter: PassMeter = field(default_factory=PassMeter)
+    ends: deque[timedelta] = field(default_factory=deque)
+    allowance: Allowance = Allowance(timedelta(), 0)
+    use: float = 1
+    brief: GroupBrief | None = None
+    brief_at: timedelta = timedelta()
+
+
+def fresh_brief(room: GroupRoom, now: timedelta) -> GroupBrief | None:
+    """Return the planner's brief, unless it is too old to be used.
+
+    Args:
+      room: The group.
+      now: The monotonic time.
+
+    Returns:
+      The brief, or None.
+    """
+    return room.brief if now - room.brief_at < _BRIEF_AGE else None
+
+
+def opens_in(room: GroupRoom, now: timedelta) -> timedelta | None:
+    """Return when a broken group should be open again.
+
+    Args:
+      room: The group.
+      now: The monotonic time.
+
+    Returns:
+      The time until then; None if the group is not known to be broken.
+    """
+    brief = fresh_brief(room, now)
+    if brief is None or brief.is_open:
+        return None
+    left = timedelta(milliseconds=brief.opens_in_ms) - (now - room.brief_at)
+    return max(left, timedelta())
+
+
+def limit_of(
+    room: GroupRoom,
+    now: timedelta,
+    engine: EngineFigures,
+    gap: timedelta,
+    ranks: int,
+    others: Sequence[tuple[float, int]],
+) -> int:
+    """Return how many streams may run in a group.
+
+    Args:
+      room: The group.
+      now: The monotonic time.
+      engine: What the engines are said to cost.
+      gap: The longest pause that is in time.
+      ranks: The ranks that may be given work.
+      others: What the other daemons have measured there.
+
+    Returns:
+      The number of streams.
+    """
+    brief = fresh_brief(room, now)
+    skew = brief.skew if brief else USUAL_SKEW
+    measured = [*others, room.meter.measure(engine, now)]
+    return stream_limit(engine, ranks, gap, measured, skew)
+
+
+def rate(times: deque[timedelta], now: timedelta) -> float:
+    """Return how many of the times lie in the last second.
+
+    Args:
+      times: Monotonic times in order; older ones are dropped.
+      now: The monotonic time.
+
+    Returns:
+      The number a second.
+    """
+    forget(times, now)
+    return len(times) / RATE_WINDOW.total_seconds()
+
+
+def forget(times: deque[timedelta], now: timedelta) -> None:
+    """Drop the times that no longer count for a rate.
+
+    Args:
+      times: Monotonic times in order.
+      now: The monotonic time.
+    """
+    while times and now - times[0] > RATE_WINDOW:
+        times.popleft()
--- a/linnetwind/journey.py
+++ b/linnetwind/journey.py
@@ -47,7 +47,8 @@
     """How far a request is.
 
     `until` is the monotonic time of its final answer at the latest. `claimed`
-    is the upstream at which its place is counted already. `sent_to`
+    is the upstream at which its place is counted already, `at` the one that
+    has it now. `sent_to`
     are the instances that got it, `tried` those that are not tried again.
     `last_event` is the id of the last event that the caller has, `started`
     says that the caller has a part of the answer. `failure` is an upstream's
@@ -63,6 +64,7 @@
     service: RoutedService | None = None
     queued: timedelta = timedelta()
     claimed: Upstream | None = None
+    at: Upstream | None = None
     sent_to: list[str] = field(default_factory=list)
     tried: set[str] = field(default_factory=set)
     may_have_run: bool = False
--- a/linnetwind/map_planner.py
+++ b/linnetwind/map_planner.py
@@ -18,7 +18,7 @@
     OrderFailed,
 )
 from linnetwind.gateway_state import GatewayState
-from linnetwind.group_brief import make_brief
+from linnetwind.group_brief import make_briefs
 from linnetwind.group_looks import counts_of, sort_by_group
 from linnetwind.map_wish import (
     even_demand,
@@ -128,9 +128,9 @@
         briefs = []
         for service in table.services.values():
             if service.engine is not None and service.engine.layers:
-                brief = self._plan_service(service)
-                self._state.room.take_brief(brief)
-                briefs.append(brief)
+                briefs.extend(self._plan_service(service))
+        for brief in briefs:
+            self._state.room.take_brief(brief)
         groups = [
             group
             for each in self._services.values()
@@ -144,7 +144,7 @@
     def _sees(self, group: PlannedGroup) -> bool:
         return self._clock.elapsed() - group.whole_at < _BLIND
 
-    def _plan_service(self, service: RoutedService) -> GroupBrief:
+    def _plan_service(self, service: RoutedService) -> list[GroupBrief]:
         planned = self._services.get(service.name)
         if planned is None:
             planned = PlannedService(GroupLinks(self._open_link))
@@ -157,7 +157,8 @@
             while reports and rounds:
                 rounds -= 1
                 reports = self._next(service, group, reports)
-        return make_brief(service, planned.groups.values())
+        groups = planned.groups.values()
+        return make_briefs(service, groups, self._clock.elapsed())
 
     def _counts_due(self, planned: PlannedService) -> bool:
         """Return whether the counts are to be read, and note when."""
@@ -286,7 +287,7 @@
         group.skew = map_skew(group.maps, tokens, reports, service.engine)
         now = self._clock.elapsed()
         settled = group.settled if now - group.settled_at < _SETTLED else 0
-        use = self._state.room.use(service.name)
+        use = self._state.room.use(service.name, group.name)
         if not force and not may_gain(group.skew, use, settled):
             return None
         planned = plan_map(
--- a/linnetwind/peer_book.py
+++ b/linnetwind/peer_book.py
@@ -38,32 +38,44 @@
     """What the planner tells all of a rank group.
 
     `skew` is the slowest rank's expert load over the mean, `opens_in_ms` the
-    time until a broken group is expected to open. `slow` are the lives whose
-    rank runs slowly.
+    time until a broken group is expected to open. `members` are the lives of
+    its ranks, `slow` those whose rank runs slowly.
     """
 
     service: str
+    group: str
     epoch: int
     is_open: bool
     skew: float
     opens_in_ms: int
+    members: tuple[Life, ...]
     slow: tuple[Life, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
-class StreamLoad:
-    """What a daemon sees of the streams of a service's group.
+class PassPart:
+    """The milliseconds that each stream adds to a pass of a group.
 
-    `part_ms` are the milliseconds that each stream adds to a pass, measured
-    by `pauses` pauses between events. `waiting` streams wait for a place
-    there, and `arrivals_per_s` have come in the last second.
+    They were measured by `pauses` pauses between events.
     """
 
-    service: str
+    group: str
     part_ms: float
     pauses: int
-    waiting: int = 0
-    arrivals_per_s: float = 0
+
+
+@dataclass(frozen=True, slots=True)
+class StreamLoad:
+    """What a daemon sees of a service's streams.
+
+    `waiting` streams wait for a place, `arrivals_per_s` have come in the last
+    second, and `parts` tell of each of its groups.
+    """
+
+    service: str
+    waiting: int
+    arrivals_per_s: float
+    parts: tuple[PassPart, ...]
 
 
 @dataclass(frozen=True, slots=True)
--- a/linnetwind/relay.py
+++ b/linnetwind/relay.py
@@ -214,6 +214,7 @@
             self._tools.state.note_miss(upstream)
             return AttemptLost(call.problem, may_have_run=False, reached=False)
         journey.sent_to.append(upstream.instance)
+        journey.at = upstream
         try:
             ended = self._exchange(journey, upstream, call)
         finally:
@@ -284,7 +285,7 @@
         if len(journey.sent_to) >= journey.route.max_attempts:
             return journey.until
         tried = frozenset((*journey.tried, upstream.instance))
-        if not self._tools.state.has_upstream(journey.service, tried):
+        if not self._tools.state.candidates(journey.service, tried):
             return journey.until
         return now + (journey.until - now) * _PATIENCE
 
--- a/linnetwind/stream_room.py
+++ b/linnetwind/stream_room.py
@@ -1,22 +1,38 @@
-"""The room for streams in each rank group, as this daemon sees it."""
+"""The room for streams in the rank groups of each service.
+
+The load that this answers: one group of a service is slow or broken, and the
+others are sound. Each group has a limit of its own; measured as one, a slow
+rank left 9 streams running in two groups of 48 slots each.
+"""
 
 import random
 import threading
 from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from datetime import timedelta
 
 from linnetwind.clock import Clock
+from linnetwind.group_room import (
+    GROUP_GONE,
+    UNNAMED,
+    GroupCount,
+    GroupRoom,
+    forget,
+    fresh_brief,
+    limit_of,
+    opens_in,
+    rate,
+)
 from linnetwind.lives import Life
-from linnetwind.pass_meter import (
-    USUAL_SKEW,
-    PassMeter,
-    Pause,
-    stream_limit,
+from linnetwind.pass_meter import Pause
+from linnetwind.peer_book import (
+    GroupBrief,
+    PassPart,
+    PeerState,
+    StreamLoad,
 )
-from linnetwind.peer_book import GroupBrief, PeerState, StreamLoad
-from linnetwind.place_shares import Allowance, Demand, allow, own_share
+from linnetwind.place_shares import Demand, allow, own_share
 from linnetwind.routes import EngineFigures, RoutedService
 from linnetwind.stream_gate import Claim, GroupView, TurnAway, WaitingLine
 from linnetwind.upstream_list import Upstream
@@ -28,19 +44,6 @@
 # Before any: a pass under way, then one that reads the prompt and writes.
 _FIRST_START_MS = 200
 _FIRST_START = timedelta(milliseconds=_FIRST_START_MS)
-# Arrived and ended streams that count for their rates.
-_RATE_WINDOW = timedelta(seconds=1)
-# A brief of the planner is used this long.
-_BRIEF_AGE = timedelta(seconds=2)
-
-
-@dataclass(frozen=True, slots=True)
-class GroupCount:
-    """The streams of a group and its ranks, as this daemon counts them."""
-
-    running: int
-    own_running: int
-    ranks: int
 
 
 def _no_starts() -> deque[timedelta]:
@@ -49,18 +52,14 @@
 
 @dataclass
 class _ServiceRoom:
-    """What is known of one service."""
+    """What is known of one service; `group_of` is told by its planner."""
 
     line: WaitingLine
-    meter: PassMeter = field(default_factory=PassMeter)
-    ends: deque[timedelta] = field(default_factory=deque)
     arrivals: deque[timedelta] = field(default_factory=deque)
     starts: deque[timedelta] = field(default_factory=_no_starts)
-    allowance: Allowance = Allowance(timedelta(), 0)
-    use: float = 1
     engine: EngineFigures | None = None
-    brief: GroupBrief | None = None
-    brief_at: timedelta = timedelta()
+    groups: dict[str, GroupRoom] = field(default_factory=dict)
+    group_of: dict[Life, str] = field(default_factory=dict)
 
 
 class StreamRoom:
@@ -100,7 +99,7 @@
         with self._lock:
             room = self._room(service)
             room.arrivals.append(now)
-            _forget(room.arrivals, now)
+            forget(room.arrivals, now)
         return room.line.enter(claim, look, take, has_time)
 
     def wake(self) -> None:
@@ -108,17 +107,19 @@
         for room in list(self._rooms.values()):
             room.line.wake()
 
-    def note_pause(self, service: str, length: timedelta, running: int) -> None:
+    def note_pause(
+        self, upstream: Upstream, length: timedelta, running: int
+    ) -> None:
         """Take note of a pause between two events of a stream.
 
         Args:
-          service: The stream's service.
+          upstream: Where the stream runs.
           length: The pause.
-          running: The streams that all daemons have there.
+          running: The streams that all daemons have in its group.
         """
         pause = Pause(self._clock.elapsed(), length, running)
         with self._lock:
-            self._room(service).meter.note(pause)
+            self._group(upstream).meter.note(pause)
 
     def note_start(self, service: str, took: timedelta) -> None:
         """Take note of the time from a stream's start to its first event.
@@ -130,17 +131,18 @@
         with self._lock:
             self._room(service).starts.append(took)
 
-    def note_end(self, service: str) -> None:
+    def note_end(self, upstream: Upstream) -> None:
         """Take note that a request has ended, and let those that wait look.
 
         Args:
-          service: The request's service.
+          upstream: Where it ran.
         """
         now = self._clock.elapsed()
         with self._lock:
-            room = self._room(service)
-            room.ends.append(now)
-            _forget(room.ends, now)
+            room = self._room(upstream.service)
+            ends = self._group(upstream).ends
+            ends.append(now)
+            forget(ends, now)
         room.line.wake()
 
     def take_brief(self, brief: GroupBrief) -> None:
@@ -149,30 +151,72 @@
         Args:
           brief: The state of the group.
         """
+        now = self._clock.elapsed()
         with self._lock:
             room = self._room(brief.service)
-            room.brief = brief
-            room.brief_at = self._clock.elapsed()
+            group = room.groups.setdefault(brief.group, GroupRoom())
+            group.brief = brief
+            group.brief_at = now
+            _forget_groups(room, now)
+            stay = {
+                life: name
+                for life, name in room.group_of.items()
+                if name in room.groups and name != brief.group
+            }
+            members = dict.fromkeys(brief.members, brief.group)
+            room.group_of = {**stay, **members}
+
+    def group_of(self, upstream: Upstream) -> str:
+        """Return the name of the group that a rank is in."""
+        groups = self._room(upstream.service).group_of
+        return groups.get(upstream.life, UNNAMED)
+
+    def by_group(
+        self, service: str, upstreams: Iterable[Upstream]
+    ) -> dict[str, list[Upstream]]:
+        """Sort a service's upstreams by their rank groups.
+
+        Args:
+          service: The service's name.
+          upstreams: Upstreams of the service.
+
+        Returns:
+          The upstreams by group. A rank of no known group gets no streams, as
+          its group has not formed; without any news of groups all are one.
+        """
+        now = self._clock.elapsed()
+        sorted_out: dict[str, list[Upstream]] = {}
+        with self._lock:
+            room = self._room(service)
+            for upstream in upstreams:
+                group = room.group_of.get(upstream.life, UNNAMED)
+                sorted_out.setdefault(group, []).append(upstream)
+            is_told = any(
+                fresh_brief(each, now) for each in room.groups.values()
+            )
+        if is_told and len(sorted_out) > 1:
+            sorted_out.pop(UNNAMED, None)
+        return sorted_out
 
     def view(
         self,
         service: RoutedService,
         gap: timedelta,
-        count: GroupCount,
+        counts: Mapping[str, GroupCount],
         peers: Sequence[PeerState],
         news_interval: timedelta,
     ) -> GroupView:
-        """Return what is known of a rank group.
+        """Return what is known of a service's rank groups.
 
         Args:
           service: The service, which has engines.
           gap: The longest pause that is in time.
-          count: The streams that run there, and its ranks.
+          counts: The streams that run in each group, and its ranks.
           peers: The states of the other daemons.
           news_interval: How often each of them sends its state.
 
         Returns:
-          The view.
+          The view of all groups together.
         """
         now = self._clock.elapsed()
         loads = [
@@ -184,23 +228,51 @@
         with self._lock:
             room = self._room(service.name)
             room.engine = service.engine
-            limit = _limit(room, now, service, gap, count.ranks, loads)
-            room.use = count.running / limit
-            if now - room.allowance.at >= news_interval:
-                share = _share(room, now, loads, news_interval)
-                room.allowance = allow(
-                    now,
-                    count.own_running,
-                    limit - count.running,
-                    share,
-                    random.random(),
+            share = _share(room, now, loads, news_interval)
+            for name, count in counts.items():
+                group = room.groups.setdefault(name, GroupRoom())
+                parts = [
+                    (part.part_ms, part.pauses)
+                    for load in loads
+                    for part in load.parts
+                    if part.group == name
+                ]
+                limit = limit_of(
+                    group, now, service.engine, gap, count.ranks, parts
                 )
-            return GroupView(
-                room.allowance.most - count.own_running,
-                _rate(room.ends, now),
-                _start_time(room),
-                _opens_in(room, now),
-            )
+                group.use = count.running / limit
+                if now - group.allowance.at >= news_interval:
+                    group.allowance = allow(
+                        now,
+                        count.own_running,
+                        limit - count.running,
+                        share,
+                        random.random(),
+                    )
+            return _view(room, counts, now)
+
+    def places(
+        self, service: str, counts: Mapping[str, GroupCount]
+    ) -> dict[str, int]:
+        """Return the places that this daemon may fill in each open group.
+
+        Args:
+          service: The service's name.
+          counts: The streams that run in each group.
+
+        Returns:
+          The places by group, below 0 where it has too many streams. Of a
+          service without an open group, all groups.
+        """
+        now = self._clock.elapsed()
+        with self._lock:
+            rooms = self._room(service).groups
+            found = {
+                name: rooms[name].allowance.most - count.own_running
+                for name, count in counts.items()
+                if name in rooms and opens_in(rooms[name], now) is None
+            }
+        return found or dict.fromkeys(counts, 0)
 
     def loads(self) -> tuple[StreamLoad, ...]:
         """Return what this daemon sees of its streams, for its peers."""
@@ -212,17 +284,19 @@
                 if room.engine is not None
             )
 
-    def use(self, service: str) -> float:
+    def use(self, service: str, group: str) -> float:
         """Return the streams that run in a group over those that could.
 
         Args:
           service: The service's name.
+          group: The group's name.
 
         Returns:
           The share when a stream last asked; 1 if none has.
         """
         with self._lock:
-            return self._room(service).use
+            known = self._room(service).groups.get(group)
+            return known.use if known else 1
 
     def slow(self, service: str) -> frozenset[Life]:
         """Return the lives whose ranks run slowly.
@@ -235,8 +309,9 @@
         """
         now = self._clock.elapsed()
         with self._lock:
-            brief = _fresh_brief(self._room(service), now)
-            return frozenset(brief.slow if brief else ())
+            rooms = self._room(service).groups.values()
+            briefs = [fresh_brief(each, now) for each in rooms]
+        return frozenset(life for each in briefs if each for life in each.slow)
 
     def _room(self, service: str) -> _ServiceRoom:
         room = self._rooms.get(service)
@@ -245,27 +320,45 @@
             self._rooms[service] = room
         return room
 
+    def _group(self, upstream: Upstream) -> GroupRoom:
+        groups = self._room(upstream.service).groups
+        return groups.setdefault(self.group_of(upstream), GroupRoom())
 
-def _limit(
-    room: _ServiceRoom,
-    now: timedelta,
-    service: RoutedService,
-    gap: timedelta,
-    ranks: int,
-    loads: Sequence[StreamLoad],
-) -> int:
-    brief = _fresh_brief(room, now)
-    measured = [(each.part_ms, each.pauses) for each in loads]
-    measured.append(room.meter.measure(service.engine, now))
-    skew = brief.skew if brief else USUAL_SKEW
-    return stream_limit(service.engine, ranks, gap, measured, skew)
+
+def _forget_groups(room: _ServiceRoom, now: timedelta) -> None:
+    """Drop the groups of which no planner has spoken for long."""
+    for name, group in tuple(room.groups.items()):
+        if group.brief is not None and now - group.brief_at > GROUP_GONE:
+            room.groups.pop(name)
+
+
+def _view(
+    room: _ServiceRoom, counts: Mapping[str, GroupCount], now: timedelta
+) -> GroupView:
+    groups = {name: room.groups[name] for name in counts}
+    waits = {name: opens_in(each, now) for name, each in groups.items()}
+    open_groups = [name for name, wait in waits.items() if wait is None]
+    free = sum(
+        max(0, groups[name].allowance.most - counts[name].own_running)
+        for name in open_groups
+    )
+    ends = sum(rate(groups[name].ends, now) for name in open_groups)
+    closed = [wait for wait in waits.values() if wait is not None]
+    soonest = None if open_groups else min(closed, default=None)
+    return GroupView(free, ends, _start_time(room), soonest)
 
 
 def _load(service: str, room: _ServiceRoom, now: timedelta) -> StreamLoad:
     demand = _demand(room, now)
-    part, pauses = room.meter.measure(room.engine, now)
+    parts = [
+        PassPart(name, *each.meter.measure(room.engine, now))
+        for name, each in room.groups.items()
+    ]
     return StreamLoad(
-        service, part, pauses, demand.waiting, demand.arrivals_per_s
+        service,
+        demand.waiting,
+        demand.arrivals_per_s,
+        tuple(each for each in parts if each.pauses),
     )
 
 
@@ -280,32 +373,10 @@
 
 
 def _demand(room: _ServiceRoom, now: timedelta) -> Demand:
-    return Demand(room.line.length, _rate(room.arrivals, now))
+    return Demand(room.line.length, rate(room.arrivals, now))
 
 
 def _start_time(room: _ServiceRoom) -> timedelta:
     if not room.starts:
         return _FIRST_START
     return sorted(room.starts)[int(len(room.starts) * _USUAL_SHARE)]
-
-
-def _rate(times: deque[timedelta], now: timedelta) -> float:
-    _forget(times, now)
-    return len(times) / _RATE_WINDOW.total_seconds()
-
-
-def _forget(times: deque[timedelta], now: timedelta) -> None:
-    while times and now - times[0] > _RATE_WINDOW:
-        times.popleft()
-
-
-def _fresh_brief(room: _ServiceRoom, now: timedelta) -> GroupBrief | None:
-    return room.brief if now - room.brief_at < _BRIEF_AGE else None
-
-
-def _opens_in(room: _ServiceRoom, now: timedelta) -> timedelta | None:
-    brief = _fresh_brief(room, now)
-    if brief is None or brief.is_open:
-        return None
-    left = timedelta(milliseconds=brief.opens_in_ms) - (now - room.brief_at)
-    return max(left, timedelta())
--- /dev/null
+++ b/linnetwind/stream_room_test.py
@@ -0,0 +1,108 @@
+"""Tests of the room for streams in several groups of one service."""
+
+from datetime import UTC, datetime, timedelta
+
+from linnetwind.clock import ManualClock
+from linnetwind.group_room import GroupCount
+from linnetwind.peer_book import GroupBrief
+from linnetwind.routes import RoutedService
+from linnetwind.stream_room import StreamRoom
+from standins.gateway_fixtures import MS, make_engine, make_upstream
+
+SERVICE = RoutedService('model', '/health', 248, make_engine())
+SOUND = [make_upstream(f'a{number}', 90 + number, 'model') for number in (0, 1)]
+OTHER = [make_upstream(f'b{number}', 80 + number, 'model') for number in (0, 1)]
+GAP = 120 * MS
+NEWS = 30 * MS
+
+
+class Bed:
+    """The room of one daemon that is alone, for groups `a` and `b`."""
+
+    def __init__(self):
+        self.clock = ManualClock(datetime(2026, 1, 1, tzinfo=UTC))
+        self.room = StreamRoom(self.clock)
+        self.brief('a', SOUND)
+        self.brief('b', OTHER)
+
+    def brief(self, group, members, **changes):
+        """Take news of the planner."""
+        fields = {'is_open': True, 'skew': 1.2, 'opens_in_ms': 0, **changes}
+        lives = tuple(each.life for each in members)
+        told = GroupBrief('model', group, 1, members=lives, **fields)
+        self.room.take_brief(told)
+
+    def look(self, in_a, in_b, ranks=16):
+        """Return the view, and the places in each group."""
+        self.clock.advance(NEWS)
+        counts = {
+            'a': GroupCount(in_a, in_a, ranks),
+            'b': GroupCount(in_b, in_b, ranks),
+        }
+        view = self.room.view(SERVICE, GAP, counts, (), NEWS)
+        return view, self.room.places('model', counts)
+
+    def pauses(self, upstream, length, running):
+        """Have events come with pauses for a second."""
+        for _event in range(20):
+            self.clock.advance(50 * MS)
+            self.room.note_pause(upstream, length, running)
+
+
+def test_a_slow_group_leaves_the_places_of_the_sound_one():
+    # One rank turns six times slower. Its group's pauses come to 0.4 s, and
+    # hardly a stream fits in there. Measured as one, the two groups came down
+    # to 9 streams, and 70 of 81 callers a second were refused though the
+    # sound group had 48 slots.
+    bed = Bed()
+    bed.pauses(OTHER[0], 400 * MS, 40)
+    bed.pauses(SOUND[0], 60 * MS, 40)
+    view, places = bed.look(in_a=40, in_b=40)
+    assert places['b'] <= -20
+    assert places['a'] >= 10
+    assert view.free == places['a']
+
+
+def test_a_broken_group_closes_itself_alone():
+    bed = Bed()
+    bed.brief('b', OTHER, is_open=False, opens_in_ms=600)
+    view, places = bed.look(in_a=10, in_b=0)
+    assert view.opens_in is None
+    assert list(places) == ['a']
+    assert view.free == places['a']
+
+
+def test_a_service_waits_for_the_group_that_opens_first():
+    bed = Bed()
+    bed.brief('a', SOUND, is_open=False, opens_in_ms=900)
+    bed.brief('b', OTHER, is_open=False, opens_in_ms=600)
+    view, places = bed.look(in_a=0, in_b=0)
+    assert view.opens_in == 600 * MS - NEWS
+    assert view.free == 0
+    assert places == {'a': 0, 'b': 0}
+
+
+def test_places_left_in_one_group_do_not_pay_for_those_over_in_another():
+    bed = Bed()
+    view, places = bed.look(in_a=200, in_b=0)
+    assert places['a'] < 0
+    assert view.free == places['b'] > 0
+
+
+def test_ranks_are_sorted_by_the_groups_that_the_planner_names():
+    bed = Bed()
+    joined = make_upstream('new', 99, 'model')
+    found = bed.room.by_group('model', [*SOUND, joined, *OTHER])
+    assert found == {'a': SOUND, 'b': OTHER}
+    # Long without news of any planner, a rank is better than none.
+    bed.clock.advance(timedelta(seconds=3))
+    found = bed.room.by_group('model', [joined, *OTHER])
+    assert found == {'': [joined], 'b': OTHER}
+
+
+def test_a_rank_that_changes_its_group_is_of_the_new_one_alone():
+    bed = Bed()
+    bed.brief('b', [SOUND[1], *OTHER])
+    bed.brief('a', SOUND[:1])
+    found = bed.room.by_group('model', [*SOUND, *OTHER])
+    assert found == {'a': SOUND[:1], 'b': [SOUND[1], *OTHER]}
--- a/linnetwind/upstream_choice.py
+++ b/linnetwind/upstream_choice.py
@@ -95,6 +95,33 @@
     )
 
 
+def choose_group(
+    places: Mapping[str, int], failed: frozenset[str], chance: float
+) -> str | None:
+    """Return the rank group that takes a stream.
+
+    Args:
+      places: The places that this daemon may fill in each group.
+      failed: Groups in which an attempt of this stream has failed. When a
+        rank dies its whole group breaks, so another group comes first.
+      chance: A random number from 0 to 1.
+
+    Returns:
+      A group, by chance in proportion to its places; that with the most if
+      none has any, for a stream that is resumed. None without groups.
+    """
+    names = [name for name in places if name not in failed] or list(places)
+    total = sum(max(0, places[name]) for name in names)
+    if not total:
+        return max(names, key=places.__getitem__, default=None)
+    left = chance * total
+    for name in names:
+        left -= max(0, places[name])
+        if left < 0:
+            return name
+    return names[-1]
+
+
 def choose_rank(
     upstreams: Collection[Upstream],
     running: Mapping[Life, int],
