--- a/linnetwind/gateway_daemon.py
+++ b/linnetwind/gateway_daemon.py
@@ -49,6 +49,11 @@
 # all of it.
 _TURN_S = 0.0005
 _STOP_LOOK_S = 0.05
+# How long callers wait for the first configuration: some give up a request
+# that is not read within a second.
+_FIRST_NEWS_MS = 600
+_FIRST_NEWS = timedelta(milliseconds=_FIRST_NEWS_MS)
+_FIRST_LOOK_S = 0.005
 # How long the last lines of the log may take, and the part for them of the
 # time until the process is killed.
 _LAST_LINES = timedelta(seconds=1)
@@ -173,9 +178,7 @@
             'metrics',
             _MOST_QUESTIONS,
         )
-        self._threads.accept(
-            self._ports.front, self._serve, 'caller', _MOST_CONNECTIONS
-        )
+        self._threads.once(self._take_callers, 'front')
         signals.wait(self._on_reload)
         self._stop.begin()
         self._drain()
@@ -190,9 +193,26 @@
         table = self._state.table
         return table.limits if table else _FIRST_LIMITS
 
+    def _take_callers(self) -> None:
+        """Serve callers as soon as configuration and upstreams are known.
+
+        Both come within 0.02 s of the start, or not soon because the store is
+        away. Callers that wait in the port's queue were refused without them,
+        and had used their last try.
+        """
+        pause = threading.Event()
+        until = self._clock.elapsed() + _FIRST_NEWS
+        while not self._knows_all() and self._clock.elapsed() < until:
+            pause.wait(_FIRST_LOOK_S)
+        self._threads.accept(
+            self._ports.front, self._serve, 'caller', _MOST_CONNECTIONS
+        )
+
+    def _knows_all(self) -> bool:
+        return self._state.table is not None and self._state.upstreams.end > 0
+
     def _is_ready(self) -> bool:
-        known = self._state.table is not None and self._state.upstreams.end > 0
-        return known and self._stop.says_ready()
+        return self._knows_all() and self._stop.says_ready()
 
     def _say_ready(self, sock: socket.socket) -> None:
         connection = self._connection(sock)
