--- a/linnetwind/pass_meter.py
+++ b/linnetwind/pass_meter.py
@@ -26,9 +26,9 @@
 USE_OF_PAUSE = 0.88
 # The part of the engine's figures that a group is filled to of which nothing
 # was measured: all its streams start at once, and their prompts are read
-# between the events of the others. Filled to all of it after a power loss, two
-# groups ran 84 streams with pauses of 0.14 to 0.18 s where 0.12 was allowed; with
-# 58 the pauses were 0.116 s.
+# between the events of the others. Filled to all of it after a power loss,
+# two groups ran 84 streams with pauses of 0.14 to 0.18 s where 0.12 was
+# allowed; with 58 the pauses were 0.116 s.
 UNMEASURED_USE = 0.65
 # A measurement is used this long; a pass takes longer.
 _MEASURE_MS = 50
