Late streams leave places to those that come next

Late streams now leave what the next second lacks: arrivals less ends, at most half of the free places; nothing while as many end as come.

--- a/linnetwind/stream_gate.py
+++ b/linnetwind/stream_gate.py
@@ -51,13 +51,15 @@
     `free` counts the places that this daemon may fill now, below 0 if it has
     too many streams there; `ends_per_s` the streams of this daemon that end
     in a second. `start_time` passes from a stream's start to its first event.
-    `opens_in` is set while the group cannot run at all.
+    `opens_in` is set while the group cannot run at all. `reserved` of the free
+    places are left to streams that can be in time.
     """
 
     free: int
     ends_per_s: float
     start_time: timedelta
     opens_in: timedelta | None
+    reserved: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,7 +120,8 @@
     if not waiter.returning:
         most = waiter.target - view.start_time
     left = most - waiter.waited
-    if view.free > waiter.ahead:
+    open_places = view.free - view.reserved * waiter.returning
+    if open_places > waiter.ahead:
         return RunNow()
     places = waiter.ahead + 1 - view.free
     wait = timedelta(seconds=places / max(view.ends_per_s, 1))
@@ -128,6 +131,27 @@
     return WaitFor(left)
 
 
+def reserve(free: int, arrivals_per_s: float, ends_per_s: float) -> int:
+    """Return the places that late streams leave to those that come next.
+
+    When a group opens after a power loss, those that waited for it took all
+    places; none came free for a second, since all had begun at once, and
+    newcomers were late in turn: for 3.6 s, 13 of 81 were in time. While as
+    many streams end as come, nothing is reserved.
+
+    Args:
+      free: The places that this daemon may fill.
+      arrivals_per_s: The streams that have come in the last second.
+      ends_per_s: Those that have ended in it.
+
+    Returns:
+      What the next second lacks, at most half of the free places: the late
+      ones have one try left at most.
+    """
+    lacking = max(0, arrivals_per_s - ends_per_s)
+    return max(0, min(free // 2, int(lacking)))
+
+
 def _await_group(opens_in: timedelta, waiter: Waiter) -> Verdict:
     """Decide on a stream whose group cannot run.
 
--- a/linnetwind/stream_gate_test.py
+++ b/linnetwind/stream_gate_test.py
@@ -20,6 +20,7 @@
     WaitingLine,
     judge,
     precedence,
+    reserve,
 )
 from standins.gateway_fixtures import make_upstream
 
@@ -130,6 +131,24 @@
     assert order == ['new', 'early']
 
 
+def test_late_streams_leave_places_to_those_who_come_next():
+    # Groups open after a power loss, and sixty streams that waited are late
+    # already. All begin at once, so that no place comes free for a second:
+    # if they take every place, all who come in that second are late too.
+    opened = replace(VIEW, free=60, reserved=reserve(60, 40, 0))
+    late = replace(FIRST, returning=True)
+    run = [judge(opened, replace(late, ahead=ahead)) for ahead in range(60)]
+    assert run.count(RunNow()) == 30
+    assert judge(opened, replace(FIRST, ahead=30)) == RunNow()
+
+
+def test_nothing_is_reserved_while_as_many_streams_end_as_come():
+    assert reserve(8, 40, 40) == 0
+    assert reserve(8, 40, 37) == 3
+    assert reserve(0, 40, 0) == 0
+    assert reserve(-5, 40, 0) == 0
+
+
 def test_one_free_place_is_taken_by_one_stream():
     # Twenty streams wait in line when one place becomes free, and all are
     # woken. If the place were counted only after the line was left, all
--- a/linnetwind/stream_room.py
+++ b/linnetwind/stream_room.py
@@ -34,7 +34,13 @@
 )
 from linnetwind.place_shares import Demand, allow, own_share
 from linnetwind.routes import EngineFigures, RoutedService
-from linnetwind.stream_gate import Claim, GroupView, TurnAway, WaitingLine
+from linnetwind.stream_gate import (
+    Claim,
+    GroupView,
+    TurnAway,
+    WaitingLine,
+    reserve,
+)
 from linnetwind.upstream_list import Upstream
 
 # The starts that count for the time of the next one, and the part of them
@@ -345,7 +351,8 @@
     ends = sum(rate(groups[name].ends, now) for name in open_groups)
     closed = [wait for wait in waits.values() if wait is not None]
     soonest = None if open_groups else min(closed, default=None)
-    return GroupView(free, ends, _start_time(room), soonest)
+    reserved = reserve(free, rate(room.arrivals, now), ends)
+    return GroupView(free, ends, _start_time(room), soonest, reserved)
 
 
 def _load(service: str, room: _ServiceRoom, now: timedelta) -> StreamLoad:
