A rank that does not answer one look stays a member of its group

Found by reading the change: members were those that answered the last look, so that the streams of a rank whose agent was slow once left the group's count. The test fails on the code before.

--- a/linnetwind/group_brief.py
+++ b/linnetwind/group_brief.py
@@ -48,7 +48,9 @@
         is_open=is_open,
         skew=group.skew,
         opens_in_ms=int(opens_in / timedelta(milliseconds=1)),
-        members=tuple(each.life for each in group.ranks.values()),
+        # Also those that did not answer this time: their streams would be
+        # missing from the group's count, and as many too many would begin.
+        members=tuple(group.lives.values()),
         slow=tuple(slow),
     )
 
--- a/linnetwind/group_brief_test.py
+++ b/linnetwind/group_brief_test.py
@@ -33,6 +33,7 @@
         ranks[rank] = SeenRank(upstream, upstream.life, report, Seen(report))
     group = PlannedGroup(name, None, timedelta(), ranks=ranks, skew=skew)
     group.reports = {rank: each.report for rank, each in ranks.items()}
+    group.lives = {rank: each.life for rank, each in ranks.items()}
     return group
 
 
@@ -70,6 +71,15 @@
     assert late == (forming + 3 * SECOND) / timedelta(milliseconds=1)
 
 
+def test_a_rank_that_does_not_answer_stays_a_member():
+    # An agent is slow for one look. If its rank were no member, the streams
+    # that run there would not be counted, and others begin in their places.
+    group = _group('a', paces=(1.0, 1.0, 1.0))
+    group.ranks.pop(1)
+    group.reports.pop(1)
+    assert _briefs([group])['a'].members == ('a0', 'a1', 'a2')
+
+
 def test_slow_ranks_get_no_new_streams():
     groups = [_group('a', paces=(1.0, 3.0)), _group('b')]
     briefs = _briefs(groups)
