--- a/linnetwind/map_planner.py
+++ b/linnetwind/map_planner.py
@@ -68,8 +68,9 @@
 # quarter of the rollouts.
 _MOST_ROUNDS = 40
 # A plan rests this long after each step of a millisecond or less, so that
-# the streams of its own host are passed on in between. Planned in one go, a
-# third of them had pauses of 0.12 s and more on a calm day.
+# the streams of its own host are passed on in between. Planned in one go, at
+# each look, 113 of 418 answers of its data centre were late on a calm day,
+# and 1 of 762 in the others.
 _BREATH_S = 0.002
 # For how long a plan that found too small a gain is not made again while the
 # skew stays: made at each look, there were ten of them in a second.
@@ -302,18 +303,18 @@
         if planned.wish is None:
             group.settled = group.skew
             group.settled_at = now
-        if planned.wish is not None:
-            self._log.event(
-                MapPlanned(
-                    _full_name(service, group),
-                    planned.wish.version,
-                    planned.moves,
-                    round(planned.skew_before, 3),
-                    round(planned.skew_after, 3),
-                    round(sum(map(sum, tokens))),
-                    planned.reason,
-                )
+            return None
+        self._log.event(
+            MapPlanned(
+                _full_name(service, group),
+                planned.wish.version,
+                planned.moves,
+                round(planned.skew_before, 3),
+                round(planned.skew_after, 3),
+                round(sum(map(sum, tokens))),
+                planned.reason,
             )
+        )
         return planned.wish
 
     def _breathe(self) -> None:
--- a/linnetwind/map_wish.py
+++ b/linnetwind/map_wish.py
@@ -134,8 +134,7 @@
 
     Most looks find a group near balance. Planned at each of them all the
     same, 10 times a second, two groups of 8 ranks kept their planner's
-    process busy, and 78 in 100 of the streams that it passed on had a pause
-    that was too long.
+    process busy, which also passes events of streams on.
 
     Args:
       present: The skew of the map in use.
