Tests of the line by a clock that the test moves

Suspected from the code: the test waits in a loop until eleven streams stand in line, which have 1.6 s by the real clock; if threads start slower than that, one is refused and the loop never ends. The clock stands still now but for the steps of the test; nothing is checked less.

--- a/linnetwind/stream_gate_test.py
+++ b/linnetwind/stream_gate_test.py
@@ -3,9 +3,9 @@
 import threading
 import time
 from dataclasses import replace
-from datetime import timedelta
+from datetime import UTC, datetime, timedelta
 
-from linnetwind.clock import SystemClock
+from linnetwind.clock import ManualClock, SystemClock
 from linnetwind.stream_gate import (
     LEAST_RETRY,
     MOST_RETRY,
@@ -28,6 +28,7 @@
 SECOND = timedelta(seconds=1)
 TARGET = 500 * MS
 VIEW = GroupView(free=8, ends_per_s=40, start_time=200 * MS, opens_in=None)
+NOW = datetime(2026, 1, 1, tzinfo=UTC)
 FIRST = Waiter(ahead=0, waited=timedelta(), target=TARGET, returning=False)
 
 
@@ -96,7 +97,7 @@
     # Twenty streams wait while a group is broken. When it opens, a newcomer
     # can still be in time, and they cannot: it takes the first place.
     views = [replace(VIEW, free=0, opens_in=100 * MS)]
-    clock = SystemClock()
+    clock = ManualClock(NOW)
     line = WaitingLine(clock)
     order = []
 
@@ -114,6 +115,7 @@
     while line.length < 1:
         continue
     time.sleep(0.1)
+    clock.advance(100 * MS)
     views[0] = replace(VIEW, free=0)
     line.wake()
     threads.append(threading.Thread(target=ask, args=('new',)))
@@ -163,7 +165,7 @@
         running[0] += 1
         return upstream
 
-    clock = SystemClock()
+    clock = ManualClock(NOW)
     line = WaitingLine(clock)
     ended = []
 
@@ -179,6 +181,11 @@
         continue
     running[0] = 9
     line.wake()
+    while not ended:
+        continue
+    # The others have waited as long as they may.
+    clock.advance(RETURN_WAIT)
+    line.wake()
     for thread in threads:
         thread.join()
     assert ended.count(upstream) == 1
@@ -190,7 +197,7 @@
     # free one by one. Behind all ten, each newcomer would be too late, be
     # refused, and come back itself: the overload would never end.
     running = [10]
-    clock = SystemClock()
+    clock = ManualClock(NOW)
     line = WaitingLine(clock)
     order = []
 
