--- a/linnetwind/placement_layer.py
+++ b/linnetwind/placement_layer.py
@@ -142,6 +142,11 @@
             self._add_loads(touched, 1)
 
     def _add_loads(self, experts: set[int], sign: int) -> None:
+        """Add the loads of experts to their ranks, or take them off.
+
+        Only the ranks that hold them are touched: adding up all slots after
+        each change grows with the size of the group.
+        """
         for expert in experts:
             share = sign * self._share(expert) if self._counts[expert] else 0
             for holder, slots in self._holders[expert].items():
