The daemon on the most powerful host plans the expert maps

Change: each daemon tells its link times its cores with its state; of those that reach all ranks the most powerful leads, of equals the first name as before. Two planners at a handover are safe as before (rollout).

--- a/linnetwind/gateway_daemon.py
+++ b/linnetwind/gateway_daemon.py
@@ -76,7 +76,8 @@
 class GatewaySetup:
     """The settings of a gateway daemon.
 
-    `mesh` is where peers reach it, `seeds` are peers to begin with.
+    `mesh` is where peers reach it, `seeds` are peers to begin with. `power`
+    tells how much the host bears beside others, in any unit.
     """
 
     name: str
@@ -88,6 +89,7 @@
     seeds: tuple[Address, ...]
     stop_within: timedelta
     repeats: BudgetTerms
+    power: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,7 +137,12 @@
         self._threads = DaemonThreads(log)
         self._state = GatewayState(clock, setup.mesh, setup.repeats)
         mesh = MeshSettings(
-            setup.name, setup.site, self._start_id, setup.mesh, setup.seeds
+            setup.name,
+            setup.site,
+            self._start_id,
+            setup.mesh,
+            setup.seeds,
+            setup.power,
         )
         self._mesh = PeerMesh(mesh, self._state, clock)
         self._feeds = GatewayFeeds(
--- a/linnetwind/gateway_state_test.py
+++ b/linnetwind/gateway_state_test.py
@@ -1,11 +1,11 @@
 """Tests of what a gateway believes of an upstream that starts again."""
 
-from datetime import timedelta
+from datetime import UTC, datetime, timedelta
 
 import pytest
 
 from linnetwind.address import Address
-from linnetwind.clock import SystemClock
+from linnetwind.clock import ManualClock, SystemClock
 from linnetwind.gateway_state import GatewayState
 from linnetwind.peer_book import GroupBrief, PeerState
 from linnetwind.repeat_budget import BudgetTerms
@@ -144,3 +144,19 @@
         state.note_miss(_start(state, born_ms))
     _start(state, 50)
     assert len(state._records) <= 1
+
+
+def test_what_a_silent_peer_had_is_not_counted():
+    # A host is cut off with streams that run. Counted for ever they would
+    # keep their places from others.
+    clock = ManualClock(datetime(2026, 1, 1, tzinfo=UTC))
+    terms = BudgetTerms(timedelta(seconds=10), 0.2, 88)
+    state = GatewayState(clock, Address('127.0.0.1', 1), terms)
+    entry = _start(state, 5)
+    clock.advance(SECOND)
+    state.hear(_peer({entry.life: 4}))
+    assert state.group_running('plain') == 4
+    clock.advance(state.book.silence)
+    assert state.group_running('plain') == 0
+    state.hear(_peer({entry.life: 2}, counter=2))
+    assert state.group_running('plain') == 2
--- a/linnetwind/peer_book.py
+++ b/linnetwind/peer_book.py
@@ -87,7 +87,8 @@
     `can_plan` says that it reaches all ranks. `refused` are the subjects
     whose callers were told to come back. `counter` grows with each message
     of one `start_id`. `stopping_ms` is how long ago a daemon that is
-    `leaving` was told to stop, `site` the data centre of its callers.
+    `leaving` was told to stop, `site` the data centre of its callers. `power`
+    tells how much its host bears, for the choice of the planner.
     """
 
     name: str
@@ -104,6 +105,7 @@
     refused: tuple[str, ...] = ()
     stopping_ms: int = 0
     site: str = ''
+    power: int = 0
 
 
 @dataclass(frozen=True)
@@ -174,22 +176,6 @@
             if now - each.at < silence
         ]
 
-    def running(self, now: timedelta) -> dict[Life, int]:
-        """Count the requests that live peers have at each upstream.
-
-        Args:
-          now: The monotonic time.
-
-        Returns:
-          The counts by life. A peer with an older list counts for lives
-          that are over here; those have names of their own.
-        """
-        counts: dict[Life, int] = {}
-        for state in self.live(now):
-            for life, count in state.running.items():
-                counts[life] = counts.get(life, 0) + count
-        return counts
-
     def forget(self, now: timedelta) -> Self:
         """Return the book without peers that have been silent for long.
 
@@ -212,26 +198,44 @@
         return replace(self, heard=heard, known=self.known - gone)
 
 
-def leader(
-    book: PeerBook, own_name: str, now: timedelta, *, can_plan: bool
-) -> str:
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """A daemon that may plan the expert maps.
+
+    `power` tells how much its host bears, `can_plan` whether it reaches all
+    ranks.
+    """
+
+    name: str
+    power: int
+    can_plan: bool
+
+
+def leader(book: PeerBook, own: Candidate, now: timedelta) -> str:
     """Return the daemon that plans the expert maps.
 
+    A plan for hundreds of ranks takes a large part of a small host's core,
+    and their counts a large part of its link; the streams of that host then
+    pause for longer than those of the others.
+
     Args:
       book: What is known of the peers.
-      own_name: This daemon's name.
+      own: This daemon.
       now: The monotonic time.
-      can_plan: Whether this daemon reaches all ranks.
 
     Returns:
-      The first name among the daemons that stay and reach all ranks, or
-      among all that stay if none does.
+      Of the daemons that stay and reach all ranks that on the most powerful
+      host, of equals the first name; of all that stay if none reaches them.
     """
-    staying = [each for each in book.live(now) if not each.leaving]
-    able = [each.name for each in staying if each.can_plan]
-    if can_plan:
-        able.append(own_name)
-    return min(able or (own_name, *(each.name for each in staying)))
+    staying = [
+        Candidate(each.name, each.power, each.can_plan)
+        for each in book.live(now)
+        if not each.leaving
+    ]
+    candidates = [own, *staying]
+    able = [each for each in candidates if each.can_plan]
+    first = min(able or candidates, key=lambda each: (-each.power, each.name))
+    return first.name
 
 
 def _heard(before: Heard | None, state: PeerState, now: timedelta) -> Heard:
--- a/linnetwind/peer_book_test.py
+++ b/linnetwind/peer_book_test.py
@@ -6,6 +6,7 @@
 from linnetwind.address import Address
 from linnetwind.peer_book import (
     PEER_FORGOTTEN,
+    Candidate,
     PeerBook,
     PeerState,
     leader,
@@ -31,22 +32,27 @@
     return replace(state, **changes)
 
 
-def test_counts_of_live_peers_are_added_up():
+def _running(book, now):
+    """Return the counts of each live peer."""
+    return {each.name: each.running for each in book.live(now)}
+
+
+def test_counts_of_live_peers_are_known_until_they_are_silent():
     book = PeerBook(OWN).hear(_state('b'), SECOND).hear(_state('c'), SECOND)
-    assert book.running(SECOND) == {'u': 6}
-    assert book.running(SECOND + book.silence) == {}
+    assert _running(book, SECOND) == {'b': {'u': 3}, 'c': {'u': 3}}
+    assert _running(book, SECOND + book.silence) == {}
 
 
 def test_a_message_that_was_overtaken_changes_nothing():
     book = PeerBook(OWN).hear(_state('b', 2, running={}), SECOND)
     book = book.hear(_state('b', 1), SECOND)
-    assert book.running(SECOND) == {}
+    assert _running(book, SECOND) == {'b': {}}
 
 
 def test_a_restarted_peer_begins_to_count_anew():
     book = PeerBook(OWN).hear(_state('b', 900, running={}), SECOND)
     book = book.hear(_state('b', 1, start_id='next'), SECOND)
-    assert book.running(SECOND) == {'u': 3}
+    assert _running(book, SECOND) == {'b': {'u': 3}}
 
 
 def test_what_a_daemon_hears_does_not_grow_with_their_number():
@@ -75,10 +81,24 @@
     book = book.hear(_state('a', leaving=True), SECOND)
     book = book.hear(_state('b', can_plan=False), SECOND)
     book = book.hear(_state('c'), SECOND)
-    assert leader(book, 'd', SECOND, can_plan=True) == 'c'
-    assert leader(book, 'd', SECOND + book.silence, can_plan=True) == 'd'
+    assert leader(book, Candidate('d', 0, True), SECOND) == 'c'
+    assert leader(book, Candidate('d', 0, True), SECOND + book.silence) == 'd'
 
 
 def test_somebody_leads_even_if_nobody_sees_all_ranks():
     book = PeerBook(OWN).hear(_state('b', can_plan=False), SECOND)
-    assert leader(book, 'c', SECOND, can_plan=False) == 'b'
+    assert leader(book, Candidate('c', 0, False), SECOND) == 'b'
+
+
+def test_the_most_powerful_host_plans():
+    # A plan for 192 ranks on the smallest host made its streams pause longer
+    # than those of all other hosts.
+    book = PeerBook(OWN)
+    book = book.hear(_state('a', power=15), SECOND)
+    book = book.hear(_state('b', power=215), SECOND)
+    book = book.hear(_state('c', power=215), SECOND)
+    assert leader(book, Candidate('d', 15, True), SECOND) == 'b'
+    book = book.hear(_state('b', 2, power=215, leaving=True), SECOND)
+    assert leader(book, Candidate('d', 15, True), SECOND) == 'c'
+    book = book.hear(_state('c', 2, power=215, can_plan=False), SECOND)
+    assert leader(book, Candidate('d', 15, True), SECOND) == 'a'
--- a/linnetwind/peer_mesh.py
+++ b/linnetwind/peer_mesh.py
@@ -23,6 +23,7 @@
 from linnetwind.gateway_state import GatewayState
 from linnetwind.peer_book import (
     SEND_INTERVAL,
+    Candidate,
     GroupBrief,
     PeerState,
     leader,
@@ -60,13 +61,17 @@
 
 @dataclass(frozen=True, slots=True)
 class MeshSettings:
-    """This daemon's name and life, its address and first addresses."""
+    """This daemon's name and life, its address and first addresses.
+
+    `power` tells how much its host bears.
+    """
 
     name: str
     site: str
     start_id: str
     own: Address
     seeds: tuple[Address, ...]
+    power: int = 0
 
 
 class PeerMesh:
@@ -138,13 +143,11 @@
             own = Told(self._settings.name, self._leaving_at)
             now = self._clock.elapsed()
             return leads_to_the_end(self._state.book, own, now)
-        first = leader(
-            self._state.book,
-            self._settings.name,
-            self._clock.elapsed(),
-            can_plan=self._can_plan,
+        own = Candidate(
+            self._settings.name, self._settings.power, self._can_plan
         )
-        return first == self._settings.name
+        first = leader(self._state.book, own, self._clock.elapsed())
+        return first == own.name
 
     def leave(self) -> None:
         """Tell the peers that this daemon is stopping."""
@@ -211,6 +214,7 @@
             self._state.refusals.tell(),
             self._stopping_ms(),
             self._settings.site,
+            self._settings.power,
         )
         content = _CODEC.encode(message)
         for address in self._addresses():
--- a/linnetwind/platform/entry.py
+++ b/linnetwind/platform/entry.py
@@ -53,4 +53,5 @@
         seeds=settings.seeds,
         stop_within=settings.stop_within,
         repeats=settings.repeats,
+        power=settings.power,
     )
--- a/linnetwind/platform/settings.py
+++ b/linnetwind/platform/settings.py
@@ -19,7 +19,8 @@
     `front` is where callers connect, `readiness` where the platform asks
     whether they may; both are None on a host without callers. `upstream` is
     the address of the worker on this host. `first_port` is the first of the
-    ports for our own messages, which are the same on all hosts.
+    ports for our own messages, which are the same on all hosts. `power` is
+    its link in Mbit/s times its part of a core.
     """
 
     name: str
@@ -35,6 +36,7 @@
     stop_within: timedelta
     drain_within: timedelta
     repeats: BudgetTerms
+    power: int
 
 
 def read_settings() -> HostSettings:
@@ -83,8 +85,15 @@
             float(bounds['retryRatio']),
             float(bounds['retryAllowance']),
         ),
+        power=_power(fields.get('limits') or {}),
     )
 
 
+def _power(limits: dict[str, Any]) -> int:
+    """Return what a host bears; 0 where its limits are not stated."""
+    cores = limits.get('cpuShare', 0) * limits.get('cpuCores', 1)
+    return int(cores * limits.get('linkMbps', 0))
+
+
 def _optional_address(text: str | None) -> Address | None:
     return parse_address(text) if text else None
