Many daemons read the store less often, and tell each other of a configuration

A daemon that hears of a newer configuration for two looks takes a peer's copy, so that a connection to the store that has gone silent does not delay it longer than before. Ruled out for now: one or two readers a data centre that tell the others (fewer calls still; what holds when readers freeze is not worked out).

--- a/linnetwind/gateway_feeds.py
+++ b/linnetwind/gateway_feeds.py
@@ -17,15 +17,17 @@
 from linnetwind.record_store import KeyedRecord, Records, RecordStore, Topic
 from linnetwind.routes import RouteTable
 from linnetwind.step_log import StepLog
+from linnetwind.store_pace import (
+    StorePace,
+    configuration_pace,
+    upstreams_pace,
+)
 from linnetwind.upstream_list import Registered, UpstreamList
 
-# Pauses after each reading of the store, which bound the calls to it. Both
-# topics have to be known within two seconds of a change. A configuration is
-# rare; the list of upstreams changes with every heartbeat.
-_CONFIGURATION_REST_MS = 50
-_CONFIGURATION_REST = timedelta(milliseconds=_CONFIGURATION_REST_MS)
-_UPSTREAMS_REST_MS = 400
-_UPSTREAMS_REST = timedelta(milliseconds=_UPSTREAMS_REST_MS)
+# How often a daemon looks whether a peer has a newer configuration, and how
+# long it leaves the store to bring it first.
+_BEHIND_LOOK_MS = 200
+_BEHIND_LOOK = timedelta(milliseconds=_BEHIND_LOOK_MS)
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +64,8 @@
           log: The log.
         """
         self._ports = ports
+        self._peers = peers
+        self._newer_told = 0
         self._state = state
         self._clock = clock
         self._log = log
@@ -70,11 +74,17 @@
         }
         self._followers = {
             topic: RecordFollower(
-                topic, ports.open_store(), peers, take, rest, clock, log
+                topic,
+                ports.open_store(),
+                peers,
+                take,
+                self._paced(pace),
+                clock,
+                log,
             )
-            for topic, take, rest in (
-                (Topic.CONFIGURATION, self._take_tables, _CONFIGURATION_REST),
-                (Topic.UPSTREAMS, self._take_upstreams, _UPSTREAMS_REST),
+            for topic, take, pace in (
+                (Topic.CONFIGURATION, self._take_tables, configuration_pace),
+                (Topic.UPSTREAMS, self._take_upstreams, upstreams_pace),
             )
         }
 
@@ -86,6 +96,7 @@
         """
         for topic, follower in self._followers.items():
             threads.for_ever(follower.follow_once, f'store-{topic.value}')
+        threads.for_ever(self._catch_up, 'configuration-behind')
 
     def copy(self, topic: Topic) -> Records | None:
         """Return what has been read of a topic, for a peer.
@@ -98,6 +109,38 @@
         """
         return self._followers[topic].copy()
 
+    def _paced(
+        self, pace: Callable[[int], StorePace]
+    ) -> Callable[[], StorePace]:
+        def paced() -> StorePace:  # noqa: WPS430
+            live = self._state.book.live(self._clock.elapsed())
+            return pace(1 + len(live))
+
+        return paced
+
+    def _catch_up(self) -> timedelta:
+        """Take a configuration from a peer that had it before this daemon.
+
+        A connection to the store may go silent without a reset; until that
+        shows, the daemon would serve by the configuration before, and refuse
+        callers whose keys are new.
+
+        Returns:
+          How long to wait before the next look.
+        """
+        live = self._state.book.live(self._clock.elapsed())
+        told = max((each.config_version for each in live), default=0)
+        table = self._state.table
+        if table is None or told <= table.version:
+            return _BEHIND_LOOK
+        if told == self._newer_told:
+            found = self._peers.newest(Topic.CONFIGURATION)
+            if isinstance(found, Records):
+                news = News(found.records, found.end, True, False, 'peer')
+                self._take_tables(news)
+        self._newer_told = told
+        return _BEHIND_LOOK
+
     def _take_tables(self, news: News) -> None:
         for record in news.records:
             wanted = record.key == self._ports.configuration_key
--- a/linnetwind/platform/gateway_feeds_test.py
+++ b/linnetwind/platform/gateway_feeds_test.py
@@ -16,6 +16,7 @@
 from linnetwind.gateway_events import BadRecord, ConfigurationApplied
 from linnetwind.gateway_feeds import FeedPorts, GatewayFeeds
 from linnetwind.gateway_state import GatewayState
+from linnetwind.peer_book import PeerState
 from linnetwind.platform.table_format import CONFIGURATION_KEY, decode_table
 from linnetwind.platform.upstream_format import decode_upstream
 from linnetwind.record_store import (
@@ -118,17 +119,60 @@
         self._feeds = GatewayFeeds(
             ports, self.state, _Peers(read_by_peers), clock, self.log
         )
-        self._rounds = _Rounds()
-        self._feeds.start(self._rounds)
+        self.rounds = _Rounds()
+        self._feeds.start(self.rounds)
 
     def read(self, topic=Topic.UPSTREAMS):
-        self._rounds.work[f'store-{topic.value}']()
+        self.rounds.work[f'store-{topic.value}']()
 
     def usable(self, service='plain'):
         found = self.state.upstreams.usable(service, timedelta())
         return sorted(each.instance for each in found)
 
 
+def _told(version, counter):
+    """Return the state of a peer with a version of the configuration."""
+    return PeerState(
+        name='b',
+        start_id='one',
+        counter=counter,
+        address=Address('127.0.0.1', 2),
+        config_version=version,
+        leaving=False,
+        can_plan=True,
+        running={},
+        members=(),
+        groups=(),
+    )
+
+
+def test_a_configuration_comes_from_peers_while_the_store_is_silent():
+    # The connection to the store has gone silent, without a reset. A peer
+    # has the next configuration and says so; callers with new keys would be
+    # refused until the silence shows.
+    tables = [configuration(each, 'plain') for each in (1, 2)]
+    store = _Store(tables=tables)
+    store.seen[Topic.CONFIGURATION] = 1
+    reader = _Reader(store, _Store(tables=tables))
+    reader.read(Topic.CONFIGURATION)
+    behind = reader.rounds.work['configuration-behind']
+    behind()
+    assert reader.state.table.version == 1
+    for counter in (1, 2):
+        reader.state.hear(_told(2, counter))
+        behind()
+    assert reader.state.table.version == 2
+    # Read from the store later, it changes nothing any more.
+    store.seen[Topic.CONFIGURATION] = 2
+    reader.read(Topic.CONFIGURATION)
+    applied = [
+        each
+        for each in reader.log.events
+        if isinstance(each, ConfigurationApplied)
+    ]
+    assert [each.source for each in applied] == ['store', 'peer']
+
+
 def _entry(key, **changes):
     port = 8000 + KEYS.index(key)
     return {**ENTRY, 'address': f'10.1.2.3:{port}', **changes}
--- a/linnetwind/record_follower.py
+++ b/linnetwind/record_follower.py
@@ -17,12 +17,8 @@
     Trimmed,
 )
 from linnetwind.step_log import StepLog
+from linnetwind.store_pace import StorePace
 
-# How long a read waits for news in the store. A connection that has gone
-# silent shows after this and the client's own margin, so it is kept well
-# below the time in which a configuration has to be in force.
-_POLL_WAIT_MS = 900
-POLL_WAIT = timedelta(milliseconds=_POLL_WAIT_MS)
 # The pause between two tries while the store is away, at random within this,
 # so that all daemons do not return to it together.
 _RETRY_PAUSE_MS = 300
@@ -60,7 +56,7 @@
         store: RecordStore,
         peers: PeerCopies,
         take: Callable[[News], None],
-        rest: timedelta,
+        pace: Callable[[], StorePace],
         clock: Clock,
         log: StepLog,
     ) -> None:
@@ -71,7 +67,7 @@
           store: The store.
           peers: Asked while the store does not answer.
           take: Given what is read.
-          rest: The pause after each reading, which bounds the calls.
+          pace: Returns how often to read, which bounds the calls.
           clock: For outages.
           log: Told of outages.
         """
@@ -80,7 +76,7 @@
         self._store = store
         self._peers = peers
         self._take = take
-        self._rest = rest
+        self._pace = pace
         self._clock = clock
         self._log = log
         self._newest: dict[str, KeyedRecord] = {}
@@ -108,11 +104,12 @@
         if whole:
             found = self._store.newest(self._topic)
         else:
-            found = self._store.read(self._topic, self._end, POLL_WAIT)
+            wait = self._pace().wait
+            found = self._store.read(self._topic, self._end, wait)
         match found:
             case Records(records, end):
                 self._take_news(records, end, whole=whole)
-                return self._rest
+                return self._pace().rest
             case Trimmed():
                 self._end = None
                 return timedelta()
--- a/linnetwind/record_follower_test.py
+++ b/linnetwind/record_follower_test.py
@@ -12,9 +12,11 @@
     Topic,
     Trimmed,
 )
+from linnetwind.store_pace import POLL_WAIT, StorePace
 from standins.gateway_harness import ListLog
 
 REST = timedelta(seconds=0.4)
+PACE = StorePace(REST, POLL_WAIT)
 DOWN = StoreUnavailable('down')
 FIRST = KeyedRecord('a', 0, b'1')
 SECOND = KeyedRecord('b', 1, b'2')
@@ -40,7 +42,7 @@
     news, log = [], ListLog()
     clock = ManualClock(datetime(2026, 1, 1, tzinfo=UTC))
     follower = RecordFollower(
-        Topic.UPSTREAMS, store, peers, news.append, REST, clock, log
+        Topic.UPSTREAMS, store, peers, news.append, lambda: PACE, clock, log
     )
     pauses = [follower.follow_once() for _round in range(rounds)]
     return follower, news, log, pauses
