The limit on streams follows a new expert map at once

Load: demand shifts every few seconds and each new map shortens passes two- to fourfold. Cause: the limit goes by the long pauses of the last 2.5 s, most of them under the map before; callers are refused or wait meanwhile. Change: a pause that was measured under a worse map counts for what it would be under the present one, by the share of a pass that goes to experts. Under a worse or unknown map pauses count as they are. Ruled out: easing by the skew also upwards: it moves with the noise of the counts, and the pauses show a worse map themselves.

--- a/linnetwind/group_room.py
+++ b/linnetwind/group_room.py
@@ -98,10 +98,28 @@
     """
     brief = fresh_brief(room, now)
     skew = brief.skew if brief else USUAL_SKEW
-    measured = [*others, room.meter.measure(engine, now)]
+    measured = [*others, measure(room, now, engine)]
     return stream_limit(engine, ranks, gap, measured, skew)
 
 
+def measure(
+    room: GroupRoom, now: timedelta, engine: EngineFigures
+) -> tuple[float, int]:
+    """Return what this daemon has measured of a group's passes.
+
+    Args:
+      room: The group.
+      now: The monotonic time.
+      engine: What the engines are said to cost.
+
+    Returns:
+      The milliseconds that each stream adds to a pass, and the number of
+      pauses that say so.
+    """
+    brief = fresh_brief(room, now)
+    return room.meter.measure(engine, now, brief.skew if brief else 0)
+
+
 def rate(times: deque[timedelta], now: timedelta) -> float:
     """Return how many of the times lie in the last second.
 
--- a/linnetwind/pass_meter.py
+++ b/linnetwind/pass_meter.py
@@ -39,11 +39,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Pause:
-    """A pause between two events, and the streams that ran in the group."""
+    """A pause between two events, and the streams that ran in the group.
+
+    `skew` is that of the map in use then, 0 where it is not known.
+    """
 
     at: timedelta
     length: timedelta
     running: int
+    skew: float = 0
 
 
 class PassMeter:
@@ -64,24 +68,30 @@
         self._pauses.append(pause)
 
     def measure(
-        self, engine: EngineFigures, now: timedelta
+        self, engine: EngineFigures, now: timedelta, skew: float = 0
     ) -> tuple[float, int]:
         """Return the milliseconds that each stream adds to a pass.
 
+        A pause under a worse map than the present one counts for what it
+        would be now. Otherwise the limit follows a new map only when the
+        pauses before it are forgotten, and for two seconds callers are
+        refused for whom there is room.
+
         Args:
           engine: What the engines are said to cost.
           now: The monotonic time.
+          skew: The skew of the map in use, 0 if it is not known.
 
         Returns:
           The measure of a long pass of the window, and the number of pauses.
         """
         if now - self._measured_at >= _MEASURE_AGE:
             self._measured_at = now
-            self._measured = self._measure(engine, now)
+            self._measured = self._measure(engine, now, skew)
         return self._measured
 
     def _measure(
-        self, engine: EngineFigures, now: timedelta
+        self, engine: EngineFigures, now: timedelta, skew: float
     ) -> tuple[float, int]:
         while self._pauses and now - self._pauses[0].at > WINDOW:
             self._pauses.popleft()
@@ -91,11 +101,31 @@
         parts = sorted(
             (each.length / timedelta(milliseconds=1) - fixed)
             / max(1, each.running)
+            * _eased(engine, each.skew, skew)
             for each in self._pauses
         )
         return parts[int(len(parts) * _USUAL_SHARE)], len(parts)
 
 
+def _eased(engine: EngineFigures, before: float, now: float) -> float:
+    """Return a pass's time under the present map over that under another.
+
+    Args:
+      engine: What the engines are said to cost.
+      before: The skew of the map then, 0 if it is not known.
+      now: That of the present map, 0 if it is not known.
+
+    Returns:
+      The factor, at most 1.
+    """
+    if not before or not now or now >= before:
+        return 1
+    rest = 1 - engine.expert_share
+    return (rest + engine.expert_share * now) / (
+        rest + engine.expert_share * before
+    )
+
+
 def stream_limit(
     engine: EngineFigures,
     ranks: int,
--- a/linnetwind/pass_meter_test.py
+++ b/linnetwind/pass_meter_test.py
@@ -2,6 +2,8 @@
 
 from datetime import timedelta
 
+import pytest
+
 from linnetwind.pass_meter import PassMeter, Pause, stream_limit
 from standins.gateway_fixtures import make_engine
 
@@ -66,3 +68,34 @@
     meter = PassMeter()
     meter.note(Pause(timedelta(), 500 * MS, 5))
     assert meter.measure(ENGINE, timedelta(seconds=3)) == (0, 0)
+
+
+def test_a_better_map_raises_the_limit_at_once():
+    # Half of the popular experts have changed, and passes were long. The new
+    # map is in use now, but the pauses of the last 2.5 s are those of the old
+    # one: for two seconds callers were refused for whom there was room.
+    meter = PassMeter()
+    for number in range(20):
+        meter.note(Pause(number * MS, 120 * MS, 40, skew=3.0))
+    before = meter.measure(ENGINE, 20 * MS, skew=3.0)
+    after = meter.measure(ENGINE, 200 * MS, skew=1.2)
+    rest = 1 - ENGINE.expert_share
+    expected = (rest + ENGINE.expert_share * 1.2) / (
+        rest + ENGINE.expert_share * 3
+    )
+    assert after[0] == pytest.approx(before[0] * expected)
+    limits = [
+        stream_limit(ENGINE, 16, 120 * MS, [each], 3)
+        for each in (before, after)
+    ]
+    assert limits[1] > 1.8 * limits[0]
+
+
+@pytest.mark.parametrize(('then', 'now'), [(1.2, 3.0), (0, 1.2), (3.0, 0)])
+def test_pauses_count_as_they_are_under_a_worse_or_unknown_map(then, now):
+    # A worse map shows in the pauses themselves.
+    meter = PassMeter()
+    for number in range(20):
+        meter.note(Pause(number * MS, 120 * MS, 40, skew=then))
+    plain = _measured(120 * MS, 40)
+    assert meter.measure(ENGINE, 20 * MS, skew=now) == plain
--- a/linnetwind/stream_room.py
+++ b/linnetwind/stream_room.py
@@ -21,6 +21,7 @@
     forget,
     fresh_brief,
     limit_of,
+    measure,
     opens_in,
     rate,
 )
@@ -125,9 +126,12 @@
           length: The pause.
           running: The streams that all daemons have in its group.
         """
-        pause = Pause(self._clock.elapsed(), length, running)
+        now = self._clock.elapsed()
         with self._lock:
-            self._group(upstream).meter.note(pause)
+            group = self._group(upstream)
+            brief = fresh_brief(group, now)
+            skew = brief.skew if brief else 0
+            group.meter.note(Pause(now, length, running, skew))
 
     def note_start(self, service: str, took: timedelta) -> None:
         """Take note of the time from a stream's start to its first event.
@@ -363,7 +367,7 @@
 def _load(service: str, room: _ServiceRoom, now: timedelta) -> StreamLoad:
     demand = _demand(room, now)
     parts = [
-        PassPart(name, *each.meter.measure(room.engine, now))
+        PassPart(name, *measure(each, now, room.engine))
         for name, each in room.groups.items()
     ]
     return StreamLoad(
--- a/linnetwind/stream_room_test.py
+++ b/linnetwind/stream_room_test.py
@@ -106,3 +106,18 @@
     bed.brief('a', SOUND[:1])
     found = bed.room.by_group('model', [*SOUND, *OTHER])
     assert found == {'a': SOUND[:1], 'b': [SOUND[1], *OTHER]}
+
+
+def test_a_new_map_makes_room_in_the_next_moment():
+    # Passes were long under the map before. The planner tells of a better one
+    # that is in use; callers that wait get the places of the new limit.
+    bed = Bed()
+    bed.brief('a', SOUND, skew=3.0)
+    bed.pauses(SOUND[0], 110 * MS, 40)
+    bed.brief('a', SOUND, skew=3.0)
+    _view, before = bed.look(in_a=40, in_b=40)
+    bed.brief('a', SOUND, skew=1.2)
+    bed.clock.advance(50 * MS)
+    _view, after = bed.look(in_a=40, in_b=40)
+    assert before['a'] < 5
+    assert after['a'] > 20
