A look at a large group does not wait for the hosts that are away

A look of over a second also makes the leader count as blind: leadership went to another daemon and back three times, and each time all links and counts were dropped. Change: 64 ranks are asked at once; of entries that do not state their start only the newest of an address is asked (after a power loss each rank is registered twice for some seconds). Failed on the way: the newest entry alone, whatever it states; the test of the life that answers shows why both are asked then.

--- a/linnetwind/group_looks.py
+++ b/linnetwind/group_looks.py
@@ -5,7 +5,7 @@
 news of the next.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, replace
 
 from linnetwind.lives import Life, name_life
@@ -28,6 +28,24 @@
     seen: Seen
 
 
+def newest_by_address(entries: Iterable[Upstream]) -> list[Upstream]:
+    """Return the entries that are worth asking.
+
+    After a power loss the entries of the lives before stay for some seconds
+    and lead to the same ranks. Asked as well, they double the work of each
+    look just when a first map is wanted.
+
+    Args:
+      entries: Registered upstreams, the newest last.
+
+    Returns:
+      The newest entry of each address, and of those that state their start
+      one for each life: the answer shows which of them lives.
+    """
+    newest = {(each.address, each.born_ms): each for each in entries}
+    return list(newest.values())
+
+
 def sort_by_rank(answers: Mapping[Upstream, Seen]) -> dict[int, SeenRank]:
     """Return what each rank of a group has said.
 
--- a/linnetwind/map_planner.py
+++ b/linnetwind/map_planner.py
@@ -19,7 +19,11 @@
 )
 from linnetwind.gateway_state import GatewayState
 from linnetwind.group_brief import make_briefs
-from linnetwind.group_looks import counts_of, sort_by_group
+from linnetwind.group_looks import (
+    counts_of,
+    newest_by_address,
+    sort_by_group,
+)
 from linnetwind.map_wish import (
     even_demand,
     map_skew,
@@ -178,7 +182,9 @@
 
     def _look(self, service: RoutedService, planned: PlannedService) -> None:
         """Look at all ranks of a service."""
-        registered = self._state.upstreams.registered(service.name)
+        registered = newest_by_address(
+            self._state.upstreams.registered(service.name)
+        )
         planned.links.keep(registered)
         with_counts = self._counts_due(planned)
         wanted = Look(with_counts, with_counts and needs_experts(planned))
--- a/linnetwind/rank_link.py
+++ b/linnetwind/rank_link.py
@@ -42,7 +42,11 @@
 _AGENT_TIMEOUT_S = 0.35
 # An agent that failed is passed over for this long.
 _REST = timedelta(seconds=1)
-_THREADS = 16
+# Ranks that are asked at once. One whose host has no power is given up after
+# 0.5 s (the agent's time limit and the engine's): asked 16 at a
+# time, 192 of them take 6 s, in which no plan is made. Threads are started as
+# they are needed.
+_THREADS = 64
 
 _Question = Look | RankOrder | PackedPrepare
 
