--- a/linnetwind/map_planner.py
+++ b/linnetwind/map_planner.py
@@ -75,8 +75,7 @@
 # host are passed on in between. Planned in one go, at each look, 113 of 418
 # answers of its data centre were late on a calm day, and 1 of 762 in the
 # others. A large plan has 100 to 230 steps, so that a rest after each step
-# holds its map back: answers in time fell, and came back with this stretch
-# (worth of a calm day with 64 ranks 0.80 and 0.89).
+# holds its map back by as many milliseconds.
 _STRETCH_MS = 3
 _STRETCH = timedelta(milliseconds=_STRETCH_MS)
 _BREATH_S = 0.001
--- a/linnetwind/map_wish.py
+++ b/linnetwind/map_wish.py
@@ -35,10 +35,9 @@
 _HORIZON_S = 2.0
 # The part by which passes take longer while any rank copies.
 _COPY_SLOWDOWN = 0.15
-# What moving a gigabyte costs the users, as seconds of their group: twice its
-# price over the worth of what a group serves in a second at its limit, since
-# on calm days a better map gains less. At once the price, twice as much was
-# moved on calm days with 16 ranks (1,790 GB against 925) without a gain.
+# What moving a gigabyte costs a group, as seconds of its service. Under light
+# load a better map serves nobody better; at half of this, 16 ranks moved twice
+# as much in 34 s (1,790 GB against 925) and answered as many in time.
 _COST_PER_GB_S = 0.0012
 # A gain in skew below this share is not worth a rollout in a full group; in
 # an empty one passes are far shorter than they may be, and only a great gain
--- a/linnetwind/stream_gate.py
+++ b/linnetwind/stream_gate.py
@@ -43,8 +43,7 @@
 _VIEW_AGE = timedelta(milliseconds=_VIEW_MS)
 # How long a caller that came back may wait for its place. Callers give up a
 # stream that shows nothing for two seconds: at a wait of 2 s some left while
-# they waited, at 1.2 s half as many again were refused twice (worth of 414
-# against 263 on one overloaded day).
+# they waited, at 1.2 s half as many again were refused twice in an overload.
 _RETURN_WAIT_S = 1.6
 RETURN_WAIT = timedelta(seconds=_RETURN_WAIT_S)
 
