--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: install test lint demo bench capacity soak format
+.PHONY: install test lint demo bench capacity soak format regress
 
 SEED ?= 1
 SECONDS ?= 60
@@ -35,3 +35,6 @@
 
 soak: install
 	$(BIN)/python -m standins.soak --seed $(SEED) --seconds $(SECONDS)
+
+regress: install
+	$(BIN)/python -m standins.regress "$(BENCH)" $(SITES)
