--- a/linnetwind/expert_demand_test.py
+++ b/linnetwind/expert_demand_test.py
@@ -5,14 +5,14 @@
 import pytest
 
 from linnetwind.expert_demand import HALF_LIFE, ExpertDemand
-from linnetwind.rank_messages import lay_out
+from linnetwind.rank_messages import count_lanes
 from linnetwind.rank_types import RankCounts
 
 SECOND = timedelta(seconds=1)
 
 
 def _counts(*counts, epoch=1):
-    return {0: lay_out(RankCounts(epoch, 5, counts))}
+    return {0: count_lanes(RankCounts(epoch, 5, counts))}
 
 
 def test_only_what_was_added_counts():
@@ -42,8 +42,8 @@
 
 def _two(first, second, step, born_ms):
     return {
-        0: lay_out(RankCounts(1, step, (first, 0), 1)),
-        1: lay_out(RankCounts(1, step, (second, 0), born_ms)),
+        0: count_lanes(RankCounts(1, step, (first, 0), 1)),
+        1: count_lanes(RankCounts(1, step, (second, 0), born_ms)),
     }
 
 
@@ -63,7 +63,7 @@
     demand = demand.take(
         {
             **_two(600, 10, 6, born_ms),
-            1: lay_out(RankCounts(1, 0, (10, 0), born_ms)),
+            1: count_lanes(RankCounts(1, 0, (10, 0), born_ms)),
         },
         SECOND,
     )
--- a/linnetwind/map_planner_test.py
+++ b/linnetwind/map_planner_test.py
@@ -11,7 +11,7 @@
 from linnetwind.clock import SystemClock
 from linnetwind.gateway_state import GatewayState
 from linnetwind.map_planner import MapPlanner
-from linnetwind.rank_messages import Obeyed, Seen, lay_out
+from linnetwind.rank_messages import Obeyed, Seen, count_lanes
 from linnetwind.rank_packing import join_counts
 from linnetwind.rank_types import (
     HoldPass,
@@ -124,7 +124,7 @@
         epoch = report.epoch
         self.ranks[port] = Rank(
             report,
-            lay_out(RankCounts(epoch, step, (0, 0, 0, 0), born_ms)),
+            count_lanes(RankCounts(epoch, step, (0, 0, 0, 0), born_ms)),
             RankExperts(epoch, report.map_version, (held,), born_ms),
         )
         entry = make_upstream(f'r{rank}', port, 'model', born_ms=born_ms)
--- a/linnetwind/rank_agent.py
+++ b/linnetwind/rank_agent.py
@@ -25,7 +25,7 @@
     Obeyed,
     PackedPrepare,
     Seen,
-    lay_out,
+    count_lanes,
     pack_seen,
     unpack_order,
 )
@@ -103,7 +103,7 @@
     """Answer a planner; return the counts that it has now been told."""
     match RANK_CODEC.decode(receive_frame(sock)):
         case Ok(Look(with_counts, with_experts)):
-            counts = lay_out(rank.counts()) if with_counts else None
+            counts = count_lanes(rank.counts()) if with_counts else None
             experts = rank.experts() if with_experts else None
             answer = pack_seen(Seen(rank.report(), counts, experts), told)
             told = counts or told
--- a/linnetwind/rank_link_test.py
+++ b/linnetwind/rank_link_test.py
@@ -17,7 +17,7 @@
     PackedCounts,
     PackedPrepare,
     PackedSeen,
-    lay_out,
+    count_lanes,
 )
 from linnetwind.rank_types import (
     HoldPass,
@@ -108,7 +108,7 @@
 def test_counts_arrive_as_they_were_read(agent):
     address, beside = agent
     seen = _link(address, Engine()).look(Look(with_counts=True))
-    assert seen.counts == lay_out(beside.counts())
+    assert seen.counts == count_lanes(beside.counts())
     assert seen.report == beside.now
 
 
@@ -120,7 +120,7 @@
     for chosen in ((1, 2, 3), (1, 2, 3), (9, 2, 4), (0, 0, 1)):
         beside.chosen = chosen
         seen = link.look(Look(with_counts=True))
-        assert seen.counts == lay_out(beside.counts())
+        assert seen.counts == count_lanes(beside.counts())
 
 
 def test_a_look_without_counts_leaves_the_next_difference_whole(agent):
@@ -130,7 +130,7 @@
     link.look(Look(with_counts=False))
     beside.chosen = (4, 4, 4)
     seen = link.look(Look(with_counts=True))
-    assert seen.counts == lay_out(beside.counts())
+    assert seen.counts == count_lanes(beside.counts())
 
 
 def test_counts_go_on_over_a_new_connection(agent):
@@ -141,7 +141,7 @@
     link.close()
     beside.chosen = (4, 4, 4)
     seen = link.look(Look(with_counts=True))
-    assert seen.counts == lay_out(beside.counts())
+    assert seen.counts == count_lanes(beside.counts())
 
 
 def test_a_rank_without_its_agent_is_ordered_directly():
--- a/linnetwind/rank_messages.py
+++ b/linnetwind/rank_messages.py
@@ -104,7 +104,7 @@
 )
 
 
-def lay_out(counts: RankCounts | None) -> CountLanes | None:
+def count_lanes(counts: RankCounts | None) -> CountLanes | None:
     """Return a rank's counts as lanes.
 
     Args:
