A datagram whose numbers lack their counts is no state

Found on reading: running lives are pairs of a number and a count; with an odd number of them the reader raised ValueError, which ended the round of the thread that hears peers, with a traceback, instead of passing the datagram over. Only struct.error was expected. Test: fails before (one of its two cases; the other is the one that was handled), passes after. Also: the fields that both forms of a state share are copied by their names and stand once; what goes differently is written out. Sizes and bytes on the wire are unchanged (the tests of both directions pass as they were).

--- a/linnetwind/peer_wire.py
+++ b/linnetwind/peer_wire.py
@@ -13,8 +13,9 @@
 import struct
 import zlib
 from collections.abc import Hashable, Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 from datetime import timedelta
+from typing import Any
 
 from result import Ok
 
@@ -24,6 +25,8 @@
 from linnetwind.peer_book import GroupBrief, PeerState, StreamLoad
 
 _TAG_BYTES = 4
+# What cut bytes raise, and a number without its count.
+_NOT_NUMBERS = (struct.error, ValueError)
 # How long states go whole after a change: five of them with 35 daemons.
 _TOLD_WHOLE = timedelta(seconds=2)
 # A peer that lost the packets of a change waits 1.4 s for the next whole state
@@ -75,6 +78,17 @@
 
 
 _CODEC = Codec((_WireState,))
+# The fields that go as they are; the others are written out where they differ.
+_SAME_IN_STATES = tuple(
+    field.name
+    for field in fields(_WireState)
+    if field.name not in {'running', 'members', 'groups'}
+)
+_SAME_IN_BRIEFS = tuple(
+    field.name
+    for field in fields(_WireBrief)
+    if field.name not in {'roster', 'members', 'slow'}
+)
 
 
 def pack_state(state: PeerState, *, whole: bool) -> bytes:
@@ -93,21 +107,10 @@
         for number in (tag_life(life), count)
     ]
     message = _WireState(
-        name=state.name,
-        start_id=state.start_id,
-        counter=state.counter,
-        address=state.address,
-        config_version=state.config_version,
-        leaving=state.leaving,
-        can_plan=state.can_plan,
+        **_copy_fields(state, _SAME_IN_STATES),
         running=_pack(running),
         members=state.members if whole else (),
         groups=tuple(_pack_brief(each, whole) for each in state.groups),
-        loads=state.loads,
-        refused=state.refused,
-        stopping_ms=state.stopping_ms,
-        site=state.site,
-        power=state.power,
     )
     return _CODEC.encode(message)
 
@@ -137,7 +140,7 @@
             return None
         try:
             return self._read(found.ok_value, lives)
-        except struct.error:
+        except _NOT_NUMBERS:
             return None
 
     def _read(
@@ -151,21 +154,10 @@
         }
         briefs = [self._read_brief(each, lives) for each in message.groups]
         return PeerState(
-            name=message.name,
-            start_id=message.start_id,
-            counter=message.counter,
-            address=message.address,
-            config_version=message.config_version,
-            leaving=message.leaving,
-            can_plan=message.can_plan,
+            **_copy_fields(message, _SAME_IN_STATES),
             running=running,
             members=message.members,
             groups=tuple(each for each in briefs if each is not None),
-            loads=message.loads,
-            refused=message.refused,
-            stopping_ms=message.stopping_ms,
-            site=message.site,
-            power=message.power,
         )
 
     def _read_brief(
@@ -178,12 +170,7 @@
         if zlib.crc32(roster) != brief.roster:
             return None
         return GroupBrief(
-            service=brief.service,
-            group=brief.group,
-            epoch=brief.epoch,
-            is_open=brief.is_open,
-            skew=brief.skew,
-            opens_in_ms=brief.opens_in_ms,
+            **_copy_fields(brief, _SAME_IN_BRIEFS),
             members=_known(_unpack(roster), lives),
             slow=_known(_unpack(brief.slow), lives),
         )
@@ -226,18 +213,17 @@
 def _pack_brief(brief: GroupBrief, whole: bool) -> _WireBrief:
     members = _pack([tag_life(each) for each in brief.members])
     return _WireBrief(
-        service=brief.service,
-        group=brief.group,
-        epoch=brief.epoch,
-        is_open=brief.is_open,
-        skew=brief.skew,
-        opens_in_ms=brief.opens_in_ms,
+        **_copy_fields(brief, _SAME_IN_BRIEFS),
         roster=zlib.crc32(members),
         members=members if whole else b'',
         slow=_pack([tag_life(each) for each in brief.slow]),
     )
 
 
+def _copy_fields(source: Any, names: Iterable[str]) -> dict[str, Any]:
+    return {name: getattr(source, name) for name in names}
+
+
 def _pack(numbers: list[int]) -> bytes:
     return struct.pack(f'<{len(numbers)}I', *numbers)
 
--- a/linnetwind/peer_wire_test.py
+++ b/linnetwind/peer_wire_test.py
@@ -3,6 +3,8 @@
 from dataclasses import replace
 from datetime import timedelta
 
+import cbor2
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -107,6 +109,16 @@
     assert StateReader().read(whole[:-3], KNOWN) is None
 
 
+@pytest.mark.parametrize('running', [b'12345678' * 2 + b'1234', b'123'])
+def test_numbers_without_their_counts_are_no_state(running):
+    # A datagram from elsewhere decodes by chance. It ended the round of the
+    # thread that hears peers, with a traceback in the log.
+    plain = pack_state(_state(groups=(), running={}), whole=False)
+    tag, *values = cbor2.loads(plain)
+    values[7] = running
+    assert StateReader().read(cbor2.dumps([tag, *values]), KNOWN) is None
+
+
 def test_states_go_whole_while_something_changes_and_now_and_then():
     turns = WholeTurns()
     sent = [turns.is_whole('a', number * SECOND / 4) for number in range(24)]
