What a plan is worth is worked out in one place

The formula (gain over the horizon less copies) stood twice in placement_levels, for a layer and for a whole plan. No behaviour changes: the tests of plans pass as they were. A comment says what the second look of the configuration's catch-up waits for.

--- a/linnetwind/gateway_feeds.py
+++ b/linnetwind/gateway_feeds.py
@@ -133,6 +133,7 @@
         table = self._state.table
         if table is None or told <= table.version:
             return _BEHIND_LOOK
+        # Told at the look before already: the store had its time.
         if told == self._newer_told:
             found = self._peers.newest(Topic.CONFIGURATION)
             if isinstance(found, Records):
--- a/linnetwind/placement_levels.py
+++ b/linnetwind/placement_levels.py
@@ -81,9 +81,8 @@
       The seconds of a group in perfect balance that are saved over the
       horizon, less what the copies cost.
     """
-    saved = (plan.skew_before - plan.skew_after) * prices.horizon
-    cost = len(plan.moves) * prices.seconds_per_move
-    return prices.skew_weight * saved - prices.cost_weight * cost
+    gain = plan.skew_before - plan.skew_after
+    return _net(gain, len(plan.moves), prices)
 
 
 def lacks_room(plan: Plan, prices: PlacementPrices) -> bool:
@@ -143,14 +142,20 @@
         if even * level >= max(loads):
             break
         levelled = level_layer(replace(task, top=even * level), pause)
-        saved = (max(loads) - levelled.slowest) / whole * prices.horizon
-        cost = sum(levelled.copies) * prices.seconds_per_move
-        worth = prices.skew_weight * saved - prices.cost_weight * cost
+        gain = (max(loads) - levelled.slowest) / whole
+        worth = _net(gain, sum(levelled.copies), prices)
         if worth > best.worth:
             best = _Kept(worth, levelled)
     return best.levelled
 
 
+def _net(gain: float, copies: int, prices: PlacementPrices) -> float:
+    """Return the seconds that a gain in skew saves, less its copies."""
+    saved = gain * prices.horizon
+    cost = copies * prices.seconds_per_move
+    return prices.skew_weight * saved - prices.cost_weight * cost
+
+
 def _moves(old: ExpertMap, new: ExpertMap, blank: int) -> tuple[Move, ...]:
     return tuple(
         Move(number, slot, after[slot])
