--- /dev/null
+++ b/linnetwind/service_room.py
@@ -0,0 +1,140 @@
+"""What a daemon knows of one service's streams, and what it makes of it."""
+
+from collections import deque
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from linnetwind.group_room import (
+    GROUP_GONE,
+    GroupCount,
+    GroupRoom,
+    measure,
+    opens_in,
+    rate,
+)
+from linnetwind.lives import Life
+from linnetwind.peer_book import PassPart, StreamLoad
+from linnetwind.place_shares import Demand, own_share
+from linnetwind.ranks_by_group import SortedRanks
+from linnetwind.routes import EngineFigures
+from linnetwind.stream_gate import GroupView, WaitingLine, reserve
+
+# The starts that count for the time of the next one, and the part of them
+# that is shorter.
+_STARTS = 24
+_USUAL_SHARE = 0.9
+# Before any: a pass under way, then one that reads the prompt and writes.
+_FIRST_START_MS = 200
+_FIRST_START = timedelta(milliseconds=_FIRST_START_MS)
+
+
+def _no_starts() -> deque[timedelta]:
+    return deque(maxlen=_STARTS)
+
+
+@dataclass
+class ServiceRoom:
+    """What is known of one service; `group_of` is told by its planner."""
+
+    line: WaitingLine
+    arrivals: deque[timedelta] = field(default_factory=deque)
+    starts: deque[timedelta] = field(default_factory=_no_starts)
+    engine: EngineFigures | None = None
+    groups: dict[str, GroupRoom] = field(default_factory=dict)
+    group_of: dict[Life, str] = field(default_factory=dict)
+    sorted_ranks: SortedRanks | None = None
+
+
+def forget_groups(room: ServiceRoom, now: timedelta) -> None:
+    """Drop the groups of which no planner has spoken for long.
+
+    Args:
+      room: The service.
+      now: The monotonic time.
+    """
+    for name, group in tuple(room.groups.items()):
+        if group.brief is not None and now - group.brief_at > GROUP_GONE:
+            room.groups.pop(name)
+
+
+def view_of(
+    room: ServiceRoom, counts: Mapping[str, GroupCount], now: timedelta
+) -> GroupView:
+    """Return what a stream that asks for a place has to know.
+
+    Args:
+      room: The service.
+      counts: The streams that run in each group; each is known in the room.
+      now: The monotonic time.
+
+    Returns:
+      The view of all groups together.
+    """
+    groups = {name: room.groups[name] for name in counts}
+    waits = {name: opens_in(each, now) for name, each in groups.items()}
+    open_groups = [name for name, wait in waits.items() if wait is None]
+    free = sum(
+        max(0, groups[name].allowance.most - counts[name].own_running)
+        for name in open_groups
+    )
+    ends = sum(rate(groups[name].ends, now) for name in open_groups)
+    closed = [wait for wait in waits.values() if wait is not None]
+    soonest = None if open_groups else min(closed, default=None)
+    reserved = reserve(free, rate(room.arrivals, now), ends)
+    return GroupView(free, ends, _start_time(room), soonest, reserved)
+
+
+def load_of(service: str, room: ServiceRoom, now: timedelta) -> StreamLoad:
+    """Return what this daemon tells its peers of a service's streams.
+
+    Args:
+      service: The service's name.
+      room: What is known of it.
+      now: The monotonic time.
+
+    Returns:
+      Its demand and what it has measured in each group.
+    """
+    demand = _demand(room, now)
+    parts = [
+        PassPart(name, *measure(each, now, room.engine))
+        for name, each in room.groups.items()
+    ]
+    return StreamLoad(
+        service,
+        demand.waiting,
+        demand.arrivals_per_s,
+        tuple(each for each in parts if each.pauses),
+    )
+
+
+def share_of(
+    room: ServiceRoom,
+    now: timedelta,
+    loads: Sequence[StreamLoad],
+    window: timedelta,
+) -> float:
+    """Return this daemon's part of the places that become free.
+
+    Args:
+      room: The service.
+      now: The monotonic time.
+      loads: What the other daemons have told of it.
+      window: For how long the part is used.
+
+    Returns:
+      A share from 0 to 1.
+    """
+    others = [Demand(each.waiting, each.arrivals_per_s) for each in loads]
+    return own_share(_demand(room, now), others, window)
+
+
+def _demand(room: ServiceRoom, now: timedelta) -> Demand:
+    return Demand(room.line.length, rate(room.arrivals, now))
+
+
+def _start_time(room: ServiceRoom) -> timedelta:
+    if not room.starts:
+        return _FIRST_START
+    return sorted(room.starts)[int(len(room.starts) * _USUAL_SHARE)]
--- a/linnetwind/stream_room.py
+++ b/linnetwind/stream_room.py
@@ -7,69 +7,44 @@
 
 import random
 import threading
-from collections import deque
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass, field
 from datetime import timedelta
 
 from linnetwind.clock import Clock
 from linnetwind.group_room import (
-    GROUP_GONE,
     UNNAMED,
     GroupCount,
     GroupRoom,
     forget,
     fresh_brief,
     limit_of,
-    measure,
     opens_in,
-    rate,
 )
 from linnetwind.lives import Life
 from linnetwind.pass_meter import Pause
 from linnetwind.peer_book import (
     GroupBrief,
-    PassPart,
     PeerState,
     StreamLoad,
 )
-from linnetwind.place_shares import Demand, allow, own_share
-from linnetwind.ranks_by_group import SortedRanks, sort_ranks
-from linnetwind.routes import EngineFigures, RoutedService
+from linnetwind.place_shares import allow
+from linnetwind.ranks_by_group import sort_ranks
+from linnetwind.routes import RoutedService
+from linnetwind.service_room import (
+    ServiceRoom,
+    forget_groups,
+    load_of,
+    share_of,
+    view_of,
+)
 from linnetwind.stream_gate import (
     Claim,
     GroupView,
     TurnAway,
     WaitingLine,
-    reserve,
 )
 from linnetwind.upstream_list import Upstream
 
-# The starts that count for the time of the next one, and the part of them
-# that is shorter.
-_STARTS = 24
-_USUAL_SHARE = 0.9
-# Before any: a pass under way, then one that reads the prompt and writes.
-_FIRST_START_MS = 200
-_FIRST_START = timedelta(milliseconds=_FIRST_START_MS)
-
-
-def _no_starts() -> deque[timedelta]:
-    return deque(maxlen=_STARTS)
-
-
-@dataclass
-class _ServiceRoom:
-    """What is known of one service; `group_of` is told by its planner."""
-
-    line: WaitingLine
-    arrivals: deque[timedelta] = field(default_factory=deque)
-    starts: deque[timedelta] = field(default_factory=_no_starts)
-    engine: EngineFigures | None = None
-    groups: dict[str, GroupRoom] = field(default_factory=dict)
-    group_of: dict[Life, str] = field(default_factory=dict)
-    sorted_ranks: SortedRanks | None = None
-
 
 class StreamRoom:
     """Pauses, ends and waiting streams; may be called from any thread."""
@@ -82,7 +57,7 @@
         """
         self._clock = clock
         self._lock = threading.Lock()
-        self._rooms: dict[str, _ServiceRoom] = {}
+        self._rooms: dict[str, ServiceRoom] = {}
 
     def enter(
         self,
@@ -169,7 +144,7 @@
             group = room.groups.setdefault(brief.group, GroupRoom())
             group.brief = brief
             group.brief_at = now
-            _forget_groups(room, now)
+            forget_groups(room, now)
             stay = {
                 life: name
                 for life, name in room.group_of.items()
@@ -243,7 +218,7 @@
         with self._lock:
             room = self._room(service.name)
             room.engine = service.engine
-            share = _share(room, now, loads, news_interval)
+            share = share_of(room, now, loads, news_interval)
             for name, count in counts.items():
                 group = room.groups.setdefault(name, GroupRoom())
                 parts = [
@@ -264,7 +239,7 @@
                         share,
                         random.random(),
                     )
-            return _view(room, counts, now)
+            return view_of(room, counts, now)
 
     def places(
         self, service: str, counts: Mapping[str, GroupCount]
@@ -294,7 +269,7 @@
         now = self._clock.elapsed()
         with self._lock:
             return tuple(
-                _load(service, room, now)
+                load_of(service, room, now)
                 for service, room in self._rooms.items()
                 if room.engine is not None
             )
@@ -328,71 +303,13 @@
             briefs = [fresh_brief(each, now) for each in rooms]
         return frozenset(life for each in briefs if each for life in each.slow)
 
-    def _room(self, service: str) -> _ServiceRoom:
+    def _room(self, service: str) -> ServiceRoom:
         room = self._rooms.get(service)
         if room is None:
-            room = _ServiceRoom(WaitingLine(self._clock))
+            room = ServiceRoom(WaitingLine(self._clock))
             self._rooms[service] = room
         return room
 
     def _group(self, upstream: Upstream) -> GroupRoom:
         groups = self._room(upstream.service).groups
         return groups.setdefault(self.group_of(upstream), GroupRoom())
-
-
-def _forget_groups(room: _ServiceRoom, now: timedelta) -> None:
-    """Drop the groups of which no planner has spoken for long."""
-    for name, group in tuple(room.groups.items()):
-        if group.brief is not None and now - group.brief_at > GROUP_GONE:
-            room.groups.pop(name)
-
-
-def _view(
-    room: _ServiceRoom, counts: Mapping[str, GroupCount], now: timedelta
-) -> GroupView:
-    groups = {name: room.groups[name] for name in counts}
-    waits = {name: opens_in(each, now) for name, each in groups.items()}
-    open_groups = [name for name, wait in waits.items() if wait is None]
-    free = sum(
-        max(0, groups[name].allowance.most - counts[name].own_running)
-        for name in open_groups
-    )
-    ends = sum(rate(groups[name].ends, now) for name in open_groups)
-    closed = [wait for wait in waits.values() if wait is not None]
-    soonest = None if open_groups else min(closed, default=None)
-    reserved = reserve(free, rate(room.arrivals, now), ends)
-    return GroupView(free, ends, _start_time(room), soonest, reserved)
-
-
-def _load(service: str, room: _ServiceRoom, now: timedelta) -> StreamLoad:
-    demand = _demand(room, now)
-    parts = [
-        PassPart(name, *measure(each, now, room.engine))
-        for name, each in room.groups.items()
-    ]
-    return StreamLoad(
-        service,
-        demand.waiting,
-        demand.arrivals_per_s,
-        tuple(each for each in parts if each.pauses),
-    )
-
-
-def _share(
-    room: _ServiceRoom,
-    now: timedelta,
-    loads: Sequence[StreamLoad],
-    window: timedelta,
-) -> float:
-    others = [Demand(each.waiting, each.arrivals_per_s) for each in loads]
-    return own_share(_demand(room, now), others, window)
-
-
-def _demand(room: _ServiceRoom, now: timedelta) -> Demand:
-    return Demand(room.line.length, rate(room.arrivals, now))
-
-
-def _start_time(room: _ServiceRoom) -> timedelta:
-    if not room.starts:
-        return _FIRST_START
-    return sorted(room.starts)[int(len(room.starts) * _USUAL_SHARE)]
