Sight: which request it was, and whether its upstream crashed

The log could not tell the hypotheses of the incident apart: a lost attempt names one try, and 'connection reset' stands alike for the upstream that crashed and for the ranks beside it. RequestEnded now has a fingerprint that all tries of a request share; a call that the upstream broke off is followed by one connection to it, and UpstreamCrashed is logged (and counted) if it does not listen. No decision changes. The probe costs one connection a broken call.

--- a/linnetwind/gateway_events.py
+++ b/linnetwind/gateway_events.py
@@ -50,9 +50,13 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestEnded:
-    """How a caller's request ended, and what decided it."""
+    """How a caller's request ended, and what decided it.
+
+    All tries of one request share its `fingerprint`.
+    """
 
     request: str
+    fingerprint: str
     route: str
     outcome: str
     status: int
@@ -79,6 +83,20 @@
     next_step: str
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamCrashed:
+    """An upstream broke off a request and does not listen any more.
+
+    `ran` is how long the request had been with it.
+    """
+
+    request: str
+    fingerprint: str
+    upstream: str
+    problem: str
+    ran: timedelta
+
+
 @dataclass(frozen=True, slots=True)
 class PeerSeen:
     """Another gateway daemon was heard of for the first time."""
--- a/linnetwind/gateway_metrics.py
+++ b/linnetwind/gateway_metrics.py
@@ -26,6 +26,7 @@
     MapStep,
     OrderFailed,
     RequestEnded,
+    UpstreamCrashed,
 )
 from linnetwind.step_log import LinesDropped
 
@@ -43,6 +44,7 @@
         self._registry = CollectorRegistry()
         self._requests = self._counter('requests', 'Ended.', 'outcome')
         self._attempts = self._counter('attempts_failed', 'Lost.', 'failure')
+        self._crashes = self._counter('upstreams_crashed', 'Under requests.')
         self._orders = self._counter('rank_orders_failed', 'Not done.', 'order')
         self._records = self._counter('bad_records', 'Of the store.', 'topic')
         self._answers = self._counter('bad_answers', 'Of engines.', 'call')
@@ -67,14 +69,6 @@
         match event:
             case RequestEnded():
                 self._take_request(event)
-            case AttemptFailed():
-                self._attempts.labels(event.failure).inc()
-            case OrderFailed():
-                self._orders.labels(event.order).inc()
-            case BadRecord():
-                self._records.labels(event.topic).inc()
-            case BadAnswer():
-                self._answers.labels(event.call).inc()
             case MapPlanned():
                 self._plans.inc()
             case MapStep():
@@ -90,11 +84,26 @@
                 self._rounds.labels(event.work).inc()
             case LinesDropped():
                 self._dropped.inc(event.count)
+            case _:
+                self._count_failure(event)
 
     def render(self) -> bytes:
         """Return the metrics as text."""
         return generate_latest(self._registry)
 
+    def _count_failure(self, event: Any) -> None:
+        match event:
+            case AttemptFailed():
+                self._attempts.labels(event.failure).inc()
+            case UpstreamCrashed():
+                self._crashes.inc()
+            case OrderFailed():
+                self._orders.labels(event.order).inc()
+            case BadRecord():
+                self._records.labels(event.topic).inc()
+            case BadAnswer():
+                self._answers.labels(event.call).inc()
+
     def _take_request(self, event: RequestEnded) -> None:
         self._requests.labels(event.outcome).inc()
         self._whole.observe(event.took.total_seconds())
--- a/linnetwind/journey.py
+++ b/linnetwind/journey.py
@@ -12,6 +12,7 @@
 )
 from linnetwind.caller_connection import CallerConnection
 from linnetwind.clock import Clock
+from linnetwind.fingerprint import Fingerprint, fingerprint_request
 from linnetwind.gateway_state import GatewayState
 from linnetwind.gateway_stop import GatewayStop
 from linnetwind.open_work import OpenWork
@@ -76,6 +77,11 @@
     started: bool = False
     failure: tuple[Head, bytes] | None = None
 
+    @property
+    def fingerprint(self) -> Fingerprint:
+        """Return what all tries of this request have in common."""
+        return fingerprint_request(self.request, self.customer or '')
+
 
 @dataclass(frozen=True, slots=True)
 class Done:
--- a/linnetwind/relay.py
+++ b/linnetwind/relay.py
@@ -22,6 +22,7 @@
     Headers,
 )
 from linnetwind.caller_connection import CallerConnection
+from linnetwind.crash_guard import look_after_break
 from linnetwind.gateway_events import AttemptFailed, RequestEnded
 from linnetwind.gateway_stop import Ending
 from linnetwind.journey import (
@@ -219,6 +220,10 @@
             ended = self._exchange(journey, upstream, call)
         finally:
             call.close()
+        if call.broken is not None:
+            look_after_break(
+                self._tools, journey, upstream, call.broken, started
+            )
         failed = _is_failure(ended)
         took = self._tools.clock.elapsed() - started
         self._tools.state.note_answer(upstream, took, failed=failed)
@@ -354,6 +359,7 @@
         self._tools.log.event(
             RequestEnded(
                 journey.facts.call_id,
+                journey.fingerprint,
                 journey.route.name if journey.route else '',
                 done.outcome,
                 done.status,
--- a/linnetwind/upstream_call.py
+++ b/linnetwind/upstream_call.py
@@ -96,11 +96,17 @@
         self._caller = caller
         self._clock = clock
         self._http = h11.Connection(h11.CLIENT)
+        self._broken: Broken | None = None
         self._poll = select.poll()
         self._poll.register(sock, select.POLLIN)
         if caller is not None:
             self._poll.register(caller, _CALLER_LEFT)
 
+    @property
+    def broken(self) -> Broken | None:
+        """Return how the upstream broke the call off, None if it did not."""
+        return self._broken
+
     def send(
         self, request: CallerRequest, headers: Headers, until: timedelta
     ) -> Broken | CallerLeft | OutOfTime | None:
@@ -117,6 +123,32 @@
         Returns:
           Why it could not be sent, or None.
         """
+        failure = self._send(request, headers, until)
+        if isinstance(failure, Broken):
+            self._broken = failure
+        return failure
+
+    def next(self, until: timedelta) -> Progress:
+        """Wait for the next part of the answer.
+
+        Args:
+          until: The monotonic time at which to give up.
+
+        Returns:
+          The part, or why none will come.
+        """
+        progress = self._next(until)
+        if isinstance(progress, Broken):
+            self._broken = progress
+        return progress
+
+    def close(self) -> None:
+        """Close the connection, which cancels work that is not done."""
+        self._sock.close()
+
+    def _send(
+        self, request: CallerRequest, headers: Headers, until: timedelta
+    ) -> Broken | CallerLeft | OutOfTime | None:
         outgoing = self._render(request, headers)
         self._poll.modify(self._sock, select.POLLIN | select.POLLOUT)
         while outgoing:
@@ -133,15 +165,7 @@
         self._poll.modify(self._sock, select.POLLIN)
         return None
 
-    def next(self, until: timedelta) -> Progress:
-        """Wait for the next part of the answer.
-
-        Args:
-          until: The monotonic time at which to give up.
-
-        Returns:
-          The part, or why none will come.
-        """
+    def _next(self, until: timedelta) -> Progress:
         while True:
             try:
                 event = self._http.next_event()
@@ -155,10 +179,6 @@
                 if failure is not None:
                     return failure
 
-    def close(self) -> None:
-        """Close the connection, which cancels work that is not done."""
-        self._sock.close()
-
     def _render(self, request: CallerRequest, headers: Headers) -> memoryview:
         framing: Headers = ()
         if request.body or request.method not in {b'GET', b'HEAD'}:
