Failing tests: a request that crashes upstreams is sent on for ever

Stand-in: an upstream that crashes closes its port even while a thread waits in accept(); without it the kernel went on accepting.

--- /dev/null
+++ b/linnetwind/platform/gateway_crashes_test.py
@@ -0,0 +1,82 @@
+"""Tests of requests that crash the upstreams which begin to run them."""
+
+from contextlib import suppress
+from http.client import HTTPException
+
+import pytest
+
+from linnetwind.gateway_events import RequestEnded, UpstreamCrashed
+from standins.gateway_requests import GET, ONCE, STREAM
+
+UPSTREAMS = 8
+MOST_CRASHES = 3
+EVENTS = [f'id: {number}\ndata: {number}\n\n' for number in range(1, 4)]
+
+
+def _crash(connection, request):
+    connection.crash()
+
+
+def _crash_in_stream(connection, request):
+    connection.head(
+        request, Content_Type='text/event-stream', Transfer_Encoding='chunked'
+    )
+    connection.chunk(EVENTS[0])
+    connection.crash()
+
+
+def _answer(connection, request):
+    connection.answer(request)
+
+
+def _ask_again_and_again(gateway, text, tries=UPSTREAMS):
+    """Send a request as callers do that try again; return the statuses."""
+    statuses = []
+    for _try in range(tries):
+        with suppress(HTTPException, OSError):
+            statuses.append(gateway.ask(text))
+    return [status for status, _headers, _body in statuses]
+
+
+@pytest.mark.parametrize(
+    ('text', 'service', 'script'),
+    [
+        (GET, 'plain', _crash),
+        (ONCE, 'plain', _crash),
+        (STREAM, 'model', _crash),
+        (STREAM, 'model', _crash_in_stream),
+    ],
+)
+def test_a_request_that_crashes_upstreams_is_not_sent_for_ever(
+    gateway, text, service, script
+):
+    # Each upstream that begins the request crashes: its connection is reset
+    # and its port refuses the next one. The caller tries again, as it is told
+    # nothing else, and each try took one or two more upstreams with it until
+    # none was left: a try knew only the upstreams that it had itself. In a
+    # rank group each crash cuts the streams of all other callers.
+    upstreams = [gateway.add(script, service) for _number in range(UPSTREAMS)]
+    _ask_again_and_again(gateway, text)
+    begun = sum(len(each.requests) for each in upstreams)
+    assert begun <= MOST_CRASHES
+    # Every one of them was seen to crash, and was put down to one request.
+    crashes = gateway.log.of(UpstreamCrashed)
+    assert len(crashes) == begun
+    assert len({each.fingerprint for each in crashes}) == 1
+    ended = gateway.log.of(RequestEnded)[-1]
+    assert ended.outcome == 'refused'
+    assert not ended.upstreams
+
+
+def test_other_requests_go_on_while_one_crashes_upstreams(gateway):
+    # The request beside it differs in its path only, and is served.
+    def crash_by_path(connection, request):
+        if request.target.startswith('/x/bad'):
+            connection.crash()
+        else:
+            connection.answer(request)
+
+    for _number in range(UPSTREAMS):
+        gateway.add(crash_by_path)
+    _ask_again_and_again(gateway, GET.replace('/x/1', '/x/bad'))
+    assert _ask_again_and_again(gateway, GET, 3) == [200] * 3
--- a/standins/scripted_upstream.py
+++ b/standins/scripted_upstream.py
@@ -39,6 +39,9 @@
 
     def close(self) -> None:
         """Stop listening."""
+        # A thread that waits in accept() keeps a closed socket listening.
+        with suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
 
     def _serve(self, sock: socket.socket) -> None:
@@ -106,6 +109,11 @@
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
         self._sock.close()
 
+    def crash(self) -> None:
+        """End as a process does that crashes: nobody listens any more."""
+        self._upstream.close()
+        self.reset()
+
     def wait_for_end(self) -> None:
         """Wait until the gateway closes the connection."""
         try:
