A request under which two upstreams crashed is not sent to a third

What callers saw: for half a minute nearly nothing in time, since one request that crashes each upstream which begins it came again every four seconds and broke the whole rank group each time. A try knew only its own upstreams; neither the daemon nor its peers connected the crashes. Change: each crash under a request (a call broken off by an upstream that does not listen any more) goes into a book by the request's fingerprint, is told to all peers at once and again for two seconds, and after the second crash in a row the request is refused at once with the time that is left, also out of the line and in place of a second try. Quarantines are told for as long as they last, and the store keeps them for the case that all gateways start anew. Against false alarms: only upstreams that do not listen count (ranks beside a dead one do); crashes of one moment count once, unless the request went from one to the next; a whole answer clears the request everywhere. Ruled out: counting broken connections alone (two crashes of ranks would hold all streams of the group); three crashes as the limit (one more outage of the group).

--- a/linnetwind/crash_guard.py
+++ b/linnetwind/crash_guard.py
@@ -1,12 +1,32 @@
-"""Looks whether an upstream that broke a call off has crashed."""
+"""Keeps requests that crash upstreams from being sent on."""
 
 from datetime import timedelta
 
 from linnetwind.gateway_events import UpstreamCrashed
-from linnetwind.journey import GatewayTools, Journey
+from linnetwind.journey import Done, GatewayTools, Journey
 from linnetwind.upstream_call import Broken, NotReached
 from linnetwind.upstream_list import Upstream
 
+QUARANTINED = 'upstreams crashed under it'
+_FIRST_SUCCESS = 200
+_FIRST_REDIRECT = 300
+
+
+def quarantine_left(tools: GatewayTools, journey: Journey) -> timedelta | None:
+    """Return how long a request must not be sent to any upstream.
+
+    Args:
+      tools: What every request needs.
+      journey: The request.
+
+    Returns:
+      The time that is left, None if it may be sent.
+    """
+    crashes = tools.state.books.crashes
+    if not crashes.any_known:
+        return None
+    return crashes.quarantine(journey.fingerprint)
+
 
 def look_after_break(
     tools: GatewayTools,
@@ -15,11 +35,12 @@
     broken: Broken,
     began: timedelta,
 ) -> None:
-    """Find out whether an upstream crashed under a request.
+    """Find out whether an upstream crashed under a request, and remember it.
 
     A connection that breaks says little: upstreams spoil answers, and when a
-    rank dies, all ranks of its group cut their streams. One that has crashed
-    does not listen.
+    rank dies, all ranks of its group cut their streams. If each break counted,
+    two crashes of ranks would put all streams of a group in quarantine. One
+    that has crashed does not listen.
 
     Args:
       tools: What every request needs.
@@ -33,12 +54,30 @@
     if not isinstance(probe, NotReached):
         probe.close()
         return
+    request = journey.fingerprint
+    left = tools.state.books.crashes.note(request, upstream.life, began)
+    tools.on_crash(request, quarantined=left is not None)
+    tools.state.note_miss(upstream)
     tools.log.event(
         UpstreamCrashed(
             journey.facts.call_id,
-            journey.fingerprint,
+            request,
             upstream.life,
             broken.problem,
             tools.clock.elapsed() - began,
+            left,
         )
     )
+
+
+def note_end(tools: GatewayTools, journey: Journey, done: Done) -> None:
+    """Take note of a request that an upstream has answered whole.
+
+    Args:
+      tools: What every request needs.
+      journey: The request.
+      done: How it ended.
+    """
+    success = _FIRST_SUCCESS <= done.status < _FIRST_REDIRECT
+    if success and tools.state.books.crashes.any_known:
+        tools.state.books.crashes.answer(journey.fingerprint)
--- /dev/null
+++ b/linnetwind/crashes.py
@@ -0,0 +1,145 @@
+"""A daemon's book of crashes under requests; for any thread."""
+
+import threading
+from collections.abc import Iterable
+from datetime import timedelta
+
+from linnetwind.clock import Clock
+from linnetwind.crash_book import Crash, CrashBook, ToldCrash
+from linnetwind.fingerprint import Fingerprint
+from linnetwind.lives import Life, LifeTag, tag_life
+
+_MS = timedelta(milliseconds=1)
+
+
+class Crashes:
+    """Knows the requests that must not be sent on."""
+
+    def __init__(self, clock: Clock) -> None:
+        """Start with an empty book.
+
+        Args:
+          clock: For ages and the ends of quarantines.
+        """
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._book = CrashBook()
+
+    @property
+    def any_known(self) -> bool:
+        """Return whether there is a request under which upstreams crashed."""
+        return bool(self._book.crashes)
+
+    def note(
+        self, request: Fingerprint, life: Life, began: timedelta
+    ) -> timedelta | None:
+        """Take note of an upstream that has just crashed under a request.
+
+        Args:
+          request: The request.
+          life: The upstream's life.
+          began: The monotonic time at which the request was sent there.
+
+        Returns:
+          How long the request must not be sent on, None if it may be.
+        """
+        now = self._clock.elapsed()
+        crash = Crash(tag_life(life), began, now)
+        with self._lock:
+            self._book = self._book.note(request, crash, now)
+        return self.quarantine(request)
+
+    def answer(self, request: Fingerprint) -> None:
+        """Take note that an upstream has answered a request whole.
+
+        Args:
+          request: The request.
+        """
+        if request not in self._book.crashes:
+            return
+        with self._lock:
+            self._book = self._book.answer(request, self._clock.elapsed())
+
+    def restore(self, request: Fingerprint, lives: Iterable[LifeTag]) -> None:
+        """Take in a request that was in quarantine before this process began.
+
+        Its quarantine starts anew: nobody knows how old it is, since clocks
+        of hosts differ and jump.
+
+        Args:
+          request: The request.
+          lives: The upstreams that crashed under it, one after the other.
+        """
+        now = self._clock.elapsed()
+        with self._lock:
+            for life in lives:
+                crash = Crash(life, now, now)
+                self._book = self._book.note(request, crash, now)
+
+    def hear(
+        self, crashes: Iterable[ToldCrash], answered: Iterable[Fingerprint]
+    ) -> None:
+        """Take in what a peer tells.
+
+        Args:
+          crashes: Crashes under requests.
+          answered: Requests that were answered after a crash.
+        """
+        now = self._clock.elapsed()
+        with self._lock:
+            for request in answered:
+                self._book = self._book.hear_answer(request, now)
+            for each in crashes:
+                crash = Crash(
+                    each.life,
+                    now - each.began_ms * _MS,
+                    now - each.ended_ms * _MS,
+                )
+                self._book = self._book.note(each.fingerprint, crash, now)
+
+    def tell(self) -> tuple[ToldCrash, ...]:
+        """Return the crashes that peers have to hear of."""
+        now = self._clock.elapsed()
+        return tuple(
+            ToldCrash(
+                request,
+                each.life,
+                int((now - each.began) / _MS),
+                int((now - each.ended) / _MS),
+            )
+            for request, known in self._book.to_tell(now).items()
+            for each in known
+        )
+
+    def tell_answered(self) -> tuple[Fingerprint, ...]:
+        """Return the requests that were answered lately, for peers."""
+        return self._book.answers_to_tell(self._clock.elapsed())
+
+    def quarantine(self, request: Fingerprint) -> timedelta | None:
+        """Return how long a request must not be sent to any upstream.
+
+        Args:
+          request: The request.
+
+        Returns:
+          The time that is left, None if it may be sent.
+        """
+        now = self._clock.elapsed()
+        left = self._book.quarantined_until(request) - now
+        return left if left > timedelta() else None
+
+    def forget(self) -> None:
+        """Forget requests whose quarantine has been over for long."""
+        with self._lock:
+            self._book = self._book.forget(self._clock.elapsed())
+
+    def lives(self, request: Fingerprint) -> tuple[LifeTag, ...]:
+        """Return the upstreams that crashed under a request, in order.
+
+        Args:
+          request: The request.
+
+        Returns:
+          Their lives.
+        """
+        return tuple(each.life for each in self._book.crashes.get(request, ()))
--- a/linnetwind/gateway_daemon.py
+++ b/linnetwind/gateway_daemon.py
@@ -4,13 +4,11 @@
 import sys
 import threading
 import uuid
-from collections.abc import Callable
-from dataclasses import dataclass
 from datetime import timedelta
 from http import HTTPStatus
 
 from linnetwind.address import Address
-from linnetwind.call_types import CallerRequest, Dialect
+from linnetwind.call_types import CallerRequest
 from linnetwind.caller_connection import (
     BadRequest,
     CallerConnection,
@@ -20,17 +18,18 @@
 from linnetwind.clock import Clock
 from linnetwind.daemon_events import Started, Stopped, Stopping
 from linnetwind.daemon_threads import DaemonThreads
+from linnetwind.fingerprint import Fingerprint
 from linnetwind.gateway_events import SettingsReloaded
-from linnetwind.gateway_feeds import FeedPorts, GatewayFeeds
+from linnetwind.gateway_feeds import GatewayFeeds
 from linnetwind.gateway_metrics import GatewayMetrics
+from linnetwind.gateway_setup import GatewayPorts, GatewaySetup
 from linnetwind.gateway_state import GatewayState
 from linnetwind.gateway_stop import make_stop
 from linnetwind.journey import GatewayTools
 from linnetwind.map_planner import MapPlanner
 from linnetwind.peer_mesh import MeshSettings, PeerMesh
+from linnetwind.quarantine_keeper import QuarantineKeeper
 from linnetwind.rank_link import RankLink
-from linnetwind.rank_types import RankPort
-from linnetwind.repeat_budget import BudgetTerms
 from linnetwind.routes import CallerLimits
 from linnetwind.step_log import StepLog
 from linnetwind.stop_signals import StopSignals
@@ -72,41 +71,6 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class GatewaySetup:
-    """The settings of a gateway daemon.
-
-    `mesh` is where peers reach it, `seeds` are peers to begin with. `power`
-    tells how much the host bears beside others, in any unit.
-    """
-
-    name: str
-    site: str
-    front: Address
-    readiness: Address
-    metrics: Address
-    mesh: Address
-    seeds: tuple[Address, ...]
-    stop_within: timedelta
-    repeats: BudgetTerms
-    power: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class GatewayPorts:
-    """What the gateway needs from the platform it runs on.
-
-    `front` listens where callers connect. It was opened first of all, so that
-    callers wait in its queue while the daemon starts.
-    """
-
-    dialect: Dialect
-    feeds: FeedPorts
-    open_rank: Callable[[Upstream], RankPort]
-    reload: Callable[[], GatewaySetup]
-    front: socket.socket
-
-
 class GatewayDaemon:
     """One gateway process."""
 
@@ -157,6 +121,13 @@
             Host(setup.name, setup.site, told=None),
             lambda: self._state.book,
         )
+        self._quarantines = QuarantineKeeper(
+            ports.feeds.open_store(),
+            self._state.books.crashes,
+            self._mesh.leads,
+            clock,
+            log,
+        )
         self._tools = GatewayTools(
             self._state,
             ports.dialect,
@@ -164,6 +135,7 @@
             log,
             open_call,
             self._stop,
+            on_crash=self._on_crash,
         )
 
     def run(self) -> None:
@@ -175,6 +147,7 @@
         )
         self._feeds.start(self._threads)
         self._mesh.start(self._threads, self._feeds.copy)
+        self._threads.for_ever(self._quarantines.keep_once, 'quarantines')
         self._threads.for_ever(self._planner.run_once, 'planner')
         self._threads.accept(
             _listen(setup.readiness), self._say_ready, 'ready', _MOST_QUESTIONS
@@ -196,6 +169,11 @@
         agent = Address(upstream.address.ip, self._setup.mesh.port)
         return RankLink(agent, self._ports.open_rank(upstream), self._clock)
 
+    def _on_crash(self, request: Fingerprint, *, quarantined: bool) -> None:
+        self._mesh.tell_now()
+        if quarantined:
+            self._quarantines.keep(request)
+
     def _limits(self) -> CallerLimits:
         table = self._state.table
         return table.limits if table else _FIRST_LIMITS
@@ -205,16 +183,20 @@
 
         Both come within 0.02 s of the start, or not soon because the store is
         away. Callers that wait in the port's queue were refused without them,
-        and had used their last try.
+        and had used their last try. The requests in quarantine are read
+        meanwhile: a first caller may send one of them.
         """
         pause = threading.Event()
         until = self._clock.elapsed() + _FIRST_NEWS
-        while not self._knows_all() and self._clock.elapsed() < until:
+        while not self._knows_first() and self._clock.elapsed() < until:
             pause.wait(_FIRST_LOOK_S)
         self._threads.accept(
             self._ports.front, self._serve, 'caller', _MOST_CONNECTIONS
         )
 
+    def _knows_first(self) -> bool:
+        return self._knows_all() and self._quarantines.has_read
+
     def _knows_all(self) -> bool:
         return self._state.table is not None and self._state.upstreams.end > 0
 
--- a/linnetwind/gateway_events.py
+++ b/linnetwind/gateway_events.py
@@ -87,7 +87,8 @@
 class UpstreamCrashed:
     """An upstream broke off a request and does not listen any more.
 
-    `ran` is how long the request had been with it.
+    `ran` is how long the request had been with it, `quarantine` how long it
+    is not sent on, None if it may be.
     """
 
     request: str
@@ -95,6 +96,15 @@
     upstream: str
     problem: str
     ran: timedelta
+    quarantine: timedelta | None
+
+
+@dataclass(frozen=True, slots=True)
+class QuarantineRestored:
+    """A request that was in quarantine before this daemon began still is."""
+
+    fingerprint: str
+    crashes: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/linnetwind/gateway_state.py
+++ b/linnetwind/gateway_state.py
@@ -10,8 +10,8 @@
 from linnetwind.group_room import UNNAMED, GroupCount
 from linnetwind.lives import Life
 from linnetwind.peer_book import PeerBook, PeerState
-from linnetwind.refusal_book import Refusals
-from linnetwind.repeat_budget import BudgetTerms, SharedRepeats
+from linnetwind.repeat_budget import BudgetTerms
+from linnetwind.request_books import RequestBooks, make_books
 from linnetwind.routes import RoutedService, RouteTable
 from linnetwind.stream_counts import StreamCounts
 from linnetwind.stream_gate import GroupView
@@ -53,10 +53,9 @@
         self._streams = StreamCounts()
         self._silence_looked_at = timedelta()
         self._records: dict[Life, Record] = {}
-        self._repeats = SharedRepeats(terms, clock)
+        self._books = make_books(terms, clock)
         self._room = StreamRoom(clock)
         self._forgotten_at = timedelta()
-        self._refusals = Refusals(clock)
         self._on_change: Callable[[], None] = _nothing
 
     @property
@@ -80,14 +79,9 @@
         return self._room
 
     @property
-    def repeats(self) -> SharedRepeats:
-        """Return this daemon's part of the budgets of repeats."""
-        return self._repeats
-
-    @property
-    def refusals(self) -> Refusals:
-        """Return who was told to come back."""
-        return self._refusals
+    def books(self) -> RequestBooks:
+        """Return what is remembered of callers' requests."""
+        return self._books
 
     @property
     def running(self) -> dict[Life, int]:
@@ -157,8 +151,7 @@
             if now - self._forgotten_at > _FORGET_EVERY:
                 self._forgotten_at = now
                 self._book = self._book.forget(now)
-        self._refusals.hear(state.refused)
-        self._repeats.share_among(1 + len(self._book.heard))
+        self._books.hear(state, 1 + len(self._book.heard))
         for brief in state.groups:
             self._room.take_brief(brief)
 
--- a/linnetwind/journey.py
+++ b/linnetwind/journey.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 from datetime import timedelta
+from typing import Protocol
 
 from linnetwind.call_policy import AttemptLost
 from linnetwind.call_types import (
@@ -29,6 +30,17 @@
 from linnetwind.upstream_list import Upstream
 
 
+class OnCrash(Protocol):
+    """Told of each crash of an upstream under a request."""
+
+    def __call__(self, request: Fingerprint, *, quarantined: bool) -> None:
+        """Take note; `quarantined` says that it is not sent on any more."""
+
+
+def _tell_nobody(request: Fingerprint, *, quarantined: bool) -> None:
+    """Do nothing: a gateway without peers and store."""
+
+
 @dataclass(frozen=True, slots=True)
 class GatewayTools:
     """What every request needs."""
@@ -41,6 +53,7 @@
     stop: GatewayStop
     runs: RunTimes = field(default_factory=RunTimes)
     open_work: OpenWork = field(default_factory=OpenWork)
+    on_crash: OnCrash = _tell_nobody
 
 
 @dataclass(slots=True)
--- a/linnetwind/peer_book.py
+++ b/linnetwind/peer_book.py
@@ -13,6 +13,8 @@
 from typing import Self
 
 from linnetwind.address import Address
+from linnetwind.crash_book import ToldCrash
+from linnetwind.fingerprint import Fingerprint
 from linnetwind.lives import Life
 
 # A state goes out this often at least, and after a change at most this often.
@@ -88,7 +90,9 @@
     whose callers were told to come back. `counter` grows with each message
     of one `start_id`. `stopping_ms` is how long ago a daemon that is
     `leaving` was told to stop, `site` the data centre of its callers. `power`
-    tells how much its host bears, for the choice of the planner.
+    tells how much its host bears, for the choice of the planner. `crashes` are
+    those of upstreams under requests, `answered` the requests that were
+    answered after one.
     """
 
     name: str
@@ -106,6 +110,8 @@
     stopping_ms: int = 0
     site: str = ''
     power: int = 0
+    crashes: tuple[ToldCrash, ...] = ()
+    answered: tuple[Fingerprint, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/linnetwind/peer_mesh.py
+++ b/linnetwind/peer_mesh.py
@@ -95,6 +95,7 @@
         self._state = state
         self._clock = clock
         self._counter = 0
+        self._sending = threading.Lock()
         self._reader = StateReader()
         self._turns = WholeTurns()
         self._changed = threading.Event()
@@ -157,6 +158,14 @@
         self._leaving_at = self._clock.elapsed()
         self._changed.set()
 
+    def tell_now(self) -> None:
+        """Send the state at once, whenever the last one went.
+
+        The caller of a request that crashes upstreams may come to a peer with
+        it in milliseconds; states of hundreds of daemons are seconds apart.
+        """
+        self._send()
+
     def newest(self, topic: Topic) -> Records | StoreUnavailable:
         """Ask a peer for what it has read of a topic.
 
@@ -200,6 +209,10 @@
         return self._state.book.send_interval
 
     def _send(self) -> None:
+        with self._sending:
+            self._send_state()
+
+    def _send_state(self) -> None:
         self._counter += 1
         table = self._state.table
         message = PeerState(
@@ -214,10 +227,12 @@
             tuple(self._state.book.known),
             self._briefs,
             self._state.room.loads(),
-            self._state.refusals.tell(),
+            self._state.books.refusals.tell(),
             self._stopping_ms(),
             self._settings.site,
             self._settings.power,
+            self._state.books.crashes.tell(),
+            self._state.books.crashes.tell_answered(),
         )
         whole = self._turns.is_whole(self._news(message), self._clock.elapsed())
         content = pack_state(message, whole=whole)
@@ -236,7 +251,16 @@
         rosters = tuple(
             (each.service, each.group, each.members) for each in message.groups
         )
-        return frozenset(message.members), lives, rosters
+        crashes = tuple(
+            (each.fingerprint, each.life) for each in message.crashes
+        )
+        return (
+            frozenset(message.members),
+            lives,
+            rosters,
+            crashes,
+            message.answered,
+        )
 
     def _stopping_ms(self) -> int:
         if self._leaving_at is None:
--- a/linnetwind/peer_wire.py
+++ b/linnetwind/peer_wire.py
@@ -21,6 +21,8 @@
 
 from linnetwind.address import Address
 from linnetwind.codec import Codec
+from linnetwind.crash_book import ToldCrash
+from linnetwind.fingerprint import Fingerprint
 from linnetwind.lives import Life, LifeTag, tag_life
 from linnetwind.peer_book import GroupBrief, PeerState, StreamLoad
 
@@ -75,14 +77,18 @@
     stopping_ms: int
     site: str
     power: int
+    crashes: tuple[ToldCrash, ...] = ()
+    answered: tuple[Fingerprint, ...] = ()
 
 
 _CODEC = Codec((_WireState,))
+# The fields that go with whole states only.
+_ONLY_IN_WHOLE = frozenset(('members', 'crashes', 'answered'))
 # The fields that go as they are; the others are written out where they differ.
 _SAME_IN_STATES = tuple(
     field.name
     for field in fields(_WireState)
-    if field.name not in {'running', 'members', 'groups'}
+    if field.name not in {'running', 'groups', *_ONLY_IN_WHOLE}
 )
 _SAME_IN_BRIEFS = tuple(
     field.name
@@ -96,7 +102,7 @@
 
     Args:
       state: The state.
-      whole: Whether addresses and ranks go with it.
+      whole: Whether addresses, ranks and crashes go with it.
 
     Returns:
       The bytes.
@@ -109,7 +115,10 @@
     message = _WireState(
         **_copy_fields(state, _SAME_IN_STATES),
         running=_pack(running),
-        members=state.members if whole else (),
+        **{
+            name: getattr(state, name) if whole else ()
+            for name in _ONLY_IN_WHOLE
+        },
         groups=tuple(_pack_brief(each, whole) for each in state.groups),
     )
     return _CODEC.encode(message)
@@ -156,7 +165,7 @@
         return PeerState(
             **_copy_fields(message, _SAME_IN_STATES),
             running=running,
-            members=message.members,
+            **_copy_fields(message, _ONLY_IN_WHOLE),
             groups=tuple(each for each in briefs if each is not None),
         )
 
--- a/linnetwind/peer_wire_test.py
+++ b/linnetwind/peer_wire_test.py
@@ -9,7 +9,9 @@
 from hypothesis import strategies as st
 
 from linnetwind.address import Address
-from linnetwind.lives import Life, tag_life
+from linnetwind.crash_book import ToldCrash
+from linnetwind.fingerprint import Fingerprint
+from linnetwind.lives import Life, LifeTag, tag_life
 from linnetwind.peer_book import (
     GroupBrief,
     PassPart,
@@ -54,6 +56,33 @@
     assert StateReader().read(content, KNOWN) == state
 
 
+def test_crashes_arrive_with_whole_states_only():
+    # A change of what is told makes states whole, and a quarantine is told
+    # again with each fourth state to those that start later.
+    told = ToldCrash(Fingerprint('9f2c51d7a6b4e803'), LifeTag(7), 40, 2)
+    state = _state(crashes=(told,), answered=(Fingerprint('ab'),))
+    whole = pack_state(state, whole=True)
+    assert StateReader().read(whole, KNOWN) == state
+    usual = pack_state(_state(crashes=(told,), groups=()), whole=False)
+    assert len(usual) < 1_200
+    assert StateReader().read(usual, KNOWN).crashes == ()
+
+
+def test_a_state_of_a_version_without_crashes_is_read():
+    # While a new version is rolled out, both run side by side.
+    tag, *values = cbor2.loads(pack_state(_state(), whole=True))
+    before = cbor2.dumps([tag, *values[:-2]])
+    assert StateReader().read(before, KNOWN) == _state()
+
+
+@pytest.mark.parametrize('age', [-1, 10**18])
+def test_ages_that_no_crash_has_are_no_state(age):
+    # An age beyond the range of times raised in the thread that hears peers.
+    told = ToldCrash(Fingerprint('ab'), LifeTag(7), age, 2)
+    whole = pack_state(_state(crashes=(told,)), whole=True)
+    assert StateReader().read(whole, KNOWN) is None
+
+
 def test_ranks_are_remembered_while_states_go_without_them():
     reader = StateReader()
     reader.read(pack_state(_state(), whole=True), KNOWN)
--- a/linnetwind/platform/entry.py
+++ b/linnetwind/platform/entry.py
@@ -4,8 +4,9 @@
 
 from linnetwind.address import Address
 from linnetwind.clock import SystemClock
-from linnetwind.gateway_daemon import GatewayDaemon, GatewayPorts, GatewaySetup
+from linnetwind.gateway_daemon import GatewayDaemon
 from linnetwind.gateway_feeds import FeedPorts
+from linnetwind.gateway_setup import GatewayPorts, GatewaySetup
 from linnetwind.platform.headers import PlatformDialect
 from linnetwind.platform.rank_client import REMOTE_TIMEOUT, RankClient
 from linnetwind.platform.settings import HostSettings, read_settings
--- a/linnetwind/platform/store_client.py
+++ b/linnetwind/platform/store_client.py
@@ -1,4 +1,4 @@
-"""Calls to the platform's store: the log's newest records and reads."""
+"""Calls to the platform's store: newest records, reads and appends."""
 
 from datetime import timedelta
 from http.client import HTTPConnection, HTTPException, HTTPResponse
@@ -12,6 +12,7 @@
     Page,
     decode_page,
     decode_records,
+    encode_record,
 )
 from linnetwind.record_store import (
     KeyedRecord,
@@ -22,7 +23,11 @@
 )
 
 _TOPICS = MappingProxyType(
-    {Topic.CONFIGURATION: 'keyed.op', Topic.UPSTREAMS: 'keyed.servers'}
+    {
+        Topic.CONFIGURATION: 'keyed.op',
+        Topic.UPSTREAMS: 'keyed.servers',
+        Topic.QUARANTINE: 'keyed.quarantine',
+    }
 )
 _OK = 200
 _GONE = 410
@@ -104,6 +109,31 @@
             return StoreUnavailable(f'bad records: {records.describe()}')
         return Records(records, start + len(records))
 
+    def append(
+        self, topic: Topic, key: str, content: bytes | None
+    ) -> StoreUnavailable | None:
+        """Write a record.
+
+        Args:
+          topic: One of the gateways' own topics.
+          key: The record's key, at most 255 bytes.
+          content: The record; None drops the key.
+
+        Returns:
+          None once the store has it, or why that is not known.
+        """
+        query = urlencode({'topic': _TOPICS[topic], 'part': 0})
+        found = self._call(
+            'POST',
+            f'/-/log-append?{query}',
+            timedelta(),
+            encode_record(key, content),
+        )
+        if isinstance(found, StoreUnavailable):
+            return found
+        status, _body = found
+        return None if status == _OK else _refused(status)
+
     def _page(self, topic: Topic, after: str | None) -> Page | StoreUnavailable:
         query = {'topic': _TOPICS[topic], 'part': 0}
         if after is not None:
@@ -121,23 +151,34 @@
 
     def _get(
         self, path: str, query: dict[str, object], wait: timedelta
+    ) -> tuple[int, bytes] | StoreUnavailable:
+        return self._call('GET', f'{path}?{urlencode(query)}', wait)
+
+    def _call(
+        self,
+        method: str,
+        target: str,
+        wait: timedelta,
+        body: bytes | None = None,
     ) -> tuple[int, bytes] | StoreUnavailable:
         limit = (wait + _MARGIN).total_seconds()
         try:
-            response = self._send(f'{path}?{urlencode(query)}', limit)
+            response = self._send(method, target, limit, body)
             return response.status, response.read()
         except (OSError, HTTPException) as error:
             self._close()
             return StoreUnavailable(repr(error))
 
-    def _send(self, target: str, limit: float) -> HTTPResponse:
+    def _send(
+        self, method: str, target: str, limit: float, body: bytes | None
+    ) -> HTTPResponse:
         if self._connection is None:
             self._connection = HTTPConnection(
                 self._address.ip, self._address.port, timeout=limit
             )
         if self._connection.sock is not None:
             self._connection.sock.settimeout(limit)
-        self._connection.request('GET', target)
+        self._connection.request(method, target, body)
         return self._connection.getresponse()
 
     def _close(self) -> None:
--- a/linnetwind/platform/store_client_test.py
+++ b/linnetwind/platform/store_client_test.py
@@ -211,3 +211,21 @@
     if not rest:
         assert len(decode_records(body, 5)) == len(records)
     assert isinstance(decode_page(rest), BadFormat)
+
+
+def test_what_is_appended_is_the_newest_record_of_its_key(client):
+    assert client.append(Topic.QUARANTINE, 'a', b'first') is None
+    assert client.append(Topic.QUARANTINE, 'b', b'other') is None
+    assert client.append(Topic.QUARANTINE, 'a', b'second') is None
+    assert client.append(Topic.QUARANTINE, 'b', None) is None
+    found = client.newest(Topic.QUARANTINE)
+    assert found == Records((KeyedRecord('a', 2, b'second'),), 4)
+
+
+@pytest.mark.parametrize('outage', ['busy', 'cut', 'silent'])
+def test_an_append_without_an_answer_says_so(store, client, outage):
+    store.outage = outage
+    found = client.append(Topic.QUARANTINE, 'a', b'x')
+    assert isinstance(found, StoreUnavailable)
+    store.outage = None
+    assert client.append(Topic.QUARANTINE, 'a', b'x') is None
--- a/linnetwind/platform/store_format.py
+++ b/linnetwind/platform/store_format.py
@@ -1,4 +1,4 @@
-"""The answers of the platform's store, as our types."""
+"""Records and answers of the platform's store, as our types."""
 
 import struct
 from collections.abc import Iterator
@@ -72,6 +72,21 @@
     )
 
 
+def encode_record(key: str, content: bytes | None) -> bytes:
+    """Return a record as it is appended.
+
+    Args:
+      key: Its key, at most 255 bytes.
+      content: Its content; None drops the key.
+
+    Returns:
+      The record after its length: the length of the key, the key, the content.
+    """
+    name = key.encode()
+    record = bytes((len(name),)) + name + (content or b'')
+    return _LENGTH.pack(len(record)) + record
+
+
 def _split(rest: memoryview) -> Iterator[bytes]:
     while len(rest) >= _LENGTH.size:
         end = _LENGTH.size + _LENGTH.unpack_from(rest)[0]
--- /dev/null
+++ b/linnetwind/quarantine_keeper_test.py
@@ -0,0 +1,165 @@
+"""Tests of quarantines that outlast all gateway processes."""
+
+from datetime import UTC, datetime, timedelta
+
+import pytest
+
+from linnetwind.clock import ManualClock
+from linnetwind.crash_book import FIRST_QUARANTINE
+from linnetwind.crashes import Crashes
+from linnetwind.fingerprint import Fingerprint
+from linnetwind.gateway_events import (
+    BadRecord,
+    DependencyLost,
+    QuarantineRestored,
+)
+from linnetwind.lives import Life
+from linnetwind.quarantine_keeper import QuarantineKeeper
+from linnetwind.record_store import KeyedRecord, Records, StoreUnavailable
+from standins.gateway_harness import ListLog
+
+SECOND = timedelta(seconds=1)
+BAD = Fingerprint('bad')
+
+
+class _Store:
+    """A store of one topic; `lost` answers do not come, though it wrote."""
+
+    def __init__(self):
+        self.records = {}
+        self.is_down = False
+        self.lost = 0
+        self.appends = []
+
+    def newest(self, topic):
+        if self.is_down:
+            return StoreUnavailable('down')
+        found = [
+            KeyedRecord(key, 0, content)
+            for key, content in self.records.items()
+            if content is not None
+        ]
+        return Records(tuple(found), 1)
+
+    def append(self, topic, key, content):
+        self.appends.append(key)
+        if self.is_down:
+            return StoreUnavailable('down')
+        self.records[key] = content
+        if self.lost:
+            self.lost -= 1
+            return StoreUnavailable('no answer')
+        return None
+
+
+class _Daemon:
+    """A process with its keeper."""
+
+    def __init__(self, store, leads=True, waits=0):
+        self.clock = ManualClock(datetime(2026, 1, 1, tzinfo=UTC))
+        self.clock.advance(SECOND)
+        self.crashes = Crashes(self.clock)
+        self.log = ListLog()
+        self.keeper = QuarantineKeeper(
+            store,
+            self.crashes,
+            lambda: leads,
+            self.clock,
+            self.log,
+            waits * SECOND,
+        )
+
+    def crash(self, life):
+        began = self.clock.elapsed()
+        self.clock.advance(SECOND / 100)
+        self.crashes.note(BAD, Life(life), began)
+        self.keeper.keep(BAD)
+
+    def rounds(self, count=3):
+        for _round in range(count):
+            self.keeper.keep_once()
+
+
+@pytest.fixture(name='store')
+def _store():
+    return _Store()
+
+
+@pytest.fixture(name='held')
+def _held(store):
+    """Return a daemon that has seen two crashes and had its time to write."""
+    daemon = _Daemon(store)
+    daemon.crash('a')
+    daemon.crash('b')
+    daemon.rounds()
+    return daemon
+
+
+def test_the_next_processes_know_the_quarantine(held, store):
+    # All gateways lose power. The next ones read what was written.
+    after = _Daemon(store)
+    assert after.crashes.quarantine(BAD) is None
+    after.rounds(1)
+    assert after.crashes.quarantine(BAD) == FIRST_QUARANTINE
+    assert after.log.of(QuarantineRestored) == [QuarantineRestored(BAD, 2)]
+
+
+def test_one_crash_after_the_restart_lengthens_it(held, store):
+    after = _Daemon(store)
+    after.rounds(1)
+    after.clock.advance(FIRST_QUARANTINE)
+    assert after.crashes.quarantine(BAD) is None
+    after.crash('c')
+    assert after.crashes.quarantine(BAD) == 2 * FIRST_QUARANTINE
+
+
+@pytest.mark.parametrize('outage', ['down', 'no answer'])
+def test_a_quarantine_is_written_until_the_store_says_so(store, outage):
+    daemon = _Daemon(store)
+    daemon.rounds(1)
+    store.is_down = outage == 'down'
+    store.lost = 2 if outage == 'no answer' else 0
+    daemon.crash('a')
+    daemon.crash('b')
+    daemon.rounds(2)
+    store.is_down = False
+    daemon.rounds(2)
+    after = _Daemon(store)
+    after.rounds(1)
+    assert after.crashes.quarantine(BAD) is not None
+
+
+def test_a_store_that_is_away_at_the_start_is_read_when_it_is_back(held, store):
+    store.is_down = True
+    after = _Daemon(store)
+    after.rounds()
+    assert not after.keeper.has_read
+    assert len(after.log.of(DependencyLost)) == 1
+    store.is_down = False
+    after.rounds(1)
+    assert after.keeper.has_read
+    assert after.crashes.quarantine(BAD) is not None
+
+
+def test_a_record_of_another_writer_is_passed_over(store):
+    store.records = {'x': b'\xff', 'y': b''}
+    daemon = _Daemon(store)
+    daemon.rounds(1)
+    assert daemon.keeper.has_read
+    assert [each.key for each in daemon.log.of(BadRecord)] == ['x', 'y']
+
+
+@pytest.mark.parametrize('leads', [True, False])
+def test_the_leader_drops_records_whose_time_is_over(held, store, leads):
+    # Without this they would pile up in the store for ever.
+    daemon = _Daemon(store, leads)
+    daemon.rounds(1)
+    daemon.clock.advance(2 * FIRST_QUARANTINE + SECOND)
+    daemon.rounds(1)
+    assert (store.records[BAD] is None) == leads
+
+
+def test_nothing_is_written_while_nothing_happens(held, store):
+    written = len(store.appends)
+    held.rounds(10)
+    assert len(store.appends) == written
--- a/linnetwind/record_store.py
+++ b/linnetwind/record_store.py
@@ -1,4 +1,4 @@
-"""The port to the platform's store, as far as the gateway reads it."""
+"""The port to the platform's store."""
 
 import enum
 from dataclasses import dataclass
@@ -13,6 +13,7 @@
 
     CONFIGURATION = 'configuration'
     UPSTREAMS = 'upstreams'
+    QUARANTINE = 'quarantine'
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,7 +46,7 @@
 
 
 class RecordStore(Protocol):
-    """Reads records of the store."""
+    """Reads records of the store, and writes those of the gateways."""
 
     def newest(self, topic: Topic) -> Records | StoreUnavailable:
         """Return the newest record of each key."""
@@ -54,3 +55,11 @@
         self, topic: Topic, start: int, wait: timedelta
     ) -> Records | Trimmed | StoreUnavailable:
         """Return the records from an offset on, waiting for the first."""
+
+    def append(
+        self, topic: Topic, key: str, content: bytes | None
+    ) -> StoreUnavailable | None:
+        """Write a record; return None once the store has it.
+
+        Without an answer it may still be written.
+        """
--- a/linnetwind/relay.py
+++ b/linnetwind/relay.py
@@ -22,8 +22,13 @@
     Headers,
 )
 from linnetwind.caller_connection import CallerConnection
-from linnetwind.crash_guard import look_after_break
-from linnetwind.gateway_events import AttemptFailed, RequestEnded
+from linnetwind.crash_guard import (
+    QUARANTINED,
+    look_after_break,
+    note_end,
+    quarantine_left,
+)
+from linnetwind.gateway_events import AttemptFailed
 from linnetwind.gateway_stop import Ending
 from linnetwind.journey import (
     CALLER_LEFT,
@@ -33,6 +38,7 @@
     answer_caller,
     as_lost,
 )
+from linnetwind.request_report import report_end
 from linnetwind.routes import RouteKind, RouteTable, choose_service
 from linnetwind.stream_gate import STOPPING, Claim, TurnAway
 from linnetwind.upstream_call import Head, NotReached, OutOfTime, UpstreamCall
@@ -84,7 +90,8 @@
             return self._connection.reusable
         journey = self._journey(table)
         done = self._decide(journey)
-        self._report(journey, done)
+        note_end(self._tools, journey, done)
+        report_end(self._tools, journey, done)
         return self._connection.reusable
 
     def _journey(self, table: RouteTable) -> Journey:
@@ -112,6 +119,9 @@
         journey.service = journey.table.services.get(name)
         if journey.service is None:
             return self._refuse(journey, 'no such service')
+        left = quarantine_left(self._tools, journey)
+        if left is not None:
+            return self._refuse(journey, QUARANTINED, left)
         stop = self._tools.stop
         if not stop.may_begin(self._ending(journey)):
             return self._send_away(journey, stop.retry_after())
@@ -119,7 +129,7 @@
             return self._begin(journey)
 
     def _begin(self, journey: Journey) -> Done:
-        self._tools.state.repeats.count_request(journey.service.name)
+        self._tools.state.books.repeats.count_request(journey.service.name)
         if journey.service.engine is not None:
             turned = self._wait_for_place(journey)
             if turned is not None:
@@ -130,7 +140,7 @@
         """Refuse a request that this daemon has no time for."""
         if after:
             # It is late when it comes back, and may wait longer.
-            self._tools.state.refusals.refuse(journey.facts.subject)
+            self._tools.state.books.refusals.refuse(journey.facts.subject)
         self._answer(_REFUSED, _retry_after(after))
         return Done('refused', _REFUSED, STOPPING.reason)
 
@@ -151,7 +161,7 @@
             self._request.received,
             route.target,
             route.gap,
-            state.refusals.is_returning(journey.facts.subject),
+            state.books.refusals.is_returning(journey.facts.subject),
         )
         verdict = state.room.enter(
             service.name,
@@ -166,7 +176,7 @@
             return None
         if verdict == STOPPING:
             return self._send_away(journey, self._tools.stop.retry_after())
-        state.refusals.refuse(journey.facts.subject)
+        state.books.refusals.refuse(journey.facts.subject)
         self._answer(_REFUSED, _retry_after(verdict.retry_after))
         return Done('refused', _REFUSED, verdict.reason)
 
@@ -204,6 +214,10 @@
     ) -> Done | AttemptLost:
         if self._connection.left():
             return CALLER_LEFT
+        # It may have been put in quarantine while it waited in line.
+        left = quarantine_left(self._tools, journey)
+        if left is not None:
+            return self._refuse(journey, QUARANTINED, left)
         started = self._tools.clock.elapsed()
         call = self._tools.open_call(
             upstream.address,
@@ -220,13 +234,13 @@
             ended = self._exchange(journey, upstream, call)
         finally:
             call.close()
+        failed = _is_failure(ended)
+        took = self._tools.clock.elapsed() - started
+        self._tools.state.note_answer(upstream, took, failed=failed)
         if call.broken is not None:
             look_after_break(
                 self._tools, journey, upstream, call.broken, started
             )
-        failed = _is_failure(ended)
-        took = self._tools.clock.elapsed() - started
-        self._tools.state.note_answer(upstream, took, failed=failed)
         return ended
 
     def _exchange(
@@ -305,8 +319,8 @@
             len(journey.sent_to), journey.may_have_run, left
         )
         decision = after_loss(journey.route, lost, progressed)
-        if isinstance(decision, TryAnother) and decision.counts:
-            if not self._tools.state.repeats.spend(journey.service.name):
+        if isinstance(decision, TryAnother):
+            if not self._may_try_another(journey, decision):
                 decision = decision.instead
         again = isinstance(decision, TryAnother)
         self._tools.log.event(
@@ -323,15 +337,28 @@
             return self._give_up(journey, decision)
         return None
 
-    def _refuse(self, journey: Journey, reason: str) -> Done:
+    def _may_try_another(self, journey: Journey, another: TryAnother) -> bool:
+        if quarantine_left(self._tools, journey) is not None:
+            return False
+        repeats = self._tools.state.books.repeats
+        return not another.counts or repeats.spend(journey.service.name)
+
+    def _refuse(
+        self, journey: Journey, reason: str, after: timedelta = _RETRY_SOON
+    ) -> Done:
         """Give up without an upstream; true to what may have run before."""
         not_run = not journey.may_have_run
         status = _REFUSED if not_run else HTTPStatus.BAD_GATEWAY
         return self._give_up(
-            journey, GiveUp(status, not_run=not_run, reason=reason)
+            journey, GiveUp(status, not_run=not_run, reason=reason), after
         )
 
-    def _give_up(self, journey: Journey, decision: GiveUp) -> Done:
+    def _give_up(
+        self,
+        journey: Journey,
+        decision: GiveUp,
+        after: timedelta = _RETRY_SOON,
+    ) -> Done:
         if journey.started:
             # Part of a stream is with the caller: only a connection that
             # breaks tells it that the rest is missing.
@@ -343,7 +370,7 @@
             headers = self._tools.dialect.answer_headers(head.headers)
             self._answer(head.status, headers, body)
             return Done('answered', head.status, decision.reason)
-        headers = _retry_after(_RETRY_SOON) if decision.not_run else ()
+        headers = _retry_after(after) if decision.not_run else ()
         self._answer(decision.status, headers)
         outcome = 'refused' if decision.not_run else 'unknown'
         return Done(outcome, decision.status, decision.reason)
@@ -351,30 +378,6 @@
     def _answer(self, status: int, headers: Headers, body: bytes = b'') -> None:
         answer_caller(self._tools, self._connection, status, headers, body)
 
-    def _report(self, journey: Journey, done: Done) -> None:
-        now = self._tools.clock.elapsed()
-        received = self._request.received
-        first = journey.first_byte
-        service = journey.service.name if journey.service else ''
-        self._tools.log.event(
-            RequestEnded(
-                journey.facts.call_id,
-                journey.fingerprint,
-                journey.route.name if journey.route else '',
-                done.outcome,
-                done.status,
-                done.reason,
-                journey.table.version,
-                tuple(journey.sent_to),
-                journey.queued,
-                None if first is None else first - received,
-                now - received,
-                journey.until - received,
-                journey.longest_pause,
-                self._tools.state.group_running(service),
-            )
-        )
-
 
 def _is_failure(ended: Done | AttemptLost) -> bool:
     match ended:
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -1,6 +1,7 @@
-"""The platform's store, as far as the gateway reads it, with outages."""
+"""The platform's store, as far as the gateway uses it, with outages."""
 
 import base64
+import collections
 import json
 import struct
 import threading
@@ -16,8 +17,8 @@
         """Start to serve."""
         self.outage = None
         self.calls = []
-        self._topics = {'keyed.op': [], 'keyed.servers': []}
-        self._first = {'keyed.op': 0, 'keyed.servers': 0}
+        self._topics = collections.defaultdict(list)
+        self._first = collections.defaultdict(int)
         self._changed = threading.Condition()
         store = self
 
@@ -27,6 +28,9 @@
             def do_GET(self):
                 store.answer(self)
 
+            def do_POST(self):
+                store.answer(self)
+
             def log_message(self, *_args):
                 """Stay silent."""
 
@@ -60,6 +64,7 @@
     def answer(self, handler):
         """Answer one call, or not."""
         self.calls.append(handler.path)
+        body = handler.rfile.read(int(handler.headers['Content-Length'] or 0))
         if self.outage == 'silent':
             time.sleep(3)
         if self.outage in {'silent', 'cut'}:
@@ -70,11 +75,22 @@
             return
         url = urlsplit(handler.path)
         query = {name: texts[0] for name, texts in parse_qs(url.query).items()}
-        if url.path == '/-/log-newest':
+        if url.path == '/-/log-append':
+            self._append(query['topic'], body)
+            _send(handler, 200, b'{}')
+        elif url.path == '/-/log-newest':
             _send(handler, 200, self._newest(query))
         else:
             _send(handler, *self._read(query))
 
+    def _append(self, topic, body):
+        while body:
+            end = 4 + struct.unpack_from('>I', body)[0]
+            key_end = 5 + body[4]
+            key = body[5:key_end].decode()
+            self.put_bytes(topic, key, body[key_end:end])
+            body = body[end:]
+
     def _newest(self, query):
         records = self._topics[query['topic']]
         newest = {
