--- a/linnetwind/quarantine_keeper.py
+++ b/linnetwind/quarantine_keeper.py
@@ -35,7 +35,7 @@
 
 # How often records whose quarantine is over are looked for.
 LOOK = timedelta(seconds=10)
-_NAME = f'store-{Topic.QUARANTINE.value}'
+_NAME = 'store-quarantine'
 
 
 @dataclass(frozen=True, slots=True)
