Failing tests: a store that comes back from an older copy

Seen: after the return a gateway holds the list for an old copy and goes on with an upstream that drains, none that is new; a gateway that starts then stays on the configuration of the copy, though a peer has the next one. The stand-in of the store gains the drill.

--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -1,4 +1,8 @@
-"""The platform's store, as far as the gateway uses it, with outages."""
+"""The platform's store, as far as the gateway uses it, with outages.
+
+It may come back from a copy: what was written since the copy is gone, its
+offsets are given out again, and the era in the header of all answers rises.
+"""
 
 import base64
 import collections
@@ -16,6 +20,7 @@
     def __init__(self):
         """Start to serve."""
         self.outage = None
+        self.era = 1
         self.calls = []
         self._topics = collections.defaultdict(list)
         self._first = collections.defaultdict(int)
@@ -61,6 +66,21 @@
         """Delete the history; the newest record of each key stays."""
         self._first[topic] = len(self._topics[topic])
 
+    def copy(self):
+        """Return a copy to come back from."""
+        with self._changed:
+            return {topic: list(each) for topic, each in self._topics.items()}
+
+    def come_back_from(self, copy):
+        """Lose what was written since a copy."""
+        with self._changed:
+            self._topics.clear()
+            self._topics.update(
+                {topic: list(each) for topic, each in copy.items()}
+            )
+            self.era += 1
+            self._changed.notify_all()
+
     def answer(self, handler):
         """Answer one call, or not."""
         self.calls.append(handler.path)
@@ -71,17 +91,17 @@
             handler.close_connection = True
             return
         if self.outage == 'busy':
-            _send(handler, 503, b'')
+            self._send(handler, 503, b'')
             return
         url = urlsplit(handler.path)
         query = {name: texts[0] for name, texts in parse_qs(url.query).items()}
         if url.path == '/-/log-append':
             self._append(query['topic'], body)
-            _send(handler, 200, b'{}')
+            self._send(handler, 200, b'{}')
         elif url.path == '/-/log-newest':
-            _send(handler, 200, self._newest(query))
+            self._send(handler, 200, self._newest(query))
         else:
-            _send(handler, *self._read(query))
+            self._send(handler, *self._read(query))
 
     def _append(self, topic, body):
         while body:
@@ -118,7 +138,7 @@
     def _read(self, query):
         topic, start = query['topic'], int(query['from'])
         until = time.monotonic() + int(query['waitMs']) / 1000
-        if start < self._first[topic]:
+        if not self._first[topic] <= start <= len(self._topics[topic]):
             return 410, json.dumps({'first': self._first[topic]}).encode()
         with self._changed:
             while len(self._topics[topic]) <= start:
@@ -132,9 +152,9 @@
             body += struct.pack('>I', len(record)) + record
         return 200, body
 
-
-def _send(handler, status, body):
-    handler.send_response(status)
-    handler.send_header('Content-Length', str(len(body)))
-    handler.end_headers()
-    handler.wfile.write(body)
+    def _send(self, handler, status, body):
+        handler.send_response(status)
+        handler.send_header('Store-Era', str(self.era))
+        handler.send_header('Content-Length', str(len(body)))
+        handler.end_headers()
+        handler.wfile.write(body)
