A store that comes back from an older copy: eras beside offsets

What callers saw: after the store's return gateways went on with an upstream that drains or is gone and used none that was new, for as long as the store had fewer records than before; a gateway that started then served by the copy's configuration until the operator wrote again. Cause: offsets were compared across the return. Places that compare: the reader of both topics (whole lists and parts), copies of peers (follower and mesh), records in the list of upstreams (offset, end, replaced, ended), what the store keeps of quarantines. Versions of the configuration rise by themselves and stay as they are; peers' states carry versions, not offsets; orders of maps are not in the store. Change: a position is a pair of era and offset. A part read in another era is not used and the list is read whole; the list enters the new era: entries known to drain or to be gone, or replaced, count from their next heartbeat on, those that the copy lacks stay usable for the time in which living upstreams write again, the life before a known one is not taken back. Copies of the configuration for peers are the one in force. The writer of a quarantine, and the leader, write it again. Header missing: the era stays. Era lower, or two at once: by tests. Ruled out: keeping the old list until the ends pass (an upstream that drains gets work), dropping it at once (upstreams that live and were not in the copy).

--- a/linnetwind/crashes.py
+++ b/linnetwind/crashes.py
@@ -128,6 +128,16 @@
         left = self._book.quarantined_until(request) - now
         return left if left > timedelta() else None
 
+    def quarantined(self) -> list[Fingerprint]:
+        """Return the requests that must not be sent on."""
+        now = self._clock.elapsed()
+        book = self._book
+        return [
+            request
+            for request in book.crashes
+            if book.quarantined_until(request) > now
+        ]
+
     def forget(self) -> None:
         """Forget requests whose quarantine has been over for long."""
         with self._lock:
--- a/linnetwind/gateway_daemon.py
+++ b/linnetwind/gateway_daemon.py
@@ -124,6 +124,7 @@
             ports.feeds.open_store(),
             self._state.books.crashes,
             self._mesh.leads,
+            lambda: self._state.upstreams.era,
             clock,
             log,
         )
--- a/linnetwind/gateway_events.py
+++ b/linnetwind/gateway_events.py
@@ -27,6 +27,18 @@
     away: timedelta
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCameBackOlder:
+    """The store came back from a copy and lost what was written since.
+
+    `era` counts such returns; `offset` is where it ends now.
+    """
+
+    dependency: str
+    era: int
+    offset: int
+
+
 @dataclass(frozen=True, slots=True)
 class ConfigurationApplied:
     """A newer configuration is in force here."""
--- a/linnetwind/gateway_feeds.py
+++ b/linnetwind/gateway_feeds.py
@@ -1,7 +1,7 @@
 """What a gateway follows in the store: configuration and upstreams."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 
 from linnetwind.bad_format import BadFormat
@@ -66,6 +66,7 @@
         self._ports = ports
         self._peers = peers
         self._newer_told = 0
+        self._in_force: KeyedRecord | None = None
         self._state = state
         self._clock = clock
         self._log = log
@@ -105,9 +106,17 @@
           topic: The topic.
 
         Returns:
-          The records, or None if nothing was read.
+          The records, or None if nothing was read. The configuration is the
+          one in force here: a store that came back older may not have it
+          until the operator writes it again, and a daemon that starts
+          meanwhile would serve by the one before.
         """
-        return self._followers[topic].copy()
+        found = self._followers[topic].copy()
+        if topic is not Topic.CONFIGURATION or found is None:
+            return found
+        if self._in_force is None:
+            return found
+        return replace(found, records=(self._in_force,))
 
     def _paced(
         self, pace: Callable[[int], StorePace]
@@ -156,6 +165,7 @@
             return
         before = self._state.table
         if self._state.apply_table(table):
+            self._in_force = record
             self._state.change_upstreams(
                 lambda known: known.name_services(table.services)
             )
@@ -218,12 +228,16 @@
         self, known: UpstreamList, registered: list[Registered], news: News
     ) -> UpstreamList:
         if not news.whole:
+            # Records of another era are read whole first.
+            if news.era != known.era:
+                return known
             return known.take(registered, news.end)
         return known.take_whole(
             registered,
             news.end,
             outage=news.after_outage,
             now=self._clock.elapsed(),
+            era=news.era,
         )
 
     def _log_change(self, before: UpstreamList, news: News) -> None:
--- a/linnetwind/peer_mesh.py
+++ b/linnetwind/peer_mesh.py
@@ -56,6 +56,7 @@
 
     records: tuple[KeyedRecord, ...]
     end: int
+    era: int = 0
 
 
 _CODEC = Codec((CopyQuery, Copy))
@@ -181,7 +182,7 @@
         found = [self._ask(each, topic) for each in addresses[:2]]
         copies = [each for each in found if isinstance(each, Records)]
         if copies:
-            return max(copies, key=lambda each: each.end)
+            return max(copies, key=lambda each: each.position)
         return StoreUnavailable('no peer has a copy')
 
     def _addresses(self) -> set[Address]:
@@ -200,7 +201,7 @@
         if isinstance(answer, Ok) and isinstance(answer.ok_value, Copy):
             copy = answer.ok_value
             if copy.end >= 0:
-                return Records(copy.records, copy.end)
+                return Records(copy.records, copy.end, copy.era)
         return StoreUnavailable(f'peer {peer} has no copy')
 
     def _send_next(self) -> timedelta:
@@ -302,7 +303,7 @@
             return
         if isinstance(query, Ok) and isinstance(query.ok_value, CopyQuery):
             found = self._copies(query.ok_value.topic) or Records((), -1)
-            answer = Copy(found.records, found.end)
+            answer = Copy(found.records, found.end, found.era)
             send_frame(sock, _CODEC.encode(answer))
 
 
--- a/linnetwind/platform/store_client.py
+++ b/linnetwind/platform/store_client.py
@@ -29,6 +29,7 @@
         Topic.QUARANTINE: 'keyed.quarantine',
     }
 )
+_ERA = 'Store-Era'
 _OK = 200
 _GONE = 410
 # The store answers in milliseconds; beyond the time that a read waits there,
@@ -48,6 +49,7 @@
         """
         self._address = address
         self._connection: HTTPConnection | None = None
+        self._era = 0
 
     def newest(self, topic: Topic) -> Records | StoreUnavailable:
         """Return the newest record of each key of a topic.
@@ -62,16 +64,21 @@
         first: Page | None = None
         after: str | None = None
         while True:
+            era = self._era
             page = self._page(topic, after)
             if isinstance(page, StoreUnavailable):
                 return page
+            if first is not None and self._era != era:
+                return StoreUnavailable('the pages are of two eras')
             # The pages are not of one moment. What is written to keys of the
             # first while the others are read comes after its end offset.
             first = first or page
             found = {each.key: _keyed(each) for each in page.elements}
             if not page.has_more or not found:
                 records.update(found)
-                return Records(tuple(records.values()), first.end_offset)
+                return Records(
+                    tuple(records.values()), first.end_offset, self._era
+                )
             if found.keys() <= records.keys():
                 return StoreUnavailable('the pages of newest records repeat')
             records.update(found)
@@ -107,7 +114,7 @@
         records = decode_records(body, start)
         if isinstance(records, BadFormat):
             return StoreUnavailable(f'bad records: {records.describe()}')
-        return Records(records, start + len(records))
+        return Records(records, start + len(records), self._era)
 
     def append(
         self, topic: Topic, key: str, content: bytes | None
@@ -164,10 +171,14 @@
         limit = (wait + _MARGIN).total_seconds()
         try:
             response = self._send(method, target, limit, body)
-            return response.status, response.read()
+            content = response.read()
         except (OSError, HTTPException) as error:
             self._close()
             return StoreUnavailable(repr(error))
+        stated = response.getheader(_ERA, '')
+        if stated.isdecimal():
+            self._era = int(stated)
+        return response.status, content
 
     def _send(
         self, method: str, target: str, limit: float, body: bytes | None
--- a/linnetwind/platform/store_client_test.py
+++ b/linnetwind/platform/store_client_test.py
@@ -14,6 +14,7 @@
 from linnetwind.platform.upstream_format import decode_upstream
 from linnetwind.record_store import (
     KeyedRecord,
+    Position,
     Records,
     StoreUnavailable,
     Topic,
@@ -229,3 +230,37 @@
     assert isinstance(found, StoreUnavailable)
     store.outage = None
     assert client.append(Topic.QUARANTINE, 'a', b'x') is None
+
+
+def test_the_era_goes_with_what_is_read(store, client):
+    store.put('keyed.op', 'config', {'version': 1})
+    copy = store.copy()
+    store.put('keyed.op', 'config', {'version': 2})
+    assert client.newest(Topic.CONFIGURATION).position == Position(0, 2)
+    store.come_back_from(copy)
+    # The place is not there any more, and is said to be deleted.
+    assert client.read(Topic.CONFIGURATION, 2, NO_WAIT) == Trimmed()
+    assert client.newest(Topic.CONFIGURATION).position == Position(1, 1)
+    store.put('keyed.op', 'config', {'version': 2})
+    found = client.read(Topic.CONFIGURATION, 2, NO_WAIT)
+    assert found.position == Position(1, 2)
+
+
+def test_an_answer_without_an_era_leaves_it_as_it_was(store, client):
+    store.era = 3
+    store.put('keyed.op', 'config', {'version': 1})
+    client.newest(Topic.CONFIGURATION)
+    for era in ('', 'x', '-1', None):
+        store.era = era
+        assert client.newest(Topic.CONFIGURATION).era == 3
+
+
+def test_pages_of_two_eras_are_no_list(store, client):
+    # The store comes back between two pages. Together they hold entries of
+    # both and miss some.
+    for number in range(12):
+        store.put('keyed.servers', f'i-{number:02}', {'n': number})
+    client.newest(Topic.UPSTREAMS)
+    store.era_after = (len(store.calls) + 2, 1)
+    assert isinstance(client.newest(Topic.UPSTREAMS), StoreUnavailable)
+    assert client.newest(Topic.UPSTREAMS).era == 1
--- a/linnetwind/quarantine_keeper.py
+++ b/linnetwind/quarantine_keeper.py
@@ -33,8 +33,9 @@
 )
 from linnetwind.step_log import StepLog
 
-# How often records whose quarantine is over are looked for.
-LOOK = timedelta(seconds=10)
+# How often it is looked whether the store has lost records, and whether the
+# time of some is over.
+LOOK = timedelta(seconds=1)
 _NAME = 'store-quarantine'
 
 
@@ -56,6 +57,7 @@
         store: RecordStore,
         crashes: Crashes,
         leads: Callable[[], bool],
+        era: Callable[[], int],
         clock: Clock,
         log: StepLog,
         look: timedelta = LOOK,
@@ -65,7 +67,9 @@
         Args:
           store: A connection to the store for this alone.
           crashes: The daemon's book.
-          leads: Whether this daemon drops records whose time is over.
+          leads: Whether this daemon drops records whose time is over, and
+            writes again those of daemons that are gone.
+          era: Returns the store's era, which rises when it loses records.
           clock: For outages.
           log: Told of outages and of what was restored.
           look: How long a round waits for something to write.
@@ -74,6 +78,8 @@
         self._store = store
         self._crashes = crashes
         self._leads = leads
+        self._store_era = era
+        self._era = 0
         self._clock = clock
         self._log = log
         self._away_since: timedelta | None = None
@@ -82,6 +88,7 @@
         # What is to be written goes first and stays until the store has it.
         self._unwritten: Fingerprint | None = None
         self._written: set[Fingerprint] = set()
+        self._restored: set[Fingerprint] = set()
 
     @property
     def has_read(self) -> bool:
@@ -104,12 +111,24 @@
         """
         if not self._has_read:
             return self._restore()
+        self._write_again()
         if self._unwritten is None:
             self._unwritten = self._next_new()
         if self._unwritten is None:
             return self._drop_one()
         return self._write(self._unwritten)
 
+    def _write_again(self) -> None:
+        """Have written again what the store lost, by coming back older."""
+        era = self._store_era()
+        if era <= self._era:
+            return
+        self._era = era
+        leads = self._leads()
+        for request in self._crashes.quarantined():
+            if leads or request in self._written:
+                self._new.put(request)
+
     def _next_new(self) -> Fingerprint | None:
         try:
             return self._new.get(timeout=self._look.total_seconds())
@@ -124,6 +143,7 @@
         for record in found.records:
             self._restore_one(record)
         self._has_read = True
+        self._era = found.era
         return timedelta()
 
     def _restore_one(self, record: KeyedRecord) -> None:
@@ -137,7 +157,7 @@
             return
         request = Fingerprint(record.key)
         self._crashes.restore(request, decoded.ok_value.lives)
-        self._written.add(request)
+        self._restored.add(request)
         self._log.event(
             QuarantineRestored(request, len(decoded.ok_value.lives))
         )
@@ -160,13 +180,14 @@
         self._crashes.forget()
         over = [
             request
-            for request in self._written
+            for request in self._written | self._restored
             if not self._crashes.lives(request)
         ]
         if over and self._leads():
             failed = self._store.append(Topic.QUARANTINE, over[0], None)
             if failed is None:
                 self._written.discard(over[0])
+                self._restored.discard(over[0])
         return timedelta()
 
     def _wait_for_store(self, failed: StoreUnavailable) -> timedelta:
--- a/linnetwind/quarantine_keeper_test.py
+++ b/linnetwind/quarantine_keeper_test.py
@@ -29,6 +29,7 @@
         self.records = {}
         self.is_down = False
         self.lost = 0
+        self.era = 1
         self.appends = []
 
     def newest(self, topic):
@@ -39,7 +40,7 @@
             for key, content in self.records.items()
             if content is not None
         ]
-        return Records(tuple(found), 1)
+        return Records(tuple(found), 1, self.era)
 
     def append(self, topic, key, content):
         self.appends.append(key)
@@ -64,6 +65,7 @@
             store,
             self.crashes,
             lambda: leads,
+            lambda: store.era,
             self.clock,
             self.log,
             waits * SECOND,
@@ -163,3 +165,28 @@
     written = len(store.appends)
     held.rounds(10)
     assert len(store.appends) == written
+
+
+@pytest.mark.parametrize('writer_lives', [True, False])
+def test_a_store_that_comes_back_older_is_told_again(held, store, writer_lives):
+    # The store loses the record. Then all gateways lose power: the next ones
+    # would know nothing.
+    peer = _Daemon(store, leads=not writer_lives)
+    peer.rounds(1)
+    store.records = {}
+    store.era += 1
+    daemon = held if writer_lives else peer
+    daemon.rounds()
+    after = _Daemon(store)
+    after.rounds(1)
+    assert after.crashes.quarantine(BAD) is not None
+
+
+def test_a_follower_leaves_it_to_the_writer_to_tell_again(held, store):
+    # Hundreds of daemons must not write at once.
+    peer = _Daemon(store, leads=False)
+    peer.rounds(1)
+    written = len(store.appends)
+    store.era += 1
+    peer.rounds()
+    assert len(store.appends) == written
--- a/linnetwind/record_follower.py
+++ b/linnetwind/record_follower.py
@@ -7,9 +7,14 @@
 from typing import Protocol
 
 from linnetwind.clock import Clock
-from linnetwind.gateway_events import DependencyBack, DependencyLost
+from linnetwind.gateway_events import (
+    DependencyBack,
+    DependencyLost,
+    StoreCameBackOlder,
+)
 from linnetwind.record_store import (
     KeyedRecord,
+    Position,
     Records,
     RecordStore,
     StoreUnavailable,
@@ -30,7 +35,8 @@
     """Records that were read.
 
     `whole` says that these are the newest records of all keys, `after_outage`
-    that the store was away before; `source` is for the log.
+    that the store was away before, or came back older; `source` is for the
+    log, `era` that of the offsets.
     """
 
     records: tuple[KeyedRecord, ...]
@@ -38,6 +44,7 @@
     whole: bool
     after_outage: bool
     source: str
+    era: int = 0
 
 
 class PeerCopies(Protocol):
@@ -80,7 +87,8 @@
         self._clock = clock
         self._log = log
         self._newest: dict[str, KeyedRecord] = {}
-        self._end: int | None = None
+        self._position: Position | None = None
+        self._reads_whole = True
         self._away_since: timedelta | None = None
 
     @property
@@ -90,9 +98,13 @@
 
     def copy(self) -> Records | None:
         """Return the newest records that are known here, for a peer."""
-        if self._end is None:
+        if self._position is None:
             return None
-        return Records(tuple(self._newest.values()), self._end)
+        return Records(
+            tuple(self._newest.values()),
+            self._position.offset,
+            self._position.era,
+        )
 
     def follow_once(self) -> timedelta:
         """Read once.
@@ -100,43 +112,73 @@
         Returns:
           How long to wait before the next reading.
         """
-        whole = self._end is None or self.is_away
+        whole = self._reads_whole or self.is_away
         if whole:
             found = self._store.newest(self._topic)
         else:
             wait = self._pace().wait
-            found = self._store.read(self._topic, self._end, wait)
+            start = self._position.offset
+            found = self._store.read(self._topic, start, wait)
         match found:
-            case Records(records, end):
-                self._take_news(records, end, whole=whole)
+            case Records() if not whole and found.era != self._position.era:
+                # The offset is the next one of another era. What that has
+                # below it was never read here, and nothing would show it.
+                self._reads_whole = True
+                return timedelta()
+            case Records():
+                self._take_news(found, whole=whole)
                 return self._pace().rest
             case Trimmed():
-                self._end = None
+                self._reads_whole = True
                 return timedelta()
             case StoreUnavailable(problem):
                 self._note_away(problem)
                 self._ask_peers()
         return RETRY_PAUSE * random.uniform(0.5, 1)
 
-    def _take_news(
-        self, records: tuple[KeyedRecord, ...], end: int, *, whole: bool
-    ) -> None:
-        after_outage = self.is_away
+    def _take_news(self, found: Records, *, whole: bool) -> None:
+        is_older = self._position is not None and self._is_new_era(found)
+        after_outage = self.is_away or is_older
         if self._away_since is not None:
             away = self._clock.elapsed() - self._away_since
             self._log.event(DependencyBack(self._name, away))
             self._away_since = None
-        self._keep(records, end, whole=whole)
-        if records or whole:
-            self._take(News(records, end, whole, after_outage, 'store'))
-
-    def _keep(
-        self, records: tuple[KeyedRecord, ...], end: int, *, whole: bool
+        if is_older:
+            self._log.event(
+                StoreCameBackOlder(self._name, found.era, found.end)
+            )
+        self._keep(found, whole=whole)
+        if found.records or whole:
+            self._tell(found, whole=whole, after_outage=after_outage)
+
+    def _is_new_era(self, found: Records) -> bool:
+        return found.era != self._position.era
+
+    def _tell(
+        self,
+        found: Records,
+        *,
+        whole: bool,
+        after_outage: bool,
+        source: str = 'store',
     ) -> None:
+        self._take(
+            News(
+                found.records,
+                found.end,
+                whole,
+                after_outage,
+                source,
+                found.era,
+            )
+        )
+
+    def _keep(self, found: Records, *, whole: bool) -> None:
         newest = {} if whole else dict(self._newest)
-        newest.update((each.key, each) for each in records)
+        newest.update((each.key, each) for each in found.records)
         self._newest = newest
-        self._end = end
+        self._position = found.position
+        self._reads_whole = False
 
     def _note_away(self, problem: str) -> None:
         if self._away_since is None:
@@ -145,7 +187,8 @@
 
     def _ask_peers(self) -> None:
         found = self._peers.newest(self._topic)
-        if isinstance(found, Records):
-            if self._end is None or found.end > self._end:
-                self._keep(found.records, found.end, whole=True)
-                self._take(News(found.records, found.end, True, True, 'peer'))
+        if not isinstance(found, Records):
+            return
+        if self._position is None or found.position > self._position:
+            self._keep(found, whole=True)
+            self._tell(found, whole=True, after_outage=True, source='peer')
--- a/linnetwind/record_follower_test.py
+++ b/linnetwind/record_follower_test.py
@@ -3,7 +3,11 @@
 from datetime import UTC, datetime, timedelta
 
 from linnetwind.clock import ManualClock
-from linnetwind.gateway_events import DependencyBack, DependencyLost
+from linnetwind.gateway_events import (
+    DependencyBack,
+    DependencyLost,
+    StoreCameBackOlder,
+)
 from linnetwind.record_follower import RETRY_PAUSE, RecordFollower
 from linnetwind.record_store import (
     KeyedRecord,
@@ -83,3 +87,40 @@
     follower, news, _log, _pauses = _follow(store, _Script(DOWN), 2)
     assert len(news) == 1
     assert follower.copy() == Records((FIRST,), 1)
+
+
+def test_records_of_another_era_are_read_whole():
+    # The store lost some seconds and has given the offsets out again, up to
+    # beyond the place of this reader. What it reads from there fits on
+    # without a gap; only the era shows that other records lie below.
+    store = _Script(
+        Records((FIRST,), 1, 4),
+        Records((), 1, 5),
+        Records((SECOND,), 2, 5),
+        Records((), 2, 5),
+    )
+    follower, news, log, _pauses = _follow(store, _Script(), 4)
+    assert store.asked == ['newest', 1, 'newest', 2]
+    assert [each.whole for each in news] == [True, True]
+    assert (news[-1].era, news[-1].after_outage) == (5, True)
+    assert follower.copy() == Records((SECOND,), 2, 5)
+    assert log.of(StoreCameBackOlder) == [
+        StoreCameBackOlder('store-upstreams', 5, 2)
+    ]
+
+
+def test_a_peers_copy_of_a_later_era_counts_though_it_ends_before():
+    store = _Script(Records((FIRST,), 30, 4), DOWN)
+    peers = _Script(Records((SECOND,), 2, 5))
+    follower, news, _log, _pauses = _follow(store, peers, 2)
+    assert news[-1].era == 5
+    assert follower.copy() == Records((SECOND,), 2, 5)
+
+
+def test_a_peers_copy_of_an_earlier_era_does_not_count():
+    # The peer was frozen while the store came back.
+    store = _Script(Records((FIRST,), 1, 5), DOWN)
+    peers = _Script(Records((SECOND,), 40, 4))
+    follower, news, _log, _pauses = _follow(store, peers, 2)
+    assert len(news) == 1
+    assert follower.copy() == Records((FIRST,), 1, 5)
--- a/linnetwind/record_store.py
+++ b/linnetwind/record_store.py
@@ -16,6 +16,18 @@
     QUARANTINE = 'quarantine'
 
 
+@dataclass(frozen=True, order=True, slots=True)
+class Position:
+    """A place in a topic.
+
+    Offsets are in order within one `era` only: a store that comes back from an
+    older copy gives those that it lost out again, and its era rises.
+    """
+
+    era: int
+    offset: int
+
+
 @dataclass(frozen=True, slots=True)
 class KeyedRecord:
     """A record; `content` is None if it drops the key."""
@@ -27,10 +39,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Records:
-    """Records in the order of their offsets, and the offset after the last."""
+    """Records in the order of their offsets, and the offset after the last.
+
+    `era` is 0 where the store states none.
+    """
 
     records: tuple[KeyedRecord, ...]
     end: int
+    era: int = 0
+
+    @property
+    def position(self) -> Position:
+        """Return the place after the last record."""
+        return Position(self.era, self.end)
 
 
 @dataclass(frozen=True, slots=True)
--- a/linnetwind/upstream_list.py
+++ b/linnetwind/upstream_list.py
@@ -74,7 +74,8 @@
 class UpstreamList:
     """What is known of the registered upstreams.
 
-    `end` is the offset up to which the records are known. `lapsed` holds the
+    `end` is the offset up to which the records are known, in the store's
+    `era`. `lapsed` holds the
     upstreams whose entries vanished during an outage of the store, with the
     time at which they are taken as gone; `replaced` the instances whose
     address was answered by another one, with the offset below which their
@@ -90,6 +91,7 @@
     replaced: Mapping[str, int] = field(default_factory=dict)
     ended: Mapping[str, _Ended] = field(default_factory=dict)
     named: frozenset[str] | None = None
+    era: int = 0
 
     def usable(self, service: str, now: timedelta) -> list[Upstream]:
         """Return the upstreams of a service that may be given work.
@@ -214,6 +216,7 @@
         *,
         outage: bool,
         now: timedelta,
+        era: int = 0,
     ) -> Self:
         """Return the list after the whole list was read anew.
 
@@ -225,11 +228,16 @@
           end: The offset up to which the store had records.
           outage: Whether the store was away before this reading.
           now: The monotonic time.
+          era: The era of the offsets.
 
         Returns:
           The list; unchanged if the store served an older copy.
         """
-        if end < self.end:
+        if era > self.era:
+            return self._enter(era, end).take_whole(
+                records, end, outage=True, now=now, era=era
+            )
+        if (era, end) < (self.era, self.end):
             return self
         listed = list(records)
         names = {each.instance for each in listed}
@@ -248,6 +256,38 @@
         )
         return known.take(listed, end)
 
+    def _enter(self, era: int, end: int) -> Self:
+        """Return the list for a store that came back from an older copy.
+
+        Its offsets are not those of before, so none of them compares. The copy
+        may name upstreams that have left or drain since as ready; they would
+        get work again. They count from their next heartbeat on, which comes
+        after the copy's end, or never.
+        """
+        barred = [
+            instance
+            for instance, each in self.records.items()
+            if each.upstream is None
+            or each.upstream.draining
+            or each.offset < self.replaced.get(instance, each.offset)
+        ]
+        records = {
+            instance: replace(each, offset=_LAPSED_OFFSET)
+            for instance, each in self.records.items()
+        }
+        # The copy may hold an entry of the life before the one that is known.
+        ended = {
+            instance: _Ended(each.life) for instance, each in self.ended.items()
+        }
+        return replace(
+            self,
+            era=era,
+            end=0,
+            records=records,
+            replaced=dict.fromkeys(barred, end),
+            ended=ended,
+        )
+
     @cached_property
     def _usable(self) -> dict[str, list[Upstream]]:
         return self._usable_with([])
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -20,7 +20,10 @@
     def __init__(self):
         """Start to serve."""
         self.outage = None
-        self.era = 1
+        # The header is left out if this is None.
+        self.era = 0
+        # After so many calls the era is another one.
+        self.era_after = None
         self.calls = []
         self._topics = collections.defaultdict(list)
         self._first = collections.defaultdict(int)
@@ -84,6 +87,8 @@
     def answer(self, handler):
         """Answer one call, or not."""
         self.calls.append(handler.path)
+        if self.era_after and len(self.calls) >= self.era_after[0]:
+            self.era = self.era_after[1]
         body = handler.rfile.read(int(handler.headers['Content-Length'] or 0))
         if self.outage == 'silent':
             time.sleep(3)
@@ -154,7 +159,8 @@
 
     def _send(self, handler, status, body):
         handler.send_response(status)
-        handler.send_header('Store-Era', str(self.era))
+        if self.era is not None:
+            handler.send_header('Store-Era', str(self.era))
         handler.send_header('Content-Length', str(len(body)))
         handler.end_headers()
         handler.wfile.write(body)
