Failing test: the same cause in the product's own entry daemon

All 8 upstreams crash under one request, before its answer or in the middle of it; the aim is three at most. Found by looking for the incident's cause elsewhere.

--- /dev/null
+++ b/standins/dispatch_crashes_test.py
@@ -0,0 +1,144 @@
+"""A request that crashes upstreams, through the product's own entry daemon."""
+
+import hashlib
+import queue
+import threading
+from contextlib import suppress
+from types import SimpleNamespace
+
+import pytest
+from result import Ok
+
+from linnetwind.address import Address
+from linnetwind.call_run import BrokenAnswer, OpenAnswer
+from linnetwind.clock import SystemClock
+from linnetwind.config import (
+    Base,
+    Customer,
+    Service,
+    ServiceKind,
+    Site,
+    Upstream,
+)
+from linnetwind.dispatch import make_dispatcher
+from linnetwind.fleet import Fleet
+from linnetwind.hosts_port import Host, HostState
+from linnetwind.http_request import HttpRequest, check_request
+from linnetwind.link import CallStream
+from linnetwind.outcome import NotRun
+from linnetwind.upstream_http import UpstreamRun
+from standins.scripted_upstream import ScriptedUpstream
+
+UPSTREAMS = 8
+MOST_CRASHES = 3
+KEY = 'secret'
+CUSTOMER = Customer('c', hashlib.sha256(KEY.encode()).hexdigest())
+
+
+class _Link:
+    """A link to a side that runs each call at its upstream."""
+
+    peer = SimpleNamespace(incarnation='one')
+
+    def __init__(self, address):
+        self._address = address
+
+    def start(self, call):
+        stream = CallStream(call.call_id, queue.SimpleQueue())
+
+        def run():
+            for frame in UpstreamRun(self._address, call).answers():
+                stream.frames.put(frame)
+
+        threading.Thread(target=run, daemon=True).start()
+        return Ok(stream)
+
+    def forget(self, call_id):
+        """Nothing is kept."""
+
+    def post(self, message):
+        """Nothing is told."""
+
+
+class _Entry:
+    """An entry daemon's dispatcher, with upstreams that do as scripted."""
+
+    def __init__(self, script):
+        self.upstreams = [ScriptedUpstream(script) for _n in range(UPSTREAMS)]
+        named = [
+            Upstream(f'up-{number}', f'host-{number}', 'site')
+            for number in range(UPSTREAMS)
+        ]
+        service = Service('codes', ServiceKind.PLAIN, tuple(named))
+        sites = (Site('site', 'land'),)
+        self.base = Base('demo', sites, (service,), (CUSTOMER,))
+        clock = SystemClock()
+        fleet = Fleet(clock)
+        fleet.take_base(self.base)
+        hosts = [
+            Host(each.host, 'site', Address('127.0.0.1', 1), HostState.LIVE)
+            for each in named
+        ]
+        fleet.take_hosts(hosts)
+        for host in hosts:
+            fleet.connected(host.name)
+        links = {
+            each.name: _Link(Address('127.0.0.1', upstream.port))
+            for each, upstream in zip(named, self.upstreams, strict=True)
+        }
+        pool = SimpleNamespace(
+            lock=threading.RLock(),
+            link_to=links.get,
+            fresh_link_to=lambda _name: None,
+        )
+        self._dispatcher = make_dispatcher('site', 'one', fleet, pool, clock)
+
+    def ask(self, path):
+        """Send a request; return its answer's body, or why there is none."""
+        request = HttpRequest('GET', path, '', {'x-api-key': KEY}, b'')
+        checked = check_request(request, self.base, 'id').unwrap()
+        opened = self._dispatcher.open(checked)
+        if isinstance(opened, OpenAnswer):
+            return b''.join(opened.body)
+        return opened
+
+    @property
+    def crashes(self):
+        """Return how many upstreams have begun the bad request."""
+        return sum(
+            request.target == '/bad'
+            for upstream in self.upstreams
+            for request in upstream.requests
+        )
+
+
+def _crash(connection, request):
+    if request.target == '/bad':
+        connection.crash()
+    else:
+        connection.answer(request)
+
+
+def _crash_late(connection, request):
+    if request.target == '/bad':
+        connection.head(request, Content_Length='900000')
+        connection.send('x' * 500_000)
+        connection.crash()
+    else:
+        connection.answer(request)
+
+
+@pytest.mark.parametrize('script', [_crash, _crash_late])
+def test_a_request_that_crashes_upstreams_is_not_sent_for_ever(script):
+    # Each upstream that begins the request crashes, before its answer or in
+    # the middle of it. The caller tries again, and each try took one or more
+    # upstreams with it until none was left.
+    entry = _Entry(script)
+    outcomes = []
+    for _try in range(UPSTREAMS):
+        with suppress(BrokenAnswer):
+            outcomes.append(entry.ask('/codes/bad'))
+    assert entry.crashes <= MOST_CRASHES
+    assert isinstance(outcomes[-1], NotRun)
+    assert outcomes[-1].retry_after
+    assert entry.ask('/codes/good') == b'answer'
