Entry daemons do not send on what crashes upstreams

The incident's cause in the product's own interface: a side says of a call that broke whether its upstream still listens (upstream_crashed), the entry daemon keeps the same book of crashes as the gateways and refuses from the second crash in a row, as not run, with the time that is left. A whole answer clears the request. Entry daemons of the own interface do not talk to each other, so each counts for itself and forgets with its process: left open, said in the postmortem.

--- a/linnetwind/call_run.py
+++ b/linnetwind/call_run.py
@@ -29,6 +29,7 @@
     (
         Reason.CONNECTION_LOST,
         Reason.UPSTREAM_REFUSED,
+        Reason.UPSTREAM_CRASHED,
         Reason.INCOMPLETE_ANSWER,
     )
 )
--- a/linnetwind/dispatch.py
+++ b/linnetwind/dispatch.py
@@ -7,6 +7,7 @@
 from linnetwind.call_run import CallPlace, CallRun, OpenAnswer
 from linnetwind.clock import Clock
 from linnetwind.decisions import log_decision
+from linnetwind.dispatch_crashes import DispatchCrashes
 from linnetwind.fleet import Fleet
 from linnetwind.http_request import CheckedRequest
 from linnetwind.link_pool import LinkPool
@@ -57,6 +58,7 @@
         self._rng = rng
         self._numbers = count()
         self._budget = RetryBudget(0)
+        self._crashes = DispatchCrashes(clock)
         self._lock = links.lock
 
     def open(self, request: CheckedRequest) -> OpenAnswer | NotRun | Unknown:
@@ -68,6 +70,9 @@
         Returns:
           The open answer, or the outcome without one.
         """
+        quarantined = self._crashes.refusal(request)
+        if quarantined is not None:
+            return quarantined
         deadline = self._clock.elapsed() + request.timeout
         base = self._fleet.base
         attempts = base.routing.max_attempts if base else 1
@@ -103,6 +108,8 @@
             )
             if isinstance(decision, GiveUp):
                 return decision.outcome
+            if self._crashes.refusal(request) is not None:
+                return outcome
 
     def _attempt(
         self,
@@ -115,12 +122,14 @@
         if isinstance(choice, NoCandidate):
             outcome = NotRun(Reason.NO_UPSTREAM, choice.retry_after)
             return outcome, ''
+        began = self._clock.elapsed()
         run = self._start(request, choice.upstream, deadline)
         if isinstance(run, NotRun):
             return run, choice.upstream
         opened = run.open()
         if isinstance(opened, OpenAnswer):
-            return opened
+            return self._crashes.watch(request, began, opened)
+        self._crashes.note(request, began, opened)
         return opened, choice.upstream
 
     def _choose(
--- a/linnetwind/outcome.py
+++ b/linnetwind/outcome.py
@@ -25,6 +25,8 @@
     SHUTTING_DOWN = 'shutting_down'
     UNREACHABLE = 'unreachable'
     UPSTREAM_REFUSED = 'upstream_refused'
+    UPSTREAM_CRASHED = 'upstream_crashed'
+    QUARANTINED = 'quarantined'
     LOG_UNAVAILABLE = 'log_unavailable'
     IN_PROGRESS = 'in_progress'
     KEY_REUSED = 'key_reused'
--- a/linnetwind/upstream_http.py
+++ b/linnetwind/upstream_http.py
@@ -167,7 +167,16 @@
                 logger.debug('no resume {}: {!r}', self._call.call_id, error)
             else:
                 return
-        yield Lost(self._call.call_id, Reason.INCOMPLETE_ANSWER)
+        yield Lost(self._call.call_id, self._why_lost())
+
+    def _why_lost(self) -> Reason:
+        """Find out whether the upstream crashed: then it does not listen."""
+        if self._cancelled:
+            return Reason.INCOMPLETE_ANSWER
+        probe = self._connect()
+        if probe is None:
+            return Reason.UPSTREAM_CRASHED
+        return Reason.INCOMPLETE_ANSWER
 
     def _can_resume(self) -> bool:
         return self._call.streamed and self._events > 0 and not self._cancelled
