--- a/linnetwind/dispatch_crashes.py
+++ b/linnetwind/dispatch_crashes.py
@@ -102,7 +102,7 @@
 
 
 def _fingerprint(request: CheckedRequest) -> Fingerprint:
-    target = f'{request.service.name} {request.path}'
+    target = ' '.join((request.service.name, request.path))
     asked = CallerRequest(
         request.method.encode(),
         target.encode(),
