No daemon leads before it can have heard of the others; crashes 33 ms apart count

A daemon now leads 0.6 s after its start at the earliest, two states of each peer later. peer_mesh_test fails before (all three lead), passes after. The new case of crash_book_test fails at one second.

--- a/linnetwind/crash_book.py
+++ b/linnetwind/crash_book.py
@@ -20,9 +20,12 @@
 # A request that meets two in a row by chance is rare: with three of 45 streams
 # on the rank that crashes, one in 225 of those that see both crashes.
 _CRASHES_TO_QUARANTINE = 2
-# Crashes that begin so close together may have one cause outside of the
-# request, such as power, unless the request went from one to the next.
-_ONE_CAUSE = timedelta(seconds=1)
+# Processes that are ended together, by one signal to all of them, are seen to
+# end within this time. Crashes so close together may have one cause outside of
+# the request, unless it went from one upstream to the next. Copies of a request
+# that waited for a broken group begin together as well, but not so close.
+_ONE_CAUSE_MS = 20
+_ONE_CAUSE = timedelta(milliseconds=_ONE_CAUSE_MS)
 # After a quarantine the request may be tried once; a new version of the
 # upstreams may bear it. Each further crash doubles the time.
 _FIRST_QUARANTINE_MIN = 10
--- a/linnetwind/crash_book_test.py
+++ b/linnetwind/crash_book_test.py
@@ -71,10 +71,12 @@
     assert not _is_sent(_book(*together, _crash(3, 2, 3)), at=3)
 
 
-def test_copies_that_waited_count_one_by_one():
-    # Two copies wait at ranks of a broken group, and are begun seconds apart.
-    book = _book(_crash(1, 0, 2), _crash(2, 0, 5))
-    assert not _is_sent(book, at=5)
+@pytest.mark.parametrize('apart', [0.033, 3])
+def test_copies_that_waited_count_one_by_one(apart):
+    # Three copies of the request came while the group was broken. It opens,
+    # and they are begun at three ranks, 33 ms apart, or later.
+    book = _book(_crash(1, 0, 2), _crash(2, 0, 2 + apart))
+    assert not _is_sent(book, at=2 + apart)
 
 
 def test_one_crash_that_is_told_twice_counts_once():
--- a/linnetwind/peer_mesh.py
+++ b/linnetwind/peer_mesh.py
@@ -39,6 +39,12 @@
 from linnetwind.upstream_limits import ServiceDemand
 
 _ASK_TIMEOUT_S = 0.4
+# A daemon that has just started knows no peer, so that it seems to lead. After
+# a power loss each of dozens looked at all ranks of a group, and the one that
+# stays was seconds late with its first look. By then the states of all that
+# started with it have come, some of them twice.
+_FIRST_CLAIM_MS = 600
+FIRST_CLAIM = timedelta(milliseconds=_FIRST_CLAIM_MS)
 _MOST_DATAGRAM = 60_000
 _SERVER_THREADS = 8
 
@@ -96,6 +102,7 @@
         self._settings = settings
         self._state = state
         self._clock = clock
+        self._started = clock.elapsed()
         self._counter = 0
         self._sending = threading.Lock()
         self._reader = StateReader()
@@ -145,6 +152,8 @@
 
     def leads(self) -> bool:
         """Return whether this daemon is the one that plans."""
+        if self._clock.elapsed() - self._started < FIRST_CLAIM:
+            return False
         if self._leaving_at is not None:
             own = Told(self._settings.name, self._leaving_at)
             now = self._clock.elapsed()
--- /dev/null
+++ b/linnetwind/peer_mesh_test.py
@@ -0,0 +1,64 @@
+"""Tests of who leads when daemons have just started."""
+
+from datetime import UTC, datetime, timedelta
+
+import pytest
+
+from linnetwind.address import Address
+from linnetwind.clock import ManualClock
+from linnetwind.gateway_state import GatewayState
+from linnetwind.peer_book import PeerState
+from linnetwind.peer_mesh import FIRST_CLAIM, MeshSettings, PeerMesh
+from linnetwind.repeat_budget import BudgetTerms
+
+ANY_PORT = Address('127.0.0.1', 0)
+SECOND = timedelta(seconds=1)
+
+
+@pytest.fixture(name='clock')
+def _clock():
+    return ManualClock(datetime(2026, 1, 1, tzinfo=UTC))
+
+
+def _start(clock, name):
+    """Return a daemon's state and mesh; nothing is sent."""
+    terms = BudgetTerms(10 * SECOND, 0.2, 88)
+    state = GatewayState(clock, ANY_PORT, terms)
+    settings = MeshSettings(name, 'site', 'one', ANY_PORT, ())
+    return state, PeerMesh(settings, state, clock)
+
+
+def _told(name):
+    return PeerState(
+        name=name,
+        start_id='one',
+        counter=1,
+        address=Address('127.0.0.1', 2),
+        config_version=1,
+        leaving=False,
+        can_plan=True,
+        running={},
+        members=(),
+        groups=(),
+    )
+
+
+def test_nobody_leads_before_it_has_heard_of_the_others(clock):
+    # All daemons start after a power loss, and none has heard of another yet.
+    # Sixteen of them led at once and looked at each of 192 ranks; the one that
+    # stays had its first look 1.1 s after it had begun to lead.
+    daemons = {name: _start(clock, name) for name in ('a', 'b', 'c')}
+    assert not any(mesh.leads() for _state, mesh in daemons.values())
+    clock.advance(FIRST_CLAIM / 2)
+    for name, (state, _mesh) in daemons.items():
+        for other in daemons.keys() - {name}:
+            state.hear(_told(other))
+    clock.advance(FIRST_CLAIM / 2)
+    leaders = [name for name, (_state, mesh) in daemons.items() if mesh.leads()]
+    assert leaders == ['a']
+
+
+def test_a_daemon_that_hears_nobody_leads_soon(clock):
+    _state, mesh = _start(clock, 'a')
+    clock.advance(FIRST_CLAIM)
+    assert mesh.leads()
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -19,9 +19,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from standins.bad_messages import bad_entries
 from standins.platform_cluster import (
-    entry_of,
     GatewayProcess,
     PlatformCluster,
     configuration,
@@ -32,10 +30,17 @@
     History,
     Span,
     check_configuration,
+    check_crashes,
     check_drains,
     check_recovery,
     check_stops,
 )
+from standins.soak_extras import (
+    come_back_older,
+    crash_upstreams,
+    start_again,
+    write_as_others,
+)
 from standins.soak_proxy import SOUND, Link, SoakProxy
 from standins.soak_upstreams import SoakUpstream
 
@@ -55,9 +60,6 @@
 )
 _MOODS = ('failing', 'full', 'hanging', 'breaking', 'wrong')
 _OUTAGES = ('busy', 'cut', 'silent')
-# The share of bad entries that stand beside the upstreams' own, and their keys.
-_BESIDE = 0.5
-_STRANGERS = 20
 
 
 @dataclass
@@ -92,12 +94,15 @@
         self._seconds = seconds
         self._random = random.Random(seed)
         self._cluster = PlatformCluster(folder)
+        self.store = self._cluster.store
         self._version = 0
         self._threads: list[threading.Thread] = []
         self._problems: list[str] = []
-        self._history = History(self.book)
+        self.history = History(self.book)
         self._count = 0
-        self._upstreams = [self._new_upstream() for _one in range(_UPSTREAMS)]
+        self.upstreams = [self._new_upstream() for _one in range(_UPSTREAMS)]
+        # All that have an entry or had one, also those that drain.
+        self.registered = list(self.upstreams)
         self._publish()
         self.hosts = [
             _Host(f'127.0.0.{2 + n}', SoakProxy(self._cluster.store.port))
@@ -120,10 +125,8 @@
             for number in range(_CALLERS)
         ]
         until = time.monotonic() + self._seconds
-        if self._extras.restarts:
-            self._begin(self._start_again, until)
-        if self._extras.strangers:
-            self._begin(self._write_as_others, until)
+        for extra in _chosen(self._extras):
+            self._begin(extra, until)
         while time.monotonic() < until:
             time.sleep(self._random.uniform(0.1, 1.2))
             self._fault()
@@ -141,15 +144,16 @@
         return [
             *self._problems,
             *check_recovery(self.book, recovered),
-            *check_stops(self._history),
-            *check_drains(self._history, _DRAIN_S),
+            *check_stops(self.history),
+            *check_drains(self.history, _DRAIN_S),
+            *check_crashes(self.history),
             *self.book.broken(),
         ]
 
     def close(self) -> None:
         """End all that was started."""
         self._cluster.close()
-        for upstream in self._upstreams:
+        for upstream in self.upstreams:
             upstream.close()
         for host in self.hosts:
             host.store_link.close()
@@ -171,6 +175,10 @@
 
     def _publish(self) -> None:
         self._version += self._random.randrange(1, 5)
+        self.publish_again()
+
+    def publish_again(self) -> None:
+        """Write the newest configuration, as it was."""
         fields = configuration(self._version, 'plain', prefixes=('/x/',))
         once = configuration(
             1, 'plain', prefixes=('/o/',), kind='non_idempotent'
@@ -206,7 +214,7 @@
             _FAULTS[kind](self, source, length)
         except Exception as error:
             self._problems.append(f'the soak itself failed: {error!r}')
-        self._history.faults.append(Span(kind, start, time.monotonic()))
+        self.history.faults.append(Span(kind, start, time.monotonic()))
 
     def _store_outage(self, source: random.Random, length: float) -> None:
         self._cluster.store.outage = source.choice(_OUTAGES)
@@ -223,23 +231,24 @@
         link.change(SOUND)
 
     def _upstream_link(self, source: random.Random, length: float) -> None:
-        proxy = source.choice(self._upstreams).proxy
+        proxy = source.choice(self.upstreams).proxy
         proxy.change(source.choice(_LINKS))
         time.sleep(length)
         proxy.change(SOUND)
 
     def _upstream_mood(self, source: random.Random, length: float) -> None:
-        upstream = source.choice(self._upstreams)
+        upstream = source.choice(self.upstreams)
         upstream.mood = source.choice(_MOODS)
         time.sleep(length)
         upstream.mood = 'sound'
 
     def _replace_upstream(self, source: random.Random, length: float) -> None:
         place = source.randrange(_UPSTREAMS)
-        old = self._upstreams[place]
-        self._upstreams[place] = self._new_upstream()
+        old = self.upstreams[place]
+        self.upstreams[place] = self._new_upstream()
+        self.registered.append(self.upstreams[place])
         old.register('draining')
-        self._history.drains.append((time.monotonic(), old))
+        self.history.drains.append((time.monotonic(), old))
         time.sleep(_DRAIN_S + length)
         old.leave()
         time.sleep(1)
@@ -251,7 +260,7 @@
             start = time.monotonic()
             host.process.terminate()
             code = host.process.process.wait(20)
-            self._history.stops.append(Span(host.ip, start, time.monotonic()))
+            self.history.stops.append(Span(host.ip, start, time.monotonic()))
             if code:
                 self._problems.append(f'{host.ip} stopped with {code}')
             self._start(host)
@@ -285,43 +294,17 @@
     def _begin(self, extra: Callable[..., None], until: float) -> None:
         """Run an extra, with choices of its own: a seed's others stay."""
         thread = threading.Thread(
-            target=extra, args=(random.Random(self._seed), until)
+            target=extra, args=(self, random.Random(self._seed), until)
         )
         self._threads.append(thread)
         thread.start()
 
-    def _write_as_others(self, source: random.Random, until: float) -> None:
-        """Write bad entries beside good ones and in place of them."""
-        bad = bad_entries(entry_of(self._upstreams[0].proxy))
-        while time.monotonic() < until:
-            time.sleep(source.uniform(0.1, 1))
-            content = source.choice(bad)
-            upstream = source.choice(self._upstreams)
-            if source.random() < _BESIDE:
-                key = f'x-{source.randrange(_STRANGERS)}'
-                self._cluster.store.put_bytes('keyed.servers', key, content)
-            elif upstream.spoil(content):
-                self.book.note(f'the entry of {upstream.instance} is spoilt')
-                time.sleep(source.uniform(0.1, 0.6))
-                upstream.write_again()
-
-    def _start_again(self, source: random.Random, until: float) -> None:
-        """Have one upstream after the other start again under its name."""
-        while time.monotonic() < until:
-            time.sleep(source.uniform(0.2, 2))
-            upstream = source.choice(self._upstreams)
-            start = time.monotonic()
-            if upstream.start_again():
-                self.book.note(f'{upstream.instance} starts again')
-                span = Span('start again', start, time.monotonic())
-                self._history.faults.append(span)
-
     def _mend(self) -> None:
         """Take all faults away; a fault's own end may have been overlapped."""
         self._cluster.store.outage = None
         for host in self.hosts:
             host.store_link.change(SOUND)
-        for upstream in self._upstreams:
+        for upstream in self.upstreams:
             upstream.proxy.change(SOUND)
             upstream.mood = 'sound'
         self.book.note('all faults are over')
@@ -342,6 +325,16 @@
 }
 
 
+def _chosen(extras: Extras) -> list[Callable[..., None]]:
+    known = {
+        start_again: extras.restarts,
+        write_as_others: extras.strangers,
+        come_back_older: extras.returns,
+        crash_upstreams: extras.crashers,
+    }
+    return [extra for extra, chosen in known.items() if chosen]
+
+
 def soak(
     seed: int, seconds: float, folder: Path, extras: Extras = Extras()
 ) -> tuple[list[str], str]:
@@ -372,10 +365,14 @@
     parser.add_argument('--folder', type=Path, default=None)
     parser.add_argument('--restarts', action='store_true')
     parser.add_argument('--strangers', action='store_true')
+    parser.add_argument('--returns', action='store_true')
+    parser.add_argument('--crashers', action='store_true')
     chosen = parser.parse_args()
     folder = chosen.folder or Path(tempfile.mkdtemp(prefix='soak-'))
     folder.mkdir(parents=True, exist_ok=True)
-    extras = Extras(chosen.restarts, chosen.strangers)
+    extras = Extras(
+        chosen.restarts, chosen.strangers, chosen.returns, chosen.crashers
+    )
     broken, picture = soak(chosen.seed, chosen.seconds, folder, extras)
     sys.stdout.write(f'{picture}\n')
     for line in broken:
--- a/standins/soak_book.py
+++ b/standins/soak_book.py
@@ -14,11 +14,14 @@
     """What goes wrong besides the faults that every seed draws.
 
     `restarts`: upstreams start again under their names; `strangers`: other
-    writers write among the entries of upstreams.
+    writers write among the entries of upstreams; `returns`: the store comes
+    back from older copies; `crashers`: a request crashes upstreams.
     """
 
     restarts: bool = False
     strangers: bool = False
+    returns: bool = False
+    crashers: bool = False
 
 
 @dataclass
@@ -48,6 +51,7 @@
     calls: list[Call] = field(default_factory=list)
     runs: Counter = field(default_factory=Counter)
     notes: list[tuple[float, str]] = field(default_factory=list)
+    crashes: list[float] = field(default_factory=list)
     lock: threading.Lock = field(default_factory=threading.Lock)
 
     def take(self, call: Call) -> None:
@@ -60,6 +64,11 @@
         with self.lock:
             self.runs[name] += 1
 
+    def crash(self) -> None:
+        """Take note that the request that crashes upstreams crashed one."""
+        with self.lock:
+            self.crashes.append(time.monotonic())
+
     def note(self, text: str) -> None:
         """Take note of a fault, for the timeline."""
         with self.lock:
--- a/standins/soak_checks.py
+++ b/standins/soak_checks.py
@@ -13,6 +13,9 @@
 # What the platform does on purpose; a request must survive it.
 _PLANNED = frozenset(('stop', 'reload', 'configuration', 'replace upstream'))
 _LEAST_SERVED = 0.95
+# A request that has crashed so many may be sent so many times more.
+_MOST_CRASHES = 3
+_MOST_LATE = 3
 
 
 @dataclass(frozen=True)
@@ -92,6 +95,22 @@
             yield f'{upstream.instance} ran calls {late} s after its drain'
 
 
+def check_crashes(history: History) -> Iterator[str]:
+    """Yield it if a request went on after it had crashed three upstreams.
+
+    All gateways know of it after three seconds in which nothing else went on.
+    """
+    crashes = history.book.crashes
+    late = [
+        each
+        for each in crashes[_MOST_CRASHES:]
+        if each > crashes[_MOST_CRASHES - 1] + _AFTERMATH_S
+        and history.is_calm(each - _AFTERMATH_S, each)
+    ]
+    if len(late) > _MOST_LATE:
+        yield f'{len(late)} of {len(crashes)} crashes were late'
+
+
 def check_recovery(book: Book, since: float) -> Iterator[str]:
     """Yield it if too few calls were served after the faults."""
     calls = [each for each in book.calls if since < each.sent and each.ended]
--- /dev/null
+++ b/standins/soak_extras.py
@@ -0,0 +1,83 @@
+"""What goes wrong in a soak besides the faults that every seed draws."""
+
+import itertools
+import random
+import time
+from contextlib import suppress
+from http.client import HTTPException
+
+from standins.bad_messages import bad_entries
+from standins.platform_cluster import entry_of
+from standins.soak_book import Call
+from standins.soak_checks import Span
+
+# The share of bad entries that stand beside the upstreams' own, and their keys.
+_BESIDE = 0.5
+_STRANGERS = 20
+
+
+def write_as_others(run, source: random.Random, until: float) -> None:
+    """Write bad entries beside good ones and in place of them."""
+    bad = bad_entries(entry_of(run.upstreams[0].proxy))
+    while time.monotonic() < until:
+        time.sleep(source.uniform(0.1, 1))
+        content = source.choice(bad)
+        upstream = source.choice(run.upstreams)
+        if source.random() < _BESIDE:
+            key = f'x-{source.randrange(_STRANGERS)}'
+            run.store.put_bytes('keyed.servers', key, content)
+        elif upstream.spoil(content):
+            run.book.note(f'the entry of {upstream.instance} is spoilt')
+            time.sleep(source.uniform(0.1, 0.6))
+            upstream.write_again()
+
+
+def start_again(run, source: random.Random, until: float) -> None:
+    """Have one upstream after the other start again under its name."""
+    while time.monotonic() < until:
+        time.sleep(source.uniform(0.2, 2))
+        upstream = source.choice(run.upstreams)
+        start = time.monotonic()
+        if upstream.start_again():
+            run.book.note(f'{upstream.instance} starts again')
+            span = Span('start again', start, time.monotonic())
+            run.history.faults.append(span)
+
+
+def come_back_older(run, source: random.Random, until: float) -> None:
+    """Have the store lose its last seconds again and again.
+
+    The operator and the upstreams then write again what they wrote; what the
+    gateways wrote is theirs to write.
+    """
+    while time.monotonic() < until:
+        copy = run.store.copy()
+        time.sleep(source.uniform(0.5, 3))
+        start = time.monotonic()
+        run.store.outage = 'busy'
+        time.sleep(source.uniform(0.1, 0.5))
+        run.store.come_back_from(copy)
+        run.publish_again()
+        for upstream in list(run.registered):
+            upstream.write_again()
+        run.store.outage = None
+        run.book.note('the store comes back older')
+        run.history.faults.append(
+            Span('comes back older', start, time.monotonic())
+        )
+        time.sleep(source.uniform(1, 4))
+
+
+def crash_upstreams(run, source: random.Random, until: float) -> None:
+    """Send a request that crashes upstreams through any gateway."""
+    for number in itertools.count():
+        if time.monotonic() > until:
+            return
+        host = source.choice(run.hosts)
+        # One more try of the same request, under an id of its own.
+        name = f'crash-{number}'
+        call = Call(name, 'plain', '/x/crash', host.ip, time.monotonic())
+        run.book.take(call)
+        with suppress(OSError, HTTPException):
+            call.status = host.process.ask(call.path, **{'Attempt-Id': name})[0]
+        time.sleep(source.uniform(0.1, 1))
--- a/standins/soak_test.py
+++ b/standins/soak_test.py
@@ -46,6 +46,15 @@
     assert broken == [], picture
 
 
+def test_promises_hold_while_the_store_comes_back_older(tmp_path):
+    # The store loses its last seconds again and again, a request crashes
+    # upstreams, and everything else goes wrong as well.
+    extras = Extras(returns=True, crashers=True)
+    broken, picture = soak(7, _SHORT_S, tmp_path, extras)
+    assert ' comes back older' in picture
+    assert broken == [], picture
+
+
 def _call(**changes):
     fields = {'name': 'a', 'kind': 'once', 'path': '/o/', 'gateway': 'g'}
     return Call(**{**fields, 'sent': 1, 'whole': True, **changes})
--- a/standins/soak_upstreams.py
+++ b/standins/soak_upstreams.py
@@ -10,6 +10,7 @@
 from standins.soak_proxy import SoakProxy
 
 _EVENT_S = 0.05
+_BACK_AFTER_S = 1.0
 
 
 class SoakUpstream:
@@ -75,12 +76,28 @@
     def write_again(self) -> None:
         """Write the entry as it stands, as with each heartbeat."""
         with self._lock:
-            if self._state == 'ready':
+            if self._state == 'gone':
+                self._store.put('keyed.servers', self.instance, None)
+            else:
                 self._write()
 
     def leave(self) -> None:
         """Drop the entry."""
-        self._store.put('keyed.servers', self.instance, None)
+        with self._lock:
+            self._state = 'gone'
+            self._store.put('keyed.servers', self.instance, None)
+
+    def _crash(self, connection) -> None:
+        """Crash under a request, and be back after some time."""
+        with self._lock:
+            self.proxy.close()
+            connection.reset()
+            self._book.crash()
+            time.sleep(_BACK_AFTER_S)
+            if self._state == 'ready':
+                self.proxy = SoakProxy(self._upstream.port)
+                self._born_ms = int(time.time() * 1000)
+                self._write()
 
     def close(self) -> None:
         """Stop at once."""
@@ -98,6 +115,9 @@
             connection.answer(request, 'full', 503, Not_Executed='1')
             return
         self._book.run(name)
+        if request.target == '/x/crash':
+            self._crash(connection)
+            return
         self.last_runs.append(time.monotonic())
         match self.mood:
             case 'failing':
