--- a/linnetwind/gateway_state_test.py
+++ b/linnetwind/gateway_state_test.py
@@ -7,11 +7,17 @@
 from linnetwind.address import Address
 from linnetwind.clock import ManualClock, SystemClock
 from linnetwind.gateway_state import GatewayState
-from linnetwind.peer_book import GroupBrief, PeerState
+from linnetwind.peer_book import GroupBrief
 from linnetwind.repeat_budget import BudgetTerms
 from linnetwind.routes import RoutedService
 from linnetwind.upstream_list import Registered
-from standins.gateway_fixtures import MS, SECOND, make_engine, make_upstream
+from standins.gateway_fixtures import (
+    MS,
+    SECOND,
+    make_engine,
+    make_peer,
+    make_upstream,
+)
 
 PLAIN = RoutedService('plain', '/health', 96, None)
 MODEL = RoutedService('model', '/health', 248, make_engine())
@@ -36,18 +42,7 @@
 
 
 def _peer(running, *groups, counter=1):
-    return PeerState(
-        name='b',
-        start_id='one',
-        counter=counter,
-        address=Address('127.0.0.1', 2),
-        config_version=1,
-        leaving=False,
-        can_plan=True,
-        running=running,
-        members=(),
-        groups=groups,
-    )
+    return make_peer('b', running=running, groups=groups, counter=counter)
 
 
 def test_requests_at_the_life_before_take_no_place_of_the_next(state):
--- a/linnetwind/peer_book_test.py
+++ b/linnetwind/peer_book_test.py
@@ -1,6 +1,5 @@
 """Tests of what daemons know of each other."""
 
-from dataclasses import replace
 from datetime import timedelta
 
 from linnetwind.address import Address
@@ -8,28 +7,17 @@
     PEER_FORGOTTEN,
     Candidate,
     PeerBook,
-    PeerState,
     leader,
 )
+from standins.gateway_fixtures import make_peer
 
 SECOND = timedelta(seconds=1)
 OWN = Address('10.0.0.1', 7)
 
 
 def _state(name, counter=1, **changes):
-    state = PeerState(
-        name=name,
-        start_id='life',
-        counter=counter,
-        address=Address('10.0.0.2', 7),
-        config_version=1,
-        leaving=False,
-        can_plan=True,
-        running={'u': 3},
-        members=(OWN, Address('10.0.0.3', 7)),
-        groups=(),
-    )
-    return replace(state, **changes)
+    fields = {'running': {'u': 3}, 'members': (OWN, Address('10.0.0.3', 7))}
+    return make_peer(name, counter=counter, **{**fields, **changes})
 
 
 def _running(book, now):
--- a/linnetwind/peer_mesh_test.py
+++ b/linnetwind/peer_mesh_test.py
@@ -7,9 +7,9 @@
 from linnetwind.address import Address
 from linnetwind.clock import ManualClock
 from linnetwind.gateway_state import GatewayState
-from linnetwind.peer_book import PeerState
 from linnetwind.peer_mesh import FIRST_CLAIM, MeshSettings, PeerMesh
 from linnetwind.repeat_budget import BudgetTerms
+from standins.gateway_fixtures import make_peer
 
 ANY_PORT = Address('127.0.0.1', 0)
 SECOND = timedelta(seconds=1)
@@ -28,21 +28,6 @@
     return state, PeerMesh(settings, state, clock)
 
 
-def _told(name):
-    return PeerState(
-        name=name,
-        start_id='one',
-        counter=1,
-        address=Address('127.0.0.1', 2),
-        config_version=1,
-        leaving=False,
-        can_plan=True,
-        running={},
-        members=(),
-        groups=(),
-    )
-
-
 def test_nobody_leads_before_it_has_heard_of_the_others(clock):
     # All daemons start after a power loss, and none has heard of another yet.
     # Sixteen of them led at once and looked at each of 192 ranks; the one that
@@ -52,7 +37,7 @@
     clock.advance(FIRST_CLAIM / 2)
     for name, (state, _mesh) in daemons.items():
         for other in daemons.keys() - {name}:
-            state.hear(_told(other))
+            state.hear(make_peer(other))
     clock.advance(FIRST_CLAIM / 2)
     leaders = [name for name, (_state, mesh) in daemons.items() if mesh.leads()]
     assert leaders == ['a']
--- a/linnetwind/platform/gateway_feeds_test.py
+++ b/linnetwind/platform/gateway_feeds_test.py
@@ -16,7 +16,6 @@
 from linnetwind.gateway_events import BadRecord, ConfigurationApplied
 from linnetwind.gateway_feeds import FeedPorts, GatewayFeeds
 from linnetwind.gateway_state import GatewayState
-from linnetwind.peer_book import PeerState
 from linnetwind.platform.table_format import CONFIGURATION_KEY, decode_table
 from linnetwind.platform.upstream_format import decode_upstream
 from linnetwind.record_store import (
@@ -28,6 +27,7 @@
 )
 from linnetwind.repeat_budget import BudgetTerms
 from standins.bad_messages import near_misses
+from standins.gateway_fixtures import make_peer
 from standins.gateway_harness import ListLog
 from standins.platform_cluster import configuration
 
@@ -132,18 +132,7 @@
 
 def _told(version, counter):
     """Return the state of a peer with a version of the configuration."""
-    return PeerState(
-        name='b',
-        start_id='one',
-        counter=counter,
-        address=Address('127.0.0.1', 2),
-        config_version=version,
-        leaving=False,
-        can_plan=True,
-        running={},
-        members=(),
-        groups=(),
-    )
+    return make_peer('b', config_version=version, counter=counter)
 
 
 def test_a_configuration_comes_from_peers_while_the_store_is_silent():
--- a/linnetwind/stop_turns_test.py
+++ b/linnetwind/stop_turns_test.py
@@ -4,7 +4,7 @@
 from datetime import timedelta
 
 from linnetwind.address import Address
-from linnetwind.peer_book import PeerBook, PeerState
+from linnetwind.peer_book import PeerBook
 from linnetwind.stop_turns import (
     BACK,
     LED_FOR,
@@ -18,6 +18,7 @@
     may_drain,
     stand_ins,
 )
+from standins.gateway_fixtures import make_peer
 
 NOW = timedelta(seconds=100)
 SECOND = timedelta(seconds=1)
@@ -26,20 +27,7 @@
 
 
 def _state(name, **changes):
-    state = PeerState(
-        name=name,
-        start_id='life',
-        counter=1,
-        address=Address('10.0.0.2', 7),
-        config_version=1,
-        leaving=False,
-        can_plan=True,
-        running={},
-        members=(),
-        groups=(),
-        site='s',
-    )
-    return replace(state, **changes)
+    return make_peer(name, **{'site': 's', **changes})
 
 
 def _book(*states, at=NOW):
--- a/standins/gateway_fixtures.py
+++ b/standins/gateway_fixtures.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 
 from linnetwind.address import Address
+from linnetwind.peer_book import PeerState
 from linnetwind.rank_types import RankReport
 from linnetwind.routes import (
     CallerLimits,
@@ -113,3 +114,19 @@
         'cold': timedelta(),
     }
     return Upstream(instance, service, **{**fields, **changes})
+
+
+def make_peer(name, **changes):
+    """Return the state of a peer that serves nothing yet."""
+    fields = {
+        'start_id': 'one',
+        'counter': 1,
+        'address': Address('10.0.0.2', 7),
+        'config_version': 1,
+        'leaving': False,
+        'can_plan': True,
+        'running': {},
+        'members': (),
+        'groups': (),
+    }
+    return PeerState(name=name, **{**fields, **changes})
