--- a/standins/soak_extras.py
+++ b/standins/soak_extras.py
@@ -80,4 +80,6 @@
         run.book.take(call)
         with suppress(OSError, HTTPException):
             call.status = host.process.ask(call.path, **{'Attempt-Id': name})[0]
+            # Read to its end; it is cut if this raises.
+            call.whole = True
         time.sleep(source.uniform(0.1, 1))
