Soak: the request that crashes upstreams goes on into the calm

Found by reading and by a trial: its check counts crashes in calm moments only, and the caller that sends the request ended with the faults, so that hardly any moment counted. The caller goes on until recovery is over, when no crash can be put down to a fault. The bound is as it was.

--- a/standins/soak.py
+++ b/standins/soak.py
@@ -134,7 +134,10 @@
             thread.join()
         self._mend()
         recovered = time.monotonic() + _RECOVERY_S
-        time.sleep(_RECOVERY_S + 2)
+        if self._extras.crashers:
+            # In the calm after the faults no crash can be put down to them.
+            crash_upstreams(self, random.Random(self._seed), recovered)
+        time.sleep(max(recovered - time.monotonic(), 0) + 2)
         for host in self.hosts:
             self._problems.extend(
                 check_configuration(host.process, self._version, self.book)
