Soak: an upstream with nothing left to resume sends no empty event

Traced in the gateways' logs: all six events had been passed on when the upstream broke before the end mark (events_passed_on 6); the soak's next upstream, asked to resume after the sixth, sent an empty event and broke as well (7). The gateway passed on what it was sent, so the case is the stand-in's fault. The check is as it was.

--- a/standins/soak_upstreams.py
+++ b/standins/soak_upstreams.py
@@ -144,7 +144,7 @@
     def _break(self, connection, request, name: str) -> None:
         if '/s/' in request.target:
             connection.head(request, Transfer_Encoding='chunked')
-            events = self._events_after(request, name)
+            events = self._events_after(request, name) or ['']
             # The last one is cut in the middle.
             connection.chunk(f'{events[0]}\n\n{events[-1][:5]}')
         else:
@@ -155,4 +155,4 @@
 
     def _events_after(self, request, name: str) -> list[str]:
         last = int(request.headers.get('last-event-id') or 0)
-        return expected_events(name)[last:] or ['']
+        return expected_events(name)[last:]
