--- a/linnetwind/limit_share_test.py
+++ b/linnetwind/limit_share_test.py
@@ -129,6 +129,17 @@
     assert used >= LEAST_USE * per_s
 
 
+@pytest.mark.parametrize(
+    ('count', 'per_s'), [size for size in SIZES if size[1]]
+)
+def test_what_an_upstream_takes_is_used_whatever_the_demand(count, per_s):
+    # Callers want five times what the one upstream takes. Spread over many
+    # daemons that is less than one request a second for each of them.
+    fleet = _Fleet(count, per_s, 5 * per_s, _lost(count), seed=count)
+    used = len(fleet.sends()) / LASTS_S
+    assert used >= LEAST_USE * per_s
+
+
 @pytest.mark.parametrize('count', [2, 35, 400])
 def test_callers_that_all_come_at_once_find_no_saved_up_requests(count):
     # Nobody has sent for long; then every daemon gets ten requests within a
