Ages in messages stand in one place

Crashes and named limits are told with ages; the type, its bound and both conversions stood in two modules. They are in ages.py. A comment in crash_book gave a figure of one load as its reason; it says now why the case is rare. No change in behaviour; the tests of both books, of the wire and of the platform folder pass.

--- a/linnetwind/crash_book.py
+++ b/linnetwind/crash_book.py
@@ -9,16 +9,15 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field, replace
 from datetime import timedelta
-from typing import Annotated, Self
-
-from msgspec import Meta
+from typing import Self
 
+from linnetwind.ages import AgeMs
 from linnetwind.fingerprint import Fingerprint
 from linnetwind.lives import LifeTag
 
 # One crash may have any cause, and its requests have to be served elsewhere.
-# A request that meets two in a row by chance is rare: with three of 45 streams
-# on the rank that crashes, one in 225 of those that see both crashes.
+# Hardly a request meets two in a row by chance: it would have to go from the
+# upstream that crashes to the next one that does.
 _CRASHES_TO_QUARANTINE = 2
 # Processes that are ended together, by one signal to all of them, are seen to
 # end within this time. Crashes so close together may have one cause outside of
@@ -40,9 +39,6 @@
 # Requests that are remembered, and those of them that states carry.
 MOST_KEPT = 512
 MOST_TOLD = 32
-_MOST_AGE_MS = 1_000_000_000
-
-AgeMs = Annotated[int, Meta(ge=0, le=_MOST_AGE_MS)]
 
 
 @dataclass(frozen=True, slots=True)
@@ -146,7 +142,7 @@
           The monotonic time; zero if it may be sent.
         """
         known = self.crashes.get(request, ())
-        if count_in_sequence(known) < _CRASHES_TO_QUARANTINE:
+        if _count_in_sequence(known) < _CRASHES_TO_QUARANTINE:
             return timedelta()
         return known[-1].ended + _quarantine(known)
 
@@ -210,17 +206,11 @@
         return replace(self, crashes=crashes)
 
 
-def count_in_sequence(crashes: Iterable[Crash]) -> int:
-    """Return how many crashes came one after the other.
+def _count_in_sequence(crashes: Iterable[Crash]) -> int:
+    """Return how many crashes, in order of their ends, had causes of their own.
 
     When a rack loses power, copies of one request may run at several of its
     upstreams; that is one event and says nothing of the request.
-
-    Args:
-      crashes: The crashes under a request, in order of their ends.
-
-    Returns:
-      The crashes without those that belong to the one before them.
     """
     count = 0
     last: Crash | None = None
@@ -237,7 +227,7 @@
 
 
 def _quarantine(crashes: tuple[Crash, ...]) -> timedelta:
-    further = count_in_sequence(crashes) - _CRASHES_TO_QUARANTINE
+    further = _count_in_sequence(crashes) - _CRASHES_TO_QUARANTINE
     doublings = min(max(0, further), _MOST_DOUBLINGS)
     return min(FIRST_QUARANTINE * 2**doublings, LONGEST_QUARANTINE)
 
@@ -260,7 +250,7 @@
     """Return the crashes without the oldest single ones beyond the limit."""
     order = sorted(
         crashes.items(),
-        key=lambda each: (count_in_sequence(each[1]), each[1][-1].ended),
+        key=lambda each: (_count_in_sequence(each[1]), each[1][-1].ended),
     )
     return dict(order[-MOST_KEPT:])
 
--- a/linnetwind/crashes.py
+++ b/linnetwind/crashes.py
@@ -4,13 +4,12 @@
 from collections.abc import Iterable
 from datetime import timedelta
 
+from linnetwind.ages import age_of, moment_of
 from linnetwind.clock import Clock
 from linnetwind.crash_book import Crash, CrashBook, ToldCrash
 from linnetwind.fingerprint import Fingerprint
 from linnetwind.lives import Life, LifeTag, tag_life
 
-_MS = timedelta(milliseconds=1)
-
 
 class Crashes:
     """Knows the requests that must not be sent on."""
@@ -92,8 +91,8 @@
             for each in crashes:
                 crash = Crash(
                     each.life,
-                    now - each.began_ms * _MS,
-                    now - each.ended_ms * _MS,
+                    moment_of(each.began_ms, now),
+                    moment_of(each.ended_ms, now),
                 )
                 self._book = self._book.note(each.fingerprint, crash, now)
 
@@ -104,8 +103,8 @@
             ToldCrash(
                 request,
                 each.life,
-                int((now - each.began) / _MS),
-                int((now - each.ended) / _MS),
+                age_of(each.began, now),
+                age_of(each.ended, now),
             )
             for request, known in self._book.to_tell(now).items()
             for each in known
--- a/linnetwind/upstream_limits.py
+++ b/linnetwind/upstream_limits.py
@@ -8,18 +8,16 @@
 
 from msgspec import Meta
 
+from linnetwind.ages import AgeMs, age_of, moment_of
 from linnetwind.clock import Clock
 from linnetwind.limit_share import Pace, Share, share_of
 from linnetwind.lives import Life, LifeTag, tag_life
 from linnetwind.upstream_list import Upstream
 
-_MS = timedelta(milliseconds=1)
-_MOST_AGE_MS = 1_000_000_000
 _MOST_PER_S = 1_000_000_000
 # A limit that has changed by less than this part is not told at once.
 _SAME_WITHIN = 0.1
 
-AgeMs = Annotated[int, Meta(ge=0, le=_MOST_AGE_MS)]
 PerSecond = Annotated[float, Meta(ge=0, le=_MOST_PER_S)]
 
 
@@ -50,6 +48,8 @@
 
 @dataclass(frozen=True, slots=True)
 class _Named:
+    """What an upstream said last, and when; None: it names no limit."""
+
     per_s: float | None
     at: timedelta
 
@@ -112,7 +112,7 @@
         now = self._clock.elapsed()
         with self._lock:
             for each in told:
-                named = _Named(each.per_s, now - each.age_ms * _MS)
+                named = _Named(each.per_s, moment_of(each.age_ms, now))
                 before = self._told.get(each.life)
                 if before is None or before.at < named.at:
                     self._told[each.life] = named
@@ -125,7 +125,7 @@
         """
         now = self._clock.elapsed()
         return tuple(
-            ToldLimit(life, named.per_s, int((now - named.at) / _MS))
+            ToldLimit(life, named.per_s, age_of(named.at, now))
             for life, named in list(self._heard_here.items())
         )
 
