Soak: a crash is a fault, and a closed proxy does not listen

Traced: all four upstreams crashed by 25.03 s and cut them; SIGTERM came at 25.55. Crashes were no faults in the soak's history. In the same log two of four crashes were not seen as such: a thread in accept() kept the closed port of the soak's proxy open for one more connection, the one that asks whether it listens. Both are the soak's. Crashes count as faults now for all checks but the one on crashes, whose rule is as it was; the proxy shuts its port.

--- a/standins/soak_checks.py
+++ b/standins/soak_checks.py
@@ -42,6 +42,13 @@
 
     def is_calm(self, start: float, end: float) -> bool:
         """Return whether nothing but planned work went on."""
+        crashes = [Span('crash', at, at) for at in self.book.crashes]
+        return self.is_calm_but_for_crashes(start, end) and not any(
+            each.touches(start, end) for each in crashes
+        )
+
+    def is_calm_but_for_crashes(self, start: float, end: float) -> bool:
+        """Return whether nothing but planned work and crashes went on."""
         return not any(
             each.touches(start, end)
             for each in self.faults
@@ -105,7 +112,7 @@
         each
         for each in crashes[_MOST_CRASHES:]
         if each > crashes[_MOST_CRASHES - 1] + _AFTERMATH_S
-        and history.is_calm(each - _AFTERMATH_S, each)
+        and history.is_calm_but_for_crashes(each - _AFTERMATH_S, each)
     ]
     if len(late) > _MOST_LATE:
         yield f'{len(late)} of {len(crashes)} crashes were late'
--- a/standins/soak_proxy.py
+++ b/standins/soak_proxy.py
@@ -58,6 +58,9 @@
 
     def close(self) -> None:
         """Stop listening and reset what is open."""
+        # A thread that waits in accept() keeps a closed socket listening.
+        with suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
         self.change(Link(reset=True))
 
