Requests for a limited upstream: senders join until the limit is used

At most 3 + limit daemons may send, and those have too few requests of their own; and a sender with one turn at a time and requests at random loses turns: with demand d and rate s it sends d*s/(d+s).

Ruled out: one permit giver for each upstream (exact, but a message for each request and a takeover for its loss); slots of time for each daemon (a slot wide enough for 0.8 of use lets 136 of 400 through at once).

Change: daemons join in order of demand until they have 1.3 times the limit in requests; where senders have less than three times the limit, rates are such that the senders together use it.

--- a/linnetwind/limit_share.py
+++ b/linnetwind/limit_share.py
@@ -5,7 +5,7 @@
 far above. They share it by how many requests each of them has for it. Where
 the limit is small beside their number, only some send at all: a daemon that
 was quiet may send one request at once, and hundreds of such requests are far
-too many.
+too many. Those that send are as few as have enough requests to use the limit.
 """
 
 import math
@@ -27,6 +27,17 @@
 _AT_ONCE = 3
 # A daemon without requests keeps a small share, for the first that comes.
 _LEAST_DEMAND_PER_S = 0.05
+# More daemons than may send at once join until they have this part of the
+# limit in requests. Seldom do two of them have one at the same time, so the
+# rate at which their requests come keeps to the limit; a second request of one
+# of them still has to wait.
+_COVER = 1.3
+# Senders whose requests are fewer than this part of the limit lose turns by
+# chance: a request that comes just after another waits, and nobody uses the
+# turn of a daemon that has none.
+_SCARCE = 3
+# The least excess of requests over the limit by which a turn is lengthened.
+_LEAST_EXCESS = 0.1
 # Below the level of any demand.
 _NO_DEMAND = -1_000
 
@@ -70,14 +81,35 @@
         name: max(demands[name], _LEAST_DEMAND_PER_S) for name in senders
     }
     part = weights[own] / sum(weights.values())
-    spare = _most_at_once(per_s) - len(senders)
-    return Share(per_s * part, 1 + spare * part)
+    spare = max(0, _most_at_once(per_s) - len(senders))
+    wanted = sum(demands[name] for name in senders)
+    steady = per_s * part
+    if wanted < _SCARCE * per_s:
+        steady = _scarce_rate(per_s, wanted, weights[own], steady)
+    return Share(steady, 1 + spare * part)
+
+
+def _scarce_rate(
+    per_s: float, wanted: float, own_demand: float, steady: float
+) -> float:
+    """Return a sender's rate where requests are few beside the limit.
+
+    With requests at random, a daemon with demand d that may send s a second
+    sends d * s / (d + s). With s = d * limit / (demand of all - limit) the
+    senders together use the limit.
+    """
+    excess = max(wanted - per_s, _LEAST_EXCESS * per_s)
+    return min(per_s, max(steady, own_demand * per_s / excess))
 
 
 def _senders(
     life: Life, per_s: float, demands: Mapping[str, float]
 ) -> list[str]:
-    """Return the daemons that may send; each may send one request at once."""
+    """Return the daemons that may send.
+
+    Each of the first few may send one request at once. Others join only while
+    the requests of all before them are too few to use the limit.
+    """
 
     def order(name: str) -> tuple[int, int]:  # noqa: WPS430
         # Those that have most requests for the upstream, in steps that daemons
@@ -85,7 +117,16 @@
         level = math.frexp(demands[name])[1] if demands[name] else _NO_DEMAND
         return -level, zlib.crc32(f'{life} {name}'.encode())
 
-    return sorted(demands, key=order)[: int(_most_at_once(per_s))]
+    names = sorted(demands, key=order)
+    few = int(_most_at_once(per_s))
+    senders = names[:few]
+    wanted = sum(demands[name] for name in senders)
+    for name in names[few:]:
+        if wanted >= _COVER * per_s or not demands[name]:
+            break
+        senders.append(name)
+        wanted += demands[name]
+    return senders
 
 
 def _most_at_once(per_s: float) -> float:
--- a/linnetwind/limit_share_test.py
+++ b/linnetwind/limit_share_test.py
@@ -63,7 +63,7 @@
         }
         return share_of(LIFE, self.per_s, own, view)
 
-    def sends(self):
+    def sends(self, lasts_s=LASTS_S, news=NEWS):
         """Return when requests reach the upstream, in seconds."""
         events = [
             (self.chance.expovariate(rate), name)
@@ -71,9 +71,9 @@
         ]
         heapq.heapify(events)
         sent = []
-        while events[0][0] < LASTS_S:
+        while events[0][0] < lasts_s:
             at, name = heapq.heappop(events)
-            if self.chance.random() < NEWS:
+            if self.chance.random() < news:
                 self.shares[name] = self._share(name)
             if self._may_send(name, at * SECOND):
                 sent.append(at)
@@ -148,6 +148,18 @@
     assert _most_in_window(fleet.sends()) <= FACTOR * 2 * WINDOW_S + EXTRA
 
 
+@pytest.mark.parametrize(
+    ('count', 'per_s'), [size for size in SIZES if 0 < size[1] <= 2]
+)
+def test_callers_that_come_before_their_demand_is_told(count, per_s):
+    # Many daemons may send because each has few requests. Then all of them get
+    # ten times as many, half a second before the others hear of it.
+    fleet = _Fleet(count, per_s, 5 * per_s, _lost(count), seed=count)
+    fleet.rates = {name: 10 * rate for name, rate in fleet.rates.items()}
+    sent = fleet.sends(lasts_s=0.5, news=0)
+    assert len(sent) <= FACTOR * per_s * WINDOW_S + EXTRA
+
+
 def test_a_daemon_that_is_no_sender_sends_nothing():
     demands = {f'{number}': 1.0 for number in range(100)}
     shares = [share_of(LIFE, 0.3, name, demands) for name in demands]
