A broken group is known when its rank crashes; places are kept for newcomers

Seen: for 1.5 s after a crash all gateways sent streams to 71 ranks that stood still, since these report the group as open until their engines give up; 345 requests were refused then, at once told to come back in 0.4 s, and refused again. After a power loss nobody had told of the group yet, which counted as open. After each opening late callers took every place as it became free, and newcomers came back late in turn.

Change: the gateway that sees a crash tells all; nothing is sent to the group before its planner has seen it formed anew (or sound for 0.6 s). The planner calls a group broken of which a rank is missing and whose passes stand still. Outages are expected to last as the last one did, 4 s at first. A daemon without any word of a group waits a second for it. A stream that was cut waits for the group if its caller does, else its answer is final at once. Late streams leave places to the newcomers of the next 0.3 s. A planner that misses a rank which nobody reaches goes on to lead (the lead went round three daemons ten times a second).

RequestEnded names when a caller was told to come back.

--- a/linnetwind/crash_guard.py
+++ b/linnetwind/crash_guard.py
@@ -4,6 +4,7 @@
 
 from linnetwind.gateway_events import UpstreamCrashed
 from linnetwind.journey import Done, GatewayTools, Journey
+from linnetwind.rank_crashes import note_rank_crash
 from linnetwind.upstream_call import CONNECT_TIMEOUT, Broken, NotReached
 from linnetwind.upstream_list import Upstream
 
@@ -58,9 +59,11 @@
         probe.close()
         return
     request = journey.fingerprint
-    left = tools.state.books.crashes.note(request, upstream.life, began)
+    crashes = tools.state.books.crashes
+    of_group = note_rank_crash(tools.state, upstream, tools.clock.elapsed())
+    left = crashes.note(request, upstream.life, began, of_group=of_group)
     tools.tell_peers()
-    if left is not None:
+    if crashes.is_proven(request):
         tools.keep_quarantine(request)
     tools.state.note_miss(upstream)
     tools.log.event(
@@ -86,5 +89,5 @@
       done: How it ended.
     """
     success = _FIRST_SUCCESS <= done.status < _FIRST_REDIRECT
-    if success and tools.state.books.crashes.any_known:
+    if success:
         tools.state.books.crashes.answer(journey.fingerprint)
--- a/linnetwind/gateway_events.py
+++ b/linnetwind/gateway_events.py
@@ -64,7 +64,8 @@
 class RequestEnded:
     """How a caller's request ended, and what decided it.
 
-    All tries of one request share its `fingerprint`.
+    All tries of one request share its `fingerprint`. `retry_after` is when the
+    caller was told to come back, None if it was not.
     """
 
     request: str
@@ -81,6 +82,7 @@
     time_limit: timedelta
     longest_pause: timedelta
     running: int
+    retry_after: timedelta | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/linnetwind/group_brief.py
+++ b/linnetwind/group_brief.py
@@ -1,6 +1,6 @@
 """What the planner tells all gateways of a service's rank groups."""
 
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 from datetime import timedelta
 
 from linnetwind.peer_book import GroupBrief
@@ -10,13 +10,21 @@
 # The least time until a rank that is away is expected back.
 _RANK_BACK_MS = 800
 _RANK_BACK = timedelta(milliseconds=_RANK_BACK_MS)
+# A group of which a rank is missing, and whose passes have stood still for this
+# long, is broken. Its ranks say so only when their engines give up, a second or
+# more later. A pass that is in time takes half of this.
+_STANDSTILL_MS = 300
+_STANDSTILL = timedelta(milliseconds=_STANDSTILL_MS)
 # A rank that takes so many times the usual time for the same work gets no new
 # streams; smaller differences are left to the placement of experts.
 SLOW_PACE = 1.4
 
 
 def make_briefs(
-    service: RoutedService, groups: Collection[PlannedGroup], now: timedelta
+    service: RoutedService,
+    groups: Collection[PlannedGroup],
+    now: timedelta,
+    outages: Mapping[str, timedelta],
 ) -> list[GroupBrief]:
     """Return what the gateways need to know of a service's groups.
 
@@ -24,18 +32,28 @@
       service: The service.
       groups: Its groups, as they were last seen.
       now: The monotonic time.
+      outages: How long a group's outages last, of those that are known.
 
     Returns:
       A brief of each group that was seen.
     """
-    return [_brief(service, each, now) for each in groups if each.reports]
+    return [
+        _brief(service, each, now, outages.get(each.name, timedelta()))
+        for each in groups
+        if each.reports
+    ]
 
 
 def _brief(
-    service: RoutedService, group: PlannedGroup, now: timedelta
+    service: RoutedService,
+    group: PlannedGroup,
+    now: timedelta,
+    outage: timedelta,
 ) -> GroupBrief:
-    is_open = _is_open(group)
-    opens_in = timedelta() if is_open else _opens_in(service, group, now)
+    runs = is_open(group, now)
+    opens_in = timedelta()
+    if not runs:
+        opens_in = _opens_in(service, group, now, outage)
     slow = [
         group.ranks[rank].life
         for rank, each in group.reports.items()
@@ -45,7 +63,7 @@
         service=service.name,
         group=group.name,
         epoch=max(each.epoch for each in group.reports.values()),
-        is_open=is_open,
+        is_open=runs,
         skew=group.skew,
         opens_in_ms=int(opens_in / timedelta(milliseconds=1)),
         # Also those that did not answer this time: their streams would be
@@ -56,19 +74,45 @@
 
 
 def _opens_in(
-    service: RoutedService, group: PlannedGroup, now: timedelta
+    service: RoutedService,
+    group: PlannedGroup,
+    now: timedelta,
+    outage: timedelta,
 ) -> timedelta:
     """Return when a broken group is expected to open.
 
-    With all ranks back only its forming is left. A rank that has been away
-    for some time is expected to be away for as long again.
+    With all ranks back only its forming is left. Otherwise it should take as
+    long as last time. A rank that has been away for longer is expected to be
+    away for as long again.
     """
     forming = timedelta(milliseconds=service.engine.form_ms)
-    size = max(each.size for each in group.reports.values())
-    if len(group.reports) == size:
+    if _has_all_ranks(group):
         return forming
-    return forming + max(_RANK_BACK, now - group.whole_at)
+    away = now - group.whole_at
+    if away + forming < outage:
+        return outage - away
+    return forming + max(_RANK_BACK, away)
+
 
+def is_open(group: PlannedGroup, now: timedelta) -> bool:
+    """Return whether a group runs streams.
+
+    Args:
+      group: The group, of which some rank has reported.
+      now: The monotonic time.
 
-def _is_open(group: PlannedGroup) -> bool:
-    return all(each.is_open for each in group.reports.values())
+    Returns:
+      Whether it does, as far as this daemon can see.
+    """
+    if not all(each.is_open for each in group.reports.values()):
+        return False
+    if _has_all_ranks(group):
+        return True
+    # One that does not answer the planner may be sound; its group goes on.
+    seen_sound_at = max(group.whole_at, group.stepped_at)
+    return now - seen_sound_at < _STANDSTILL
+
+
+def _has_all_ranks(group: PlannedGroup) -> bool:
+    size = max(each.size for each in group.reports.values())
+    return len(group.reports) == size
--- a/linnetwind/group_brief_test.py
+++ b/linnetwind/group_brief_test.py
@@ -38,7 +38,7 @@
 
 
 def _briefs(groups, now=timedelta()):
-    return {each.group: each for each in make_briefs(SERVICE, groups, now)}
+    return {each.group: each for each in make_briefs(SERVICE, groups, now, {})}
 
 
 def test_a_broken_group_is_told_apart_from_a_sound_one():
@@ -99,3 +99,32 @@
     assert sorted(planned.groups) == ['a', 'b']
     take_groups(planned, {'a': ranks}, GROUP_FORGOTTEN + SECOND)
     assert sorted(planned.groups) == ['a']
+
+
+def test_a_group_whose_passes_stand_still_without_a_rank_is_broken():
+    # One rank has crashed. The others say "open" until their engines give up,
+    # 1.5 s later; streams that were sent to them meanwhile were refused then.
+    group = _group('a', paces=(1.0, 1.0, 1.0))
+    group.reports.pop(1)
+    group.whole_at = SECOND
+    group.stepped_at = 1.1 * SECOND
+    assert _briefs([group], 1.3 * SECOND)['a'].is_open
+    assert not _briefs([group], 1.4 * SECOND)['a'].is_open
+
+
+def test_a_rank_that_only_the_planner_misses_leaves_its_group_open():
+    group = _group('a', paces=(1.0, 1.0, 1.0))
+    group.reports.pop(1)
+    group.stepped_at = 4.9 * SECOND
+    assert _briefs([group], 5 * SECOND)['a'].is_open
+
+
+def test_an_outage_is_expected_to_last_as_long_as_the_last_one():
+    # Told too short a time, callers come back twice in vain.
+    group = _group('a', is_open=False, paces=(1.0, 1.0, 1.0))
+    group.reports.pop(1)
+    outages = {'a': 4 * SECOND}
+    soon = make_briefs(SERVICE, [group], SECOND, outages)[0].opens_in_ms
+    late = make_briefs(SERVICE, [group], 5 * SECOND, outages)[0].opens_in_ms
+    assert soon == 3000
+    assert late == SERVICE.engine.form_ms + 5000
--- a/linnetwind/group_room.py
+++ b/linnetwind/group_room.py
@@ -5,6 +5,12 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
+from linnetwind.group_breaks import (
+    GroupHealth,
+    GroupWord,
+    expected_opening,
+    take_word,
+)
 from linnetwind.pass_meter import USUAL_SKEW, PassMeter, stream_limit
 from linnetwind.peer_book import GroupBrief
 from linnetwind.place_shares import Allowance
@@ -34,17 +40,33 @@
     """Pauses and ends of a group's streams, and the planner's last brief.
 
     `allowance` says how many streams this daemon may run there; `use` is the
-    part of the limit that was in use when a stream last asked.
+    part of the limit that was in use when a stream last asked; `health` tells
+    whether the group runs anything.
     """
 
     meter: PassMeter = field(default_factory=PassMeter)
     ends: deque[timedelta] = field(default_factory=deque)
     allowance: Allowance = Allowance(timedelta(), 0)
     use: float = 1
+    health: GroupHealth = GroupHealth()
     brief: GroupBrief | None = None
     brief_at: timedelta = timedelta()
 
 
+def take_brief(room: GroupRoom, brief: GroupBrief, now: timedelta) -> None:
+    """Take in what the planner found out about a group.
+
+    Args:
+      room: The group.
+      brief: Its state.
+      now: The monotonic time.
+    """
+    room.brief = brief
+    room.brief_at = now
+    word = GroupWord(now, brief.epoch, brief.is_open)
+    room.health = take_word(room.health, word)
+
+
 def fresh_brief(room: GroupRoom, now: timedelta) -> GroupBrief | None:
     """Return the planner's brief, unless it is too old to be used.
 
@@ -69,10 +91,11 @@
       The time until then; None if the group is not known to be broken.
     """
     brief = fresh_brief(room, now)
-    if brief is None or brief.is_open:
-        return None
-    left = timedelta(milliseconds=brief.opens_in_ms) - (now - room.brief_at)
-    return max(left, timedelta())
+    planned = None
+    if brief is not None and not brief.is_open:
+        told = timedelta(milliseconds=brief.opens_in_ms)
+        planned = told - (now - room.brief_at)
+    return expected_opening(room.health, planned, now)
 
 
 def limit_of(
--- a/linnetwind/journey.py
+++ b/linnetwind/journey.py
@@ -103,11 +103,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Done:
-    """The request has ended; what the log says of it."""
+    """The request has ended; what the log says of it.
+
+    `retry_after` is when the caller was told to come back.
+    """
 
     outcome: str
     status: int
     reason: str = ''
+    retry_after: timedelta | None = None
 
 
 CALLER_LEFT = Done('caller left', 0)
--- a/linnetwind/map_planner.py
+++ b/linnetwind/map_planner.py
@@ -18,7 +18,7 @@
     OrderFailed,
 )
 from linnetwind.gateway_state import GatewayState
-from linnetwind.group_brief import make_briefs
+from linnetwind.group_brief import is_open, make_briefs
 from linnetwind.group_looks import (
     counts_of,
     newest_by_address,
@@ -158,7 +158,13 @@
         return _COPY_LOOK if copying else LOOK_INTERVAL
 
     def _sees(self, group: PlannedGroup) -> bool:
-        return self._clock.elapsed() - group.whole_at < _BLIND
+        """Return whether this daemon sees of a group what can be seen."""
+        now = self._clock.elapsed()
+        if now - group.whole_at < _BLIND:
+            return True
+        # No planner reaches a rank that has crashed. Handed on then, the lead
+        # went round among three daemons every tenth of a second.
+        return bool(group.reports) and not is_open(group, now)
 
     def _plan_service(self, service: RoutedService) -> list[GroupBrief]:
         planned = self._services.get(service.name)
@@ -174,7 +180,8 @@
                 rounds -= 1
                 reports = self._next(service, group, reports)
         groups = planned.groups.values()
-        return make_briefs(service, groups, self._clock.elapsed())
+        outages = self._state.room.outages(service.name)
+        return make_briefs(service, groups, self._clock.elapsed(), outages)
 
     def _counts_due(self, planned: PlannedService) -> bool:
         """Return whether the counts are to be read, and note when."""
--- a/linnetwind/peer_mesh.py
+++ b/linnetwind/peer_mesh.py
@@ -29,6 +29,7 @@
     leader,
 )
 from linnetwind.peer_wire import StateReader, WholeTurns, pack_state
+from linnetwind.rank_crashes import hear_rank_crashes
 from linnetwind.record_store import (
     KeyedRecord,
     Records,
@@ -303,6 +304,8 @@
         # Anything else is not from a daemon of this version.
         if heard is not None and heard.name != self._settings.name:
             self._state.hear(heard)
+            now = self._clock.elapsed()
+            hear_rank_crashes(self._state, heard.crashes, now)
 
     def _serve(self, sock: socket.socket) -> None:
         sock.settimeout(_ASK_TIMEOUT_S)
--- a/linnetwind/planned_group.py
+++ b/linnetwind/planned_group.py
@@ -25,8 +25,9 @@
     """What the planner knows of one rank group.
 
     `name` tells it from the other groups of its service. `whole_at` is the
-    monotonic time at which all its ranks were last seen; at `settled_at` a
-    plan found no gain worth a change, at the skew `settled`.
+    monotonic time at which all its ranks were last seen, `stepped_at` that at
+    which its passes were last seen to go on, by the ranks' newest `step`; at
+    `settled_at` a plan found no gain worth a change, at the skew `settled`.
     """
 
     name: str
@@ -47,6 +48,8 @@
     rest: PlannerRest = PlannerRest()
     settled: float = 0
     settled_at: timedelta = timedelta()
+    step: tuple[int, int] = (0, 0)
+    stepped_at: timedelta = timedelta()
 
 
 @dataclass
@@ -103,6 +106,13 @@
     group.ranks = ranks
     group.reports = {rank: each.report for rank, each in ranks.items()}
     note_lives(group)
+    step = max(
+        ((each.epoch, each.step) for each in group.reports.values()),
+        default=group.step,
+    )
+    if step > group.step:
+        group.step = step
+        group.stepped_at = now
     if is_whole(group.reports):
         group.whole_at = now
         take_maps(group, group.reports)
--- a/linnetwind/platform/gateway_crashes_test.py
+++ b/linnetwind/platform/gateway_crashes_test.py
@@ -80,3 +80,20 @@
         gateway.add(crash_by_path)
     _ask_again_and_again(gateway, GET.replace('/x/1', '/x/bad'))
     assert _ask_again_and_again(gateway, GET, 3) == [200] * 3
+
+
+def test_callers_of_a_broken_group_are_told_when_it_opens(gateway):
+    # One rank crashes. The other ranks would take the next streams, stand
+    # still with them and refuse them later.
+    gateway.add(_crash, 'model')
+    gateway.ask(STREAM)
+    other = gateway.add(_crash, 'model')
+    status, headers, _body = gateway.ask(
+        STREAM.replace('/stream/1', '/stream/2')
+    )
+    assert status == 503
+    assert float(dict(headers)['Retry-After']) > 1
+    assert not other.requests
+    ended = gateway.log.of(RequestEnded)[-1]
+    assert ended.reason == 'group is broken'
+    assert ended.retry_after.total_seconds() > 1
--- a/linnetwind/relay.py
+++ b/linnetwind/relay.py
@@ -27,6 +27,7 @@
 )
 from linnetwind.gateway_events import AttemptFailed
 from linnetwind.gateway_stop import Ending
+from linnetwind.group_wait import await_open_group
 from linnetwind.journey import (
     Done,
     GatewayTools,
@@ -35,7 +36,7 @@
 )
 from linnetwind.request_report import report_end
 from linnetwind.routes import RouteTable, choose_service
-from linnetwind.stream_gate import STOPPING, Claim, TurnAway
+from linnetwind.stream_gate import STOPPING, Claim, TurnAway, bounded_retry
 from linnetwind.upstream_attempt import UpstreamAttempt
 from linnetwind.upstream_list import Upstream
 
@@ -134,7 +135,7 @@
             # It is late when it comes back, and may wait longer.
             self._tools.state.books.refusals.refuse(journey.facts.subject)
         self._answer(_REFUSED, _retry_after(after))
-        return Done('refused', _REFUSED, STOPPING.reason)
+        return Done('refused', _REFUSED, STOPPING.reason, after)
 
     def _ending(self, journey: Journey) -> Ending:
         """Return when the request ends if it is begun now."""
@@ -170,7 +171,7 @@
             return self._send_away(journey, self._tools.stop.retry_after())
         state.books.refusals.refuse(journey.facts.subject)
         self._answer(_REFUSED, _retry_after(verdict.retry_after))
-        return Done('refused', _REFUSED, verdict.reason)
+        return Done('refused', _REFUSED, verdict.reason, verdict.retry_after)
 
     def _attempts(self, journey: Journey) -> Done:
         ended: Done | None = None
@@ -251,8 +252,11 @@
             len(journey.sent_to), journey.may_have_run, left
         )
         decision = after_loss(journey.route, lost, progressed)
+        opens_in = await_open_group(self._tools, self._connection, journey)
         if isinstance(decision, TryAnother):
-            if not self._may_try_another(journey, decision):
+            if opens_in is not None:
+                decision = decision.instead
+            elif not self._may_try_another(journey, decision):
                 decision = decision.instead
         again = isinstance(decision, TryAnother)
         self._tools.log.event(
@@ -265,9 +269,13 @@
                 'another upstream' if again else 'final answer',
             )
         )
-        if isinstance(decision, GiveUp):
+        if isinstance(decision, TryAnother):
+            return None
+        if opens_in is None:
             return self._give_up(journey, decision)
-        return None
+        # The caller may wait for the group when it comes back.
+        self._tools.state.books.refusals.refuse(journey.facts.subject)
+        return self._give_up(journey, decision, bounded_retry(opens_in))
 
     def _may_try_another(self, journey: Journey, another: TryAnother) -> bool:
         if quarantine_left(self._tools, journey) is not None:
@@ -302,10 +310,11 @@
             headers = self._tools.dialect.answer_headers(head.headers)
             self._answer(head.status, headers, body)
             return Done('answered', head.status, decision.reason)
-        headers = _retry_after(after) if decision.not_run else ()
-        self._answer(decision.status, headers)
-        outcome = 'refused' if decision.not_run else 'unknown'
-        return Done(outcome, decision.status, decision.reason)
+        if not decision.not_run:
+            self._answer(decision.status, ())
+            return Done('unknown', decision.status, decision.reason)
+        self._answer(decision.status, _retry_after(after))
+        return Done('refused', decision.status, decision.reason, after)
 
     def _answer(self, status: int, headers: Headers, body: bytes = b'') -> None:
         answer_caller(self._tools, self._connection, status, headers, body)
--- a/linnetwind/request_report.py
+++ b/linnetwind/request_report.py
@@ -32,5 +32,6 @@
             journey.until - received,
             journey.longest_pause,
             tools.state.group_running(service),
+            done.retry_after,
         )
     )
--- a/linnetwind/service_room.py
+++ b/linnetwind/service_room.py
@@ -18,7 +18,12 @@
 from linnetwind.place_shares import Demand, own_share
 from linnetwind.ranks_by_group import SortedRanks
 from linnetwind.routes import EngineFigures
-from linnetwind.stream_gate import GroupView, WaitingLine, reserve
+from linnetwind.stream_gate import (
+    GroupView,
+    WaitingLine,
+    hold_back,
+    reserve,
+)
 
 # The starts that count for the time of the next one, and the part of them
 # that is shorter.
@@ -27,6 +32,11 @@
 # Before any: a pass under way, then one that reads the prompt and writes.
 _FIRST_START_MS = 200
 _FIRST_START = timedelta(milliseconds=_FIRST_START_MS)
+# A daemon that has just started waits so long for a planner's word of the
+# groups. After a power loss all daemons start before the groups have formed;
+# what is sent to their ranks then is refused.
+_FIRST_WORD_MS = 1000
+_FIRST_WORD = timedelta(milliseconds=_FIRST_WORD_MS)
 
 
 def _no_starts() -> deque[timedelta]:
@@ -35,15 +45,22 @@
 
 @dataclass
 class ServiceRoom:
-    """What is known of one service; `group_of` is told by its planner."""
+    """What is known of one service; `group_of` is told by its planner.
+
+    `arrivals` are those of all streams, `newcomers` those of callers that were
+    not refused before. `asked_at` is the monotonic time at which a stream
+    first asked for a place.
+    """
 
     line: WaitingLine
     arrivals: deque[timedelta] = field(default_factory=deque)
+    newcomers: deque[timedelta] = field(default_factory=deque)
     starts: deque[timedelta] = field(default_factory=_no_starts)
     engine: EngineFigures | None = None
     groups: dict[str, GroupRoom] = field(default_factory=dict)
     group_of: dict[Life, str] = field(default_factory=dict)
     sorted_ranks: SortedRanks | None = None
+    asked_at: timedelta | None = None
 
 
 def forget_groups(room: ServiceRoom, now: timedelta) -> None:
@@ -71,6 +88,9 @@
     Returns:
       The view of all groups together.
     """
+    if _awaits_first_word(room, now):
+        forming = timedelta(milliseconds=room.engine.form_ms)
+        return GroupView(0, 0, _start_time(room), forming)
     groups = {name: room.groups[name] for name in counts}
     waits = {name: opens_in(each, now) for name, each in groups.items()}
     open_groups = [name for name, wait in waits.items() if wait is None]
@@ -81,7 +101,10 @@
     ends = sum(rate(groups[name].ends, now) for name in open_groups)
     closed = [wait for wait in waits.values() if wait is not None]
     soonest = None if open_groups else min(closed, default=None)
-    reserved = reserve(free, rate(room.arrivals, now), ends)
+    reserved = max(
+        reserve(free, rate(room.arrivals, now), ends),
+        hold_back(rate(room.newcomers, now)),
+    )
     return GroupView(free, ends, _start_time(room), soonest, reserved)
 
 
@@ -134,6 +157,14 @@
     return Demand(room.line.length, rate(room.arrivals, now))
 
 
+def _awaits_first_word(room: ServiceRoom, now: timedelta) -> bool:
+    if room.engine is None or not room.engine.layers:
+        return False
+    if any(each.brief is not None for each in room.groups.values()):
+        return False
+    return room.asked_at is not None and now - room.asked_at < _FIRST_WORD
+
+
 def _start_time(room: ServiceRoom) -> timedelta:
     if not room.starts:
         return _FIRST_START
--- a/linnetwind/stream_gate.py
+++ b/linnetwind/stream_gate.py
@@ -20,6 +20,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from datetime import timedelta
+from math import ceil
 
 from linnetwind.clock import Clock
 from linnetwind.upstream_list import Upstream
@@ -46,6 +47,13 @@
 # they waited, at 1.2 s half as many again were refused twice in an overload.
 _RETURN_WAIT_S = 1.6
 RETURN_WAIT = timedelta(seconds=_RETURN_WAIT_S)
+# By so much sooner than expected a group may open.
+_ESTIMATE_SLACK_MS = 500
+_ESTIMATE_SLACK = timedelta(milliseconds=_ESTIMATE_SLACK_MS)
+# For whom places are left free: the newcomers of this time, about as long as
+# one of them can wait and still be in time.
+_NEXT_MS = 300
+_NEXT = timedelta(milliseconds=_NEXT_MS)
 
 
 @dataclass(frozen=True, slots=True)
@@ -156,6 +164,23 @@
     return max(0, min(free // 2, int(lacking)))
 
 
+def hold_back(newcomers_per_s: float) -> int:
+    """Return the places that late streams leave free for the next newcomers.
+
+    In an overload a newcomer can hardly wait. If those that came back took
+    each place as it became free, it would find none and come back in turn.
+    Fewer streams make the passes shorter, so that hardly less is served.
+
+    Args:
+      newcomers_per_s: The streams that came for the first time in the last
+        second.
+
+    Returns:
+      The places.
+    """
+    return ceil(newcomers_per_s * _NEXT.total_seconds())
+
+
 def _await_group(opens_in: timedelta, waiter: Waiter) -> Verdict:
     """Decide on a stream whose group cannot run.
 
@@ -164,13 +189,27 @@
     their second try: 50 of 150 requests of these seconds got no answer.
     """
     left = RETURN_WAIT - waiter.waited
-    if left > timedelta() and (waiter.returning or opens_in < left):
+    # A caller that came back has no try left, and the time is an estimate.
+    slack = _ESTIMATE_SLACK if waiter.returning else timedelta()
+    if left > timedelta() and opens_in < left + slack:
         return WaitFor(left)
     return _turn_away(opens_in, 'group is broken')
 
 
 def _turn_away(wait: timedelta, reason: str) -> TurnAway:
-    return TurnAway(min(max(wait, LEAST_RETRY), MOST_RETRY), reason)
+    return TurnAway(bounded_retry(wait), reason)
+
+
+def bounded_retry(wait: timedelta) -> timedelta:
+    """Return when a caller may come back that would be served after a time.
+
+    Args:
+      wait: The time.
+
+    Returns:
+      The time, within what callers keep to.
+    """
+    return min(max(wait, LEAST_RETRY), MOST_RETRY)
 
 
 @dataclass(frozen=True, slots=True)
--- a/linnetwind/stream_room.py
+++ b/linnetwind/stream_room.py
@@ -11,6 +11,7 @@
 from datetime import timedelta
 
 from linnetwind.clock import Clock
+from linnetwind.group_breaks import note_crash
 from linnetwind.group_room import (
     UNNAMED,
     GroupCount,
@@ -19,6 +20,7 @@
     fresh_brief,
     limit_of,
     opens_in,
+    take_brief,
 )
 from linnetwind.lives import Life
 from linnetwind.pass_meter import Pause
@@ -84,6 +86,9 @@
             room = self._room(service)
             room.arrivals.append(now)
             forget(room.arrivals, now)
+            if not claim.returning:
+                room.newcomers.append(now)
+                forget(room.newcomers, now)
         return room.line.enter(claim, look, take, has_time)
 
     def wake(self) -> None:
@@ -142,8 +147,7 @@
         with self._lock:
             room = self._room(brief.service)
             group = room.groups.setdefault(brief.group, GroupRoom())
-            group.brief = brief
-            group.brief_at = now
+            take_brief(group, brief, now)
             forget_groups(room, now)
             stay = {
                 life: name
@@ -155,6 +159,53 @@
             if group_of != room.group_of:
                 room.group_of = group_of
 
+    def note_crash(self, service: str, life: Life, at: timedelta) -> bool:
+        """Take note that a rank has crashed, so that its group is broken.
+
+        Args:
+          service: The service's name.
+          life: The rank's life.
+          at: The monotonic time at which it was seen.
+
+        Returns:
+          Whether that was not known.
+        """
+        with self._lock:
+            room = self._room(service)
+            name = room.group_of.get(life, UNNAMED)
+            group = room.groups.setdefault(name, GroupRoom())
+            before = group.health
+            group.health = note_crash(before, at)
+            return before.broken_at is None and group.health != before
+
+    def outages(self, service: str) -> dict[str, timedelta]:
+        """Return how long each group's outages last, by the last one seen.
+
+        Args:
+          service: The service's name.
+
+        Returns:
+          The time from a crash to the group's opening, by group.
+        """
+        with self._lock:
+            groups = self._room(service).groups
+            return {name: each.health.outage for name, each in groups.items()}
+
+    def opens_in(self, service: str) -> timedelta | None:
+        """Return when a service without an open group should have one.
+
+        Args:
+          service: The service's name.
+
+        Returns:
+          The time until then; None if a group is open, or none is known.
+        """
+        now = self._clock.elapsed()
+        with self._lock:
+            groups = self._room(service).groups.values()
+            waits = [opens_in(each, now) for each in groups]
+        return None if None in waits else min(waits, default=None)
+
     def group_of(self, upstream: Upstream) -> str:
         """Return the name of the group that a rank is in."""
         groups = self._room(upstream.service).group_of
@@ -218,6 +269,7 @@
         with self._lock:
             room = self._room(service.name)
             room.engine = service.engine
+            room.asked_at = now if room.asked_at is None else room.asked_at
             share = share_of(room, now, loads, news_interval)
             for name, count in counts.items():
                 group = room.groups.setdefault(name, GroupRoom())
--- a/linnetwind/stream_room_test.py
+++ b/linnetwind/stream_room_test.py
@@ -121,3 +121,35 @@
     _view, after = bed.look(in_a=40, in_b=40)
     assert before['a'] < 5
     assert after['a'] > 20
+
+
+def test_a_crash_of_a_rank_closes_its_group_at_once():
+    # The planner's next word comes when its ranks have given up. Streams were
+    # sent to them for a second and a half, and all were refused.
+    bed = Bed()
+    bed.clock.advance(NEWS)
+    assert bed.room.note_crash('model', OTHER[0].life, bed.clock.elapsed())
+    _view, places = bed.look(in_a=10, in_b=0)
+    assert list(places) == ['a']
+    assert bed.room.opens_in('model') is None
+    bed.room.note_crash('model', SOUND[0].life, bed.clock.elapsed())
+    view, _places = bed.look(in_a=10, in_b=0)
+    assert view.opens_in == bed.room.opens_in('model') > timedelta()
+    # The planner goes on to call both open; it has not looked since.
+    bed.brief('a', SOUND)
+    assert bed.room.opens_in('model') is not None
+
+
+def test_a_daemon_that_starts_waits_for_the_first_word_of_its_groups():
+    # All hosts lose power and are back before the groups have formed. Nobody
+    # had told of them yet; they were taken for open, and 310 streams were sent
+    # to ranks that refused them.
+    clock = ManualClock(datetime(2026, 1, 1, tzinfo=UTC))
+    room = StreamRoom(clock)
+    counts = {'': GroupCount(0, 0, 16)}
+    view = room.view(SERVICE, GAP, counts, (), NEWS)
+    assert view.opens_in == SERVICE.engine.form_ms * MS
+    assert view.free == 0
+    # Without any planner it tries by itself.
+    clock.advance(timedelta(seconds=1))
+    assert room.view(SERVICE, GAP, counts, (), NEWS).opens_in is None
--- a/standins/gateway_harness.py
+++ b/standins/gateway_harness.py
@@ -13,6 +13,7 @@
 from linnetwind.gateway_state import GatewayState
 from linnetwind.gateway_stop import GatewayStop
 from linnetwind.journey import GatewayTools
+from linnetwind.peer_book import GroupBrief
 from linnetwind.repeat_budget import BudgetTerms
 from linnetwind.routes import RouteTable
 from linnetwind.stop_turns import Fleet, Host
@@ -65,6 +66,9 @@
         self.state = GatewayState(self.clock, Address('127.0.0.1', 1), terms)
         if table is not None:
             self.state.apply_table(table)
+        # It has been up for long: a planner has told of a group.
+        told = GroupBrief('model', 'group', 1, True, 1.5, 0, ())
+        self.state.room.take_brief(told)
         self._tools = GatewayTools(
             self.state,
             dialect,
