--- a/linnetwind/group_brief.py
+++ b/linnetwind/group_brief.py
@@ -15,6 +15,10 @@
 # more later. A pass that is in time takes half of this.
 _STANDSTILL_MS = 300
 _STANDSTILL = timedelta(milliseconds=_STANDSTILL_MS)
+# A group without streams makes no passes; a look may take half of this where
+# one rank's agent is slow.
+_IDLE_STANDSTILL_MS = 1_000
+_IDLE_STANDSTILL = timedelta(milliseconds=_IDLE_STANDSTILL_MS)
 # A rank that takes so many times the usual time for the same work gets no new
 # streams; smaller differences are left to the placement of experts.
 SLOW_PACE = 1.4
@@ -110,7 +114,9 @@
         return True
     # One that does not answer the planner may be sound; its group goes on.
     seen_sound_at = max(group.whole_at, group.stepped_at)
-    return now - seen_sound_at < _STANDSTILL
+    is_busy = any(each.running for each in group.reports.values())
+    longest = _STANDSTILL if is_busy else _IDLE_STANDSTILL
+    return now - seen_sound_at < longest
 
 
 def _has_all_ranks(group: PlannedGroup) -> bool:
--- a/linnetwind/group_brief_test.py
+++ b/linnetwind/group_brief_test.py
@@ -18,7 +18,9 @@
 SECOND = timedelta(seconds=1)
 
 
-def _group(name, *, is_open=True, paces=(1.0, 1.0), epoch=1, skew=1.5):
+def _group(
+    name, *, is_open=True, paces=(1.0, 1.0), epoch=1, skew=1.5, running=0
+):
     ranks = {}
     for rank, pace in enumerate(paces):
         upstream = make_upstream(f'{name}{rank}', 81 + rank, 'model')
@@ -29,6 +31,7 @@
             epoch=epoch,
             is_open=is_open,
             pace=pace,
+            running=running,
         )
         ranks[rank] = SeenRank(upstream, upstream.life, report, Seen(report))
     group = PlannedGroup(name, None, timedelta(), ranks=ranks, skew=skew)
@@ -104,7 +107,7 @@
 def test_a_group_whose_passes_stand_still_without_a_rank_is_broken():
     # One rank has crashed. The others say "open" until their engines give up,
     # 1.5 s later; streams that were sent to them meanwhile were refused then.
-    group = _group('a', paces=(1.0, 1.0, 1.0))
+    group = _group('a', paces=(1.0, 1.0, 1.0), running=4)
     group.reports.pop(1)
     group.whole_at = SECOND
     group.stepped_at = 1.1 * SECOND
@@ -128,3 +131,13 @@
     late = make_briefs(SERVICE, [group], 5 * SECOND, outages)[0].opens_in_ms
     assert soon == 3000
     assert late == SERVICE.engine.form_ms + 5000
+
+
+def test_an_idle_group_is_not_closed_by_one_slow_agent():
+    # Nothing runs, so that no passes are made. One look takes half a second,
+    # since an agent does not answer; the next caller must not be sent away.
+    group = _group('a', paces=(1.0, 1.0, 1.0))
+    group.reports.pop(1)
+    group.whole_at = SECOND
+    assert _briefs([group], 1.6 * SECOND)['a'].is_open
+    assert not _briefs([group], 2 * SECOND)['a'].is_open
--- a/linnetwind/group_wait.py
+++ b/linnetwind/group_wait.py
@@ -32,19 +32,32 @@
       The time until a group should open, None if one is open; of a plain
       service always None.
     """
-    if journey.service.engine is None:
-        return None
-    opens_in = tools.state.room.opens_in(journey.service.name)
+    opens_in = group_opens_in(tools, journey)
     latest = _latest(journey)
     while opens_in is not None:
         now = tools.clock.elapsed()
         if now + opens_in > latest or connection.left():
             return opens_in
         threading.Event().wait(_LOOK.total_seconds())
-        opens_in = tools.state.room.opens_in(journey.service.name)
+        opens_in = group_opens_in(tools, journey)
     return None
 
 
+def group_opens_in(tools: GatewayTools, journey: Journey) -> timedelta | None:
+    """Return when a request's service should have an open group again.
+
+    Args:
+      tools: What every request needs.
+      journey: The request.
+
+    Returns:
+      The time until then, None if one is open; of a plain service always None.
+    """
+    if journey.service.engine is None:
+        return None
+    return tools.state.room.opens_in(journey.service.name)
+
+
 def _latest(journey: Journey) -> timedelta:
     """Return until when the caller may be left without an event."""
     shown_at = journey.last_event_at or journey.request.received
--- a/linnetwind/rank_crashes.py
+++ b/linnetwind/rank_crashes.py
@@ -33,7 +33,8 @@
         return False
     if state.room.note_crash(service.name, upstream.life, at):
         state.room.wake()
-    return upstream in state.upstreams.usable(service.name, at)
+    staying = state.upstreams.usable(service.name, at)
+    return any(each.life == upstream.life for each in staying)
 
 
 def hear_rank_crashes(
--- a/linnetwind/relay.py
+++ b/linnetwind/relay.py
@@ -27,7 +27,7 @@
 )
 from linnetwind.gateway_events import AttemptFailed
 from linnetwind.gateway_stop import Ending
-from linnetwind.group_wait import await_open_group
+from linnetwind.group_wait import await_open_group, group_opens_in
 from linnetwind.journey import (
     Done,
     GatewayTools,
@@ -252,8 +252,9 @@
             len(journey.sent_to), journey.may_have_run, left
         )
         decision = after_loss(journey.route, lost, progressed)
-        opens_in = await_open_group(self._tools, self._connection, journey)
+        opens_in = group_opens_in(self._tools, journey)
         if isinstance(decision, TryAnother):
+            opens_in = await_open_group(self._tools, self._connection, journey)
             if opens_in is not None:
                 decision = decision.instead
             elif not self._may_try_another(journey, decision):
--- a/linnetwind/stream_gate.py
+++ b/linnetwind/stream_gate.py
@@ -20,7 +20,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from datetime import timedelta
-from math import ceil
 
 from linnetwind.clock import Clock
 from linnetwind.upstream_list import Upstream
@@ -176,9 +175,9 @@
         second.
 
     Returns:
-      The places.
+      The places; none where each of hundreds of daemons has few callers.
     """
-    return ceil(newcomers_per_s * _NEXT.total_seconds())
+    return int(newcomers_per_s * _NEXT.total_seconds())
 
 
 def _await_group(opens_in: timedelta, waiter: Waiter) -> Verdict:
--- a/linnetwind/stream_room.py
+++ b/linnetwind/stream_room.py
@@ -209,7 +209,8 @@
         now = self._clock.elapsed()
         with self._lock:
             groups = self._room(service).groups.values()
-            waits = [opens_in(each, now) for each in groups]
+            named = [each for each in groups if each.brief is not None]
+            waits = [opens_in(each, now) for each in named or groups]
         return None if None in waits else min(waits, default=None)
 
     def group_of(self, upstream: Upstream) -> str:
--- a/linnetwind/stream_room_test.py
+++ b/linnetwind/stream_room_test.py
@@ -165,3 +165,17 @@
     assert room.outages('model') == {}
     room.take_brief(GroupBrief('model', 'a', 1, **{**fields, 'is_open': True}))
     assert list(room.outages('model')) == ['a']
+
+
+def test_ranks_of_no_group_do_not_make_a_broken_service_seem_open():
+    # Before the first word of a planner all ranks count as one group without a
+    # name; what is kept of it must not hide that the named ones are broken.
+    clock = ManualClock(datetime(2026, 1, 1, tzinfo=UTC))
+    room = StreamRoom(clock)
+    room.view(SERVICE, GAP, {'': GroupCount(0, 0, 16)}, (), NEWS)
+    lives = tuple(each.life for each in SOUND)
+    room.take_brief(GroupBrief('model', 'a', 1, True, 1.2, 0, lives))
+    clock.advance(NEWS)
+    assert room.opens_in('model') is None
+    room.note_crash('model', SOUND[0].life, clock.elapsed())
+    assert room.opens_in('model') is not None
