A group that nobody sees whole is open again if its ranks still say so

The engines give up a stalled pass within two seconds; after three, what the other ranks report holds again.

Test: group_brief_test, open again after three seconds; closed until then.

--- a/linnetwind/group_brief.py
+++ b/linnetwind/group_brief.py
@@ -19,6 +19,11 @@
 # one rank's agent is slow.
 _IDLE_STANDSTILL_MS = 1_000
 _IDLE_STANDSTILL = timedelta(milliseconds=_IDLE_STANDSTILL_MS)
+# By then the engines have given up, and what their ranks say holds. A planner
+# that cannot reach one rank of an idle group would keep it closed for ever:
+# without streams it makes no passes by which it could be seen to be sound.
+_ENGINES_KNOW_S = 3
+_ENGINES_KNOW = timedelta(seconds=_ENGINES_KNOW_S)
 # A rank that takes so many times the usual time for the same work gets no new
 # streams; smaller differences are left to the placement of experts.
 SLOW_PACE = 1.4
@@ -116,7 +121,8 @@
     seen_sound_at = max(group.whole_at, group.stepped_at)
     is_busy = any(each.running for each in group.reports.values())
     longest = _STANDSTILL if is_busy else _IDLE_STANDSTILL
-    return now - seen_sound_at < longest
+    stood_still = now - seen_sound_at
+    return not longest <= stood_still < _ENGINES_KNOW
 
 
 def _has_all_ranks(group: PlannedGroup) -> bool:
--- a/linnetwind/group_brief_test.py
+++ b/linnetwind/group_brief_test.py
@@ -141,3 +141,14 @@
     group.whole_at = SECOND
     assert _briefs([group], 1.6 * SECOND)['a'].is_open
     assert not _briefs([group], 2 * SECOND)['a'].is_open
+
+
+def test_a_group_is_open_again_if_its_ranks_still_say_so():
+    # The planner never reaches one rank, and nothing runs. The group was
+    # closed for that, no stream could begin, and it stayed closed: of a day's
+    # requests 0.06 were served.
+    group = _group('a', paces=(1.0, 1.0, 1.0))
+    group.reports.pop(1)
+    group.whole_at = SECOND
+    assert not _briefs([group], 3 * SECOND)['a'].is_open
+    assert _briefs([group], 4 * SECOND)['a'].is_open
