Revert: a rank group up to half full counts as empty for the least gain of a map

A failed try.

The use of a group is that of the moment; the demand that comes next makes it fuller before the map is there. The way that is left: weigh the pause that the present map leads to against the one that is allowed.

--- a/linnetwind/map_wish.py
+++ b/linnetwind/map_wish.py
@@ -48,9 +48,6 @@
 # days, 1,800 GB in 34 s, for passes of half the time allowed.
 LEAST_GAIN = 0.12
 LEAST_GAIN_EMPTY = 0.42
-# Up to this part of its limit a group counts as empty: it bears twice the
-# streams before a pause is late, and a new map takes less than that to come.
-_LIGHT_USE = 0.5
 # Up to so many times a skew at which nothing could be gained, nothing new is
 # expected: demand is counted over some passes and differs by a few per cent.
 _SAME_SKEW = 1.05
@@ -202,8 +199,7 @@
 
 
 def _least_gain(use: float) -> float:
-    empty = (1 - min(1, use)) / (1 - _LIGHT_USE)
-    return LEAST_GAIN + (LEAST_GAIN_EMPTY - LEAST_GAIN) * min(1, empty)
+    return LEAST_GAIN + (LEAST_GAIN_EMPTY - LEAST_GAIN) * (1 - min(1, use))
 
 
 def _copy_cost(engine: EngineFigures, ranks: int) -> float:
