Before a planner's first word one stream at a time is sent, not none

Cause: a daemon that has just started keeps its streams until a planner has spoken, a second at most. That is right after a power loss, when the groups form anew; where only the daemons were killed the groups run on.

--- a/linnetwind/service_room.py
+++ b/linnetwind/service_room.py
@@ -34,9 +34,12 @@
 _FIRST_START = timedelta(milliseconds=_FIRST_START_MS)
 # A daemon that has just started waits so long for a planner's word of the
 # groups. After a power loss all daemons start before the groups have formed;
-# what is sent to their ranks then is refused.
+# what is sent to their ranks then is refused. One stream at a time is sent all
+# the same: where only the daemons had ended, its first event shows that the
+# group runs.
 _FIRST_WORD_MS = 1000
 _FIRST_WORD = timedelta(milliseconds=_FIRST_WORD_MS)
+_SCOUTS = 1
 
 
 def _no_starts() -> deque[timedelta]:
@@ -89,8 +92,7 @@
       The view of all groups together.
     """
     if _awaits_first_word(room, now):
-        forming = timedelta(milliseconds=room.engine.form_ms)
-        return GroupView(0, 0, _start_time(room), forming)
+        return _untold_view(room, counts)
     groups = {name: room.groups[name] for name in counts}
     waits = {name: opens_in(each, now) for name, each in groups.items()}
     open_groups = [name for name, wait in waits.items() if wait is None]
@@ -157,10 +159,20 @@
     return Demand(room.line.length, rate(room.arrivals, now))
 
 
+def _untold_view(
+    room: ServiceRoom, counts: Mapping[str, GroupCount]
+) -> GroupView:
+    """Return the view of a service of whose groups nobody has told yet."""
+    forming = timedelta(milliseconds=room.engine.form_ms)
+    running = sum(each.own_running for each in counts.values())
+    scouts = max(0, _SCOUTS - running)
+    return GroupView(0, 0, _start_time(room), forming, scouts=scouts)
+
+
 def _awaits_first_word(room: ServiceRoom, now: timedelta) -> bool:
     if room.engine is None or not room.engine.layers:
         return False
-    if any(each.brief is not None for each in room.groups.values()):
+    if room.starts or any(each.brief for each in room.groups.values()):
         return False
     return room.asked_at is not None and now - room.asked_at < _FIRST_WORD
 
--- a/linnetwind/stream_gate.py
+++ b/linnetwind/stream_gate.py
@@ -62,8 +62,9 @@
     `free` counts the places that this daemon may fill now, below 0 if it has
     too many streams there; `ends_per_s` the streams of this daemon that end
     in a second. `start_time` passes from a stream's start to its first event.
-    `opens_in` is set while the group cannot run at all. `reserved` of the free
-    places are left to streams that can be in time.
+    `opens_in` is set while the group cannot run at all; `scouts` streams may
+    run then to find out whether it can. `reserved` of the free places are left
+    to streams that can be in time.
     """
 
     free: int
@@ -71,6 +72,7 @@
     start_time: timedelta
     opens_in: timedelta | None
     reserved: int = 0
+    scouts: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,6 +128,8 @@
       The verdict.
     """
     if view.opens_in is not None:
+        if view.scouts > waiter.ahead:
+            return RunNow()
         return _await_group(view.opens_in, waiter)
     most = RETURN_WAIT
     if not waiter.returning:
--- a/linnetwind/stream_gate_test.py
+++ b/linnetwind/stream_gate_test.py
@@ -442,3 +442,9 @@
     ]
     assert fmean(before) < 0.8
     assert fmean(after) >= 0.9
+
+
+def test_a_stream_finds_out_whether_a_group_runs_while_others_wait():
+    untold = replace(VIEW, free=0, opens_in=600 * MS, scouts=1)
+    assert judge(untold, FIRST) == RunNow()
+    assert isinstance(judge(untold, replace(FIRST, ahead=1)), WaitFor)
--- a/linnetwind/stream_room.py
+++ b/linnetwind/stream_room.py
@@ -121,7 +121,11 @@
           took: The time.
         """
         with self._lock:
-            self._room(service).starts.append(took)
+            room = self._room(service)
+            is_first = not room.starts
+            room.starts.append(took)
+        if is_first:
+            room.line.wake()
 
     def note_end(self, upstream: Upstream) -> None:
         """Take note that a request has ended, and let those that wait look.
--- a/linnetwind/stream_room_test.py
+++ b/linnetwind/stream_room_test.py
@@ -149,7 +149,10 @@
     counts = {'': GroupCount(0, 0, 16)}
     view = room.view(SERVICE, GAP, counts, (), NEWS)
     assert view.opens_in == SERVICE.engine.form_ms * MS
-    assert view.free == 0
+    # One stream at a time finds out whether the group runs.
+    assert (view.free, view.scouts) == (0, 1)
+    busy = {'': GroupCount(1, 1, 16)}
+    assert room.view(SERVICE, GAP, busy, (), NEWS).scouts == 0
     # Without any planner it tries by itself.
     clock.advance(timedelta(seconds=1))
     assert room.view(SERVICE, GAP, counts, (), NEWS).opens_in is None
@@ -179,3 +182,17 @@
     assert room.opens_in('model') is None
     room.note_crash('model', SOUND[0].life, clock.elapsed())
     assert room.opens_in('model') is not None
+
+
+def test_the_first_event_shows_a_daemon_that_started_that_its_group_runs():
+    # All daemons are killed, and the ranks go on. For a second each daemon
+    # kept its callers waiting for a planner's word; half of them were late.
+    clock = ManualClock(datetime(2026, 1, 1, tzinfo=UTC))
+    clock.advance(NEWS)
+    room = StreamRoom(clock)
+    counts = {'': GroupCount(1, 1, 16)}
+    assert room.view(SERVICE, GAP, counts, (), NEWS).opens_in is not None
+    room.note_start('model', 170 * MS)
+    view = room.view(SERVICE, GAP, counts, (), NEWS)
+    assert view.opens_in is None
+    assert view.free > 1
