--- a/linnetwind/service_room.py
+++ b/linnetwind/service_room.py
@@ -40,6 +40,10 @@
 _FIRST_WORD_MS = 1000
 _FIRST_WORD = timedelta(milliseconds=_FIRST_WORD_MS)
 _SCOUTS = 1
+# A rank of a group that forms refuses at once; each stream in line would be
+# sent in turn, and all of them be refused.
+_SCOUT_PAUSE_MS = 300
+_SCOUT_PAUSE = timedelta(milliseconds=_SCOUT_PAUSE_MS)
 
 
 def _no_starts() -> deque[timedelta]:
@@ -52,7 +56,8 @@
 
     `arrivals` are those of all streams, `newcomers` those of callers that were
     not refused before. `asked_at` is the monotonic time at which a stream
-    first asked for a place.
+    first asked for a place, `scouted_at` that at which one was last seen to
+    run before any word of a planner.
     """
 
     line: WaitingLine
@@ -64,6 +69,7 @@
     group_of: dict[Life, str] = field(default_factory=dict)
     sorted_ranks: SortedRanks | None = None
     asked_at: timedelta | None = None
+    scouted_at: timedelta | None = None
 
 
 def forget_groups(room: ServiceRoom, now: timedelta) -> None:
@@ -92,7 +98,7 @@
       The view of all groups together.
     """
     if _awaits_first_word(room, now):
-        return _untold_view(room, counts)
+        return _untold_view(room, counts, now)
     groups = {name: room.groups[name] for name in counts}
     waits = {name: opens_in(each, now) for name, each in groups.items()}
     open_groups = [name for name, wait in waits.items() if wait is None]
@@ -160,12 +166,15 @@
 
 
 def _untold_view(
-    room: ServiceRoom, counts: Mapping[str, GroupCount]
+    room: ServiceRoom, counts: Mapping[str, GroupCount], now: timedelta
 ) -> GroupView:
     """Return the view of a service of whose groups nobody has told yet."""
     forming = timedelta(milliseconds=room.engine.form_ms)
     running = sum(each.own_running for each in counts.values())
-    scouts = max(0, _SCOUTS - running)
+    if running:
+        room.scouted_at = now
+    rests = room.scouted_at is not None and now - room.scouted_at < _SCOUT_PAUSE
+    scouts = 0 if rests else _SCOUTS
     return GroupView(0, 0, _start_time(room), forming, scouts=scouts)
 
 
--- a/linnetwind/stream_room_test.py
+++ b/linnetwind/stream_room_test.py
@@ -153,8 +153,12 @@
     assert (view.free, view.scouts) == (0, 1)
     busy = {'': GroupCount(1, 1, 16)}
     assert room.view(SERVICE, GAP, busy, (), NEWS).scouts == 0
+    # It was refused; if the next one went at once, all in line would be.
+    assert room.view(SERVICE, GAP, counts, (), NEWS).scouts == 0
+    clock.advance(300 * MS)
+    assert room.view(SERVICE, GAP, counts, (), NEWS).scouts == 1
     # Without any planner it tries by itself.
-    clock.advance(timedelta(seconds=1))
+    clock.advance(700 * MS)
     assert room.view(SERVICE, GAP, counts, (), NEWS).opens_in is None
 
 
