--- a/linnetwind/crash_book.py
+++ b/linnetwind/crash_book.py
@@ -36,7 +36,8 @@
 # most one is guilty; the others are refused so long if their callers ask again.
 _SUSPICION_MIN = 1
 SUSPICION = timedelta(minutes=_SUSPICION_MIN)
-# Crashes of more upstreams within this time have a cause outside of requests.
+# Crashes of more than two upstreams within this time have a cause outside of
+# requests; two may have had copies of one request.
 _ONE_EVENT = timedelta(seconds=1)
 _MOST_BY_REQUEST = 2
 # More doublings than lead to the longest quarantine.
--- a/linnetwind/group_breaks.py
+++ b/linnetwind/group_breaks.py
@@ -20,7 +20,8 @@
 # lost its way to a rank of a sound group.
 _CONFIRMED_MS = 600
 _CONFIRMED = timedelta(milliseconds=_CONFIRMED_MS)
-# Without any word of a planner a group is tried again after this.
+# Without any word of a planner a group is tried again after this, more than
+# twice an outage.
 _FORGOTTEN_S = 10
 _FORGOTTEN = timedelta(seconds=_FORGOTTEN_S)
 
--- a/linnetwind/group_wait.py
+++ b/linnetwind/group_wait.py
@@ -6,7 +6,6 @@
 from linnetwind.caller_connection import CallerConnection
 from linnetwind.journey import GatewayTools, Journey
 
-# How often the group is looked at.
 _LOOK_MS = 25
 _LOOK = timedelta(milliseconds=_LOOK_MS)
 # Callers give up a stream that shows nothing for two seconds; the rest is for
--- a/linnetwind/limit_share.py
+++ b/linnetwind/limit_share.py
@@ -32,11 +32,12 @@
 # rate at which their requests come keeps to the limit; a second request of one
 # of them still has to wait.
 _COVER = 1.3
-# Senders whose requests are fewer than this part of the limit lose turns by
+# Senders with fewer requests than this many times the limit lose turns by
 # chance: a request that comes just after another waits, and nobody uses the
 # turn of a daemon that has none.
 _SCARCE = 3
-# The least excess of requests over the limit by which a turn is lengthened.
+# The least excess of requests over the limit that a rate is worked out from, as
+# a part of the limit; with less, rates would grow without bound.
 _LEAST_EXCESS = 0.1
 # Below the level of any demand.
 _NO_DEMAND = -1_000
