The log tells when an upstream asks for a pause, and whether one was under way

BackoffAsked names the pause, how long the request was here, and the pause before; a counter tells pauses asked for anew from those asked for within one. Which upstream gets a request has not changed.

--- a/linnetwind/call_types.py
+++ b/linnetwind/call_types.py
@@ -77,6 +77,8 @@
     there; `instance` then names the one that answered. `call_id` is None if
     the answer names no call. `most_per_s` is how many requests a second the
     upstream takes from all daemons together, None if it names no limit.
+    `backoff` is for how long it wants nothing more from this daemon, None if it
+    does not say so.
     """
 
     signed: bool
@@ -86,6 +88,7 @@
     instance: str | None
     load: ReportedLoad | None
     most_per_s: float | None = None
+    backoff: timedelta | None = None
 
 
 class Dialect(Protocol):
--- a/linnetwind/gateway_events.py
+++ b/linnetwind/gateway_events.py
@@ -133,6 +133,23 @@
     per_s: float | None
 
 
+@dataclass(frozen=True, slots=True)
+class BackoffAsked:
+    """An upstream refused a request and wants no more from here for a time.
+
+    `backoff` is how long, `in_hand` how long this daemon had the request. If a
+    pause was under way already, `asked_before` is how long ago it was asked for
+    and `left_before` what was left of it.
+    """
+
+    request: str
+    upstream: str
+    backoff: timedelta
+    in_hand: timedelta
+    asked_before: timedelta | None
+    left_before: timedelta | None
+
+
 @dataclass(frozen=True, slots=True)
 class PeerSeen:
     """Another gateway daemon was heard of for the first time."""
--- a/linnetwind/gateway_metrics.py
+++ b/linnetwind/gateway_metrics.py
@@ -18,6 +18,7 @@
 from linnetwind.daemon_threads import RoundFailed
 from linnetwind.gateway_events import (
     AttemptFailed,
+    BackoffAsked,
     BadRecord,
     ConfigurationApplied,
     DependencyBack,
@@ -45,6 +46,7 @@
         self._requests = self._counter('requests', 'Ended.', 'outcome')
         self._attempts = self._counter('attempts_failed', 'Lost.', 'failure')
         self._crashes = self._counter('upstreams_crashed', 'Under requests.')
+        self._backoffs = self._counter('backoffs_asked', 'Pauses.', 'during')
         self._orders = self._counter('rank_orders_failed', 'Not done.', 'order')
         self._records = self._counter('bad_records', 'Of the store.', 'topic')
         self._answers = self._counter('bad_answers', 'Of engines.', 'call')
@@ -97,6 +99,9 @@
                 self._attempts.labels(event.failure).inc()
             case UpstreamCrashed():
                 self._crashes.inc()
+            case BackoffAsked():
+                during = 'none' if event.left_before is None else 'pause'
+                self._backoffs.labels(during).inc()
             case OrderFailed():
                 self._orders.labels(event.order).inc()
             case BadRecord():
--- a/linnetwind/platform/headers.py
+++ b/linnetwind/platform/headers.py
@@ -27,8 +27,10 @@
 _ANSWERED_BY = b'instance-id'
 _LOAD = b'server-load'
 _MOST_REQUESTS = b'server-limit'
+_BACKOFF = b'retry-after'
 _DECIMAL = re.compile(r'[0-9]{1,9}(\.[0-9]{1,9})?')
 _MISDIRECTED = 421
+_REFUSED = 503
 
 # Headers that concern one connection only, or frame a body.
 _CONNECTION_ONLY = frozenset(
@@ -131,6 +133,7 @@
             instance=_text(named.get(_ANSWERED_BY)) or None,
             load=_load(_text(named.get(_LOAD))),
             most_per_s=_decimal(_text(named.get(_MOST_REQUESTS))),
+            backoff=_backoff(status, _text(named.get(_BACKOFF))),
         )
 
     def answer_headers(self, headers: Headers) -> Headers:
@@ -169,6 +172,11 @@
     return float(text) if _DECIMAL.fullmatch(text) else None
 
 
+def _backoff(status: int, text: str) -> timedelta | None:
+    seconds = _decimal(text) if status == _REFUSED else None
+    return None if seconds is None else timedelta(seconds=seconds)
+
+
 def _key(text: str) -> str | None:
     if text.lower().startswith(_KEY_SCHEME):
         return text[len(_KEY_SCHEME) :].strip()
--- a/linnetwind/request_books.py
+++ b/linnetwind/request_books.py
@@ -8,6 +8,7 @@
 from linnetwind.peer_book import PeerBook, PeerState, demands_of
 from linnetwind.refusal_book import Refusals
 from linnetwind.repeat_budget import BudgetTerms, SharedRepeats
+from linnetwind.upstream_backoff import UpstreamBackoffs
 from linnetwind.upstream_limits import ServiceDemand, UpstreamLimits
 
 
@@ -17,13 +18,15 @@
 
     `repeats` are the budgets of second tries, `refusals` who was told to come
     back, `crashes` the requests under which upstreams have crashed, `limits`
-    how many requests upstreams take.
+    how many requests upstreams take, `backoffs` which of them want none for a
+    time.
     """
 
     repeats: SharedRepeats
     refusals: Refusals
     crashes: Crashes
     limits: UpstreamLimits
+    backoffs: UpstreamBackoffs
 
     def hear(self, state: PeerState, daemons: int) -> None:
         """Take in a peer's message.
@@ -62,4 +65,5 @@
         Refusals(clock),
         Crashes(clock),
         UpstreamLimits(clock, str(peers().own), demands),
+        UpstreamBackoffs(clock),
     )
--- a/linnetwind/upstream_attempt.py
+++ b/linnetwind/upstream_attempt.py
@@ -8,7 +8,7 @@
 from linnetwind.call_types import AnswerFacts, Forwarding
 from linnetwind.caller_connection import CallerConnection
 from linnetwind.crash_guard import note_if_crashed
-from linnetwind.gateway_events import LimitNamed
+from linnetwind.gateway_events import BackoffAsked, LimitNamed
 from linnetwind.journey import CALLER_LEFT, Done, GatewayTools, Journey, as_lost
 from linnetwind.routes import RouteKind
 from linnetwind.upstream_call import Head, NotReached, OutOfTime, UpstreamCall
@@ -106,6 +106,7 @@
 
     def _take_head(self, call: UpstreamCall, head: Head) -> Done | AttemptLost:
         answer = self._tools.dialect.read_answer(head.status, head.headers)
+        self._note_backoff(answer)
         if answer.not_executed or answer.misdirected:
             self._note_instance(answer)
             self._note_limit(answer)
@@ -134,6 +135,23 @@
                 )
             )
 
+    def _note_backoff(self, answer: AnswerFacts) -> None:
+        if answer.backoff is None:
+            return
+        life = self._upstream.life
+        before = self._tools.state.books.backoffs.note(life, answer.backoff)
+        now = self._tools.clock.elapsed()
+        self._tools.log.event(
+            BackoffAsked(
+                self._journey.facts.call_id,
+                life,
+                answer.backoff,
+                now - self._journey.request.received,
+                None if before is None else now - before.asked_at,
+                None if before is None else before.until - now,
+            )
+        )
+
     def _note_instance(self, answer: AnswerFacts) -> None:
         if not answer.misdirected or answer.instance is None:
             return
