Failing tests: upstreams that asked for a pause get requests in it

What callers saw: BUDGET, up to nine tries in one pause of 3 s, and 503 after two refusals while eleven ranks had free slots.

--- a/linnetwind/platform/gateway_backoff_test.py
+++ b/linnetwind/platform/gateway_backoff_test.py
@@ -1,20 +1,51 @@
 """Tests of upstreams that ask a gateway to back off."""
 
+import time
+from datetime import timedelta
+
+import pytest
+
 from linnetwind.gateway_events import BackoffAsked
-from standins.gateway_requests import GET
+from linnetwind.lives import name_life
+from standins.gateway_harness import read_answer
+from standins.gateway_requests import FRAGILE, GET, ONCE, STREAM
+
+CALLS = 20
+# Longer than all calls of a test take.
+PAUSE_S = 5
+
+
+def _answer(connection, request):
+    connection.answer(request)
 
 
-def _refuse(wanted):
+def _refuse(wanted, **headers):
     """Refuse each request and want no more for some seconds."""
 
     def script(connection, request):
         connection.answer(
-            request, 'no', 503, Not_Executed='1', Retry_After=wanted
+            request, 'no', 503, Not_Executed='1', Retry_After=wanted, **headers
         )
 
     return script
 
 
+def _stream(connection, request):
+    connection.head(
+        request,
+        Content_Type='text/event-stream',
+        Transfer_Encoding='chunked',
+    )
+    connection.chunk('id: 1\ndata: 1\n\n')
+    connection.send('0\r\n\r\n')
+
+
+def _ask(gateway, text):
+    """Send calls one after the other; return statuses and headers."""
+    answers = [gateway.ask(text) for _call in range(CALLS)]
+    return [(status, headers) for status, headers, _body in answers]
+
+
 def test_the_log_tells_of_a_pause_that_an_upstream_asked_for(gateway):
     gateway.add(_refuse('2.5'))
     gateway.ask(GET)
@@ -23,3 +54,51 @@
     assert asked.upstream == 'i-0'
     assert asked.backoff.total_seconds() == 2.5
     assert asked.left_before is None
+
+
+@pytest.mark.parametrize('text', [GET, ONCE, STREAM, FRAGILE])
+def test_an_upstream_gets_nothing_in_the_pause_it_asked_for(gateway, text):
+    """Guards against tries that are wasted on upstreams that back off."""
+    is_stream = text in {STREAM, FRAGILE}
+    service = 'model' if is_stream else 'plain'
+    resting = gateway.add(_refuse(str(PAUSE_S)), service)
+    gateway.add(_stream if is_stream else _answer, service)
+    statuses = [status for status, _headers in _ask(gateway, text)]
+    assert statuses == [200] * CALLS
+    assert len(resting.requests) <= 1
+
+
+@pytest.mark.parametrize('text', [GET, ONCE, STREAM, FRAGILE])
+def test_callers_are_told_when_upstreams_that_all_pause_are_back(gateway, text):
+    """Guards against waits and returns that are refused again."""
+    service = 'model' if text in {STREAM, FRAGILE} else 'plain'
+    upstreams = [gateway.add(_refuse(str(PAUSE_S)), service) for _ in range(2)]
+    gateway.ask(text)
+    began = time.monotonic()
+    answers = _ask(gateway, text)
+    took = time.monotonic() - began
+    assert [len(each.requests) for each in upstreams] == [1, 1]
+    for status, headers in answers:
+        assert status == 503
+        assert float(headers['Retry-After']) >= PAUSE_S - took - 1
+
+
+def test_a_request_that_waits_is_not_sent_into_a_pause(gateway):
+    """Guards against a pause that begins between choice and sending."""
+
+    def script(connection, request):
+        connection.answer(request, Server_Limit='4')
+
+    upstream = gateway.add(script)
+    gateway.ask(GET)
+    # More than may go at once: some wait for their turn.
+    callers = [gateway.call(GET) for _call in range(CALLS)]
+    time.sleep(0.1)
+    pause = timedelta(seconds=PAUSE_S)
+    gateway.state.books.backoffs.note(name_life('i-0', None), pause)
+    time.sleep(0.05)
+    sent = len(upstream.requests)
+    statuses = [read_answer(caller)[0] for caller in callers]
+    assert len(upstream.requests) == sent
+    # The first call came before these.
+    assert statuses.count(200) == sent - 1
