A gateway sends nothing to an upstream in the pause that it asked for

What callers saw: tries wasted on upstreams that had asked this gateway for a pause, and 503 after two of them while other ranks had free slots.

Cause: a refusal was known to the request that met it and to no other; Retry-After of an upstream was not read. Rank choice by free slots then prefers an upstream that refuses, since it has more of them.

Now the pause is kept by life of the upstream, for as long as the longest word of it. It leaves out that upstream wherever one is chosen (first tries, repeats, resumed streams, turns at a limit, who is asked when patience ends), ranks in a pause count as no places, and a group whose ranks all pause is closed until the first is back. Where all upstreams pause, a request waits if its answer can be in time and is refused at once otherwise, with the time at which the first one is back.

--- a/linnetwind/gateway_state.py
+++ b/linnetwind/gateway_state.py
@@ -16,6 +16,7 @@
 from linnetwind.stream_counts import StreamCounts
 from linnetwind.stream_gate import GroupView
 from linnetwind.stream_room import StreamRoom
+from linnetwind.upstream_backoff import UpstreamBackoffs
 from linnetwind.upstream_choice import (
     Record,
     choose_group,
@@ -195,7 +196,10 @@
         """
         now = self._clock.elapsed()
         counts = _count_streams(
-            self._groups(service.name), self._counts(), self._streams.own
+            self._groups(service.name),
+            self._counts(),
+            self._streams.own,
+            self._books.backoffs,
         )
         book = self._book
         return self._room.view(
@@ -273,7 +277,12 @@
         groups = self._groups(service.name)
         name = UNNAMED
         if service.engine is not None:
-            counts = _count_streams(groups, self._counts(), self._streams.own)
+            counts = _count_streams(
+                groups,
+                self._counts(),
+                self._streams.own,
+                self._books.backoffs,
+            )
             failed = frozenset(
                 name
                 for name, members in groups.items()
@@ -281,7 +290,7 @@
             )
             places = self._room.places(service.name, counts)
             name = choose_group(places, failed, random.random())
-        members = groups.get(name, [])
+        members = self._books.backoffs.free(groups.get(name, []))
         return [each for each in members if each.instance not in tried]
 
     def give_back(self, upstream: Upstream) -> None:
@@ -339,12 +348,14 @@
     groups: Mapping[str, list[Upstream]],
     running: Mapping[Life, int],
     own: Mapping[Life, int],
+    backoffs: UpstreamBackoffs,
 ) -> dict[str, GroupCount]:
     return {
         name: GroupCount(
             sum(running.get(each.life, 0) for each in members),
             sum(own.get(each.life, 0) for each in members),
-            len(members),
+            len(backoffs.free(members)),
+            backoffs.all_pause_for(members),
         )
         for name, members in groups.items()
     }
--- a/linnetwind/group_room.py
+++ b/linnetwind/group_room.py
@@ -28,11 +28,16 @@
 
 @dataclass(frozen=True, slots=True)
 class GroupCount:
-    """The streams of a group and its ranks, as this daemon counts them."""
+    """The streams of a group and its ranks, as this daemon counts them.
+
+    `ranks` are those that take streams from this daemon; `all_pause_for` is
+    how long none of them does, since all have asked for a pause.
+    """
 
     running: int
     own_running: int
     ranks: int
+    all_pause_for: timedelta = timedelta()
 
 
 @dataclass
@@ -98,6 +103,25 @@
     return expected_opening(room.health, planned, now)
 
 
+def closed_for(
+    room: GroupRoom, count: GroupCount, now: timedelta
+) -> timedelta | None:
+    """Return for how long a group takes no streams from this daemon.
+
+    Args:
+      room: The group.
+      count: Its streams and ranks.
+      now: The monotonic time.
+
+    Returns:
+      The time until it should; None if nothing is known to be in the way.
+    """
+    broken = opens_in(room, now)
+    if not count.all_pause_for:
+        return broken
+    return max(broken or timedelta(), count.all_pause_for)
+
+
 def limit_of(
     room: GroupRoom,
     now: timedelta,
--- a/linnetwind/relay.py
+++ b/linnetwind/relay.py
@@ -1,7 +1,6 @@
 """One caller's request, from its head to its final answer."""
 
 import random
-import threading
 from datetime import timedelta
 from http import HTTPStatus
 
@@ -38,14 +37,12 @@
 from linnetwind.routes import RouteTable, choose_service
 from linnetwind.stream_gate import STOPPING, Claim, TurnAway, bounded_retry
 from linnetwind.upstream_attempt import UpstreamAttempt
+from linnetwind.upstream_claim import RETRY_SOON, claim_upstream, next_turn
 from linnetwind.upstream_list import Upstream
 
 # The time limit of a caller that names none.
 _USUAL_TIME_LIMIT_S = 30
 USUAL_TIME_LIMIT = timedelta(seconds=_USUAL_TIME_LIMIT_S)
-# When a caller may come back whose request no upstream could take.
-_RETRY_SOON_MS = 400
-_RETRY_SOON = timedelta(milliseconds=_RETRY_SOON_MS)
 _REFUSED = HTTPStatus.SERVICE_UNAVAILABLE
 
 
@@ -79,7 +76,7 @@
         if table is None:
             # Without a configuration nobody can say that a route or key does
             # not exist, so that 404 or 401 would be false.
-            self._answer(_REFUSED, _retry_after(_RETRY_SOON))
+            self._answer(_REFUSED, _retry_after(RETRY_SOON))
             return self._connection.reusable
         journey = self._journey(table)
         done = self._decide(journey)
@@ -181,10 +178,10 @@
 
     def _next_attempt(self, journey: Journey) -> Done | None:
         """Try one upstream; return how the request ended, if it did."""
-        upstream = self._claim(journey)
+        upstream = claim_upstream(self._tools, journey)
         if upstream is None:
             return self._refuse(
-                journey, 'no upstream left', self._next_turn(journey)
+                journey, 'no upstream left', next_turn(self._tools, journey)
             )
         try:
             ended = self._attempt(journey, upstream)
@@ -194,42 +191,6 @@
             return ended
         return self._after(journey, upstream, ended)
 
-    def _claim(self, journey: Journey) -> Upstream | None:
-        """Return an upstream at which the request is counted."""
-        claimed = journey.claimed
-        journey.claimed = None
-        if claimed is not None:
-            return claimed
-        state = self._tools.state
-        tried = frozenset(journey.tried)
-        taken = state.take_upstream(journey.service, tried)
-        if taken is not None or not state.books.limits.any_known:
-            return taken
-        return self._wait_for_turn(journey)
-
-    def _wait_for_turn(self, journey: Journey) -> Upstream | None:
-        """Wait for an upstream with a limit, if the answer can be in time."""
-        in_time = self._request.received + journey.route.target
-        turn = self._tools.state.take_turn(
-            journey.service,
-            frozenset(journey.tried),
-            in_time - self._tools.clock.elapsed(),
-        )
-        if turn is None:
-            return None
-        threading.Event().wait(turn.wait.total_seconds())
-        return turn.upstream
-
-    def _next_turn(self, journey: Journey) -> timedelta:
-        """Return when a request may come back for which nobody has room."""
-        state = self._tools.state
-        if not state.books.limits.any_known:
-            return _RETRY_SOON
-        tried = frozenset(journey.tried)
-        usable = state.candidates(journey.service, tried)
-        wait = state.books.limits.next_turn(usable)
-        return max(_RETRY_SOON, wait or _RETRY_SOON)
-
     def _attempt(
         self, journey: Journey, upstream: Upstream
     ) -> Done | AttemptLost:
@@ -285,7 +246,7 @@
         return not another.counts or repeats.spend(journey.service.name)
 
     def _refuse(
-        self, journey: Journey, reason: str, after: timedelta = _RETRY_SOON
+        self, journey: Journey, reason: str, after: timedelta = RETRY_SOON
     ) -> Done:
         """Give up without an upstream; true to what may have run before."""
         not_run = not journey.may_have_run
@@ -298,7 +259,7 @@
         self,
         journey: Journey,
         decision: GiveUp,
-        after: timedelta = _RETRY_SOON,
+        after: timedelta = RETRY_SOON,
     ) -> Done:
         if journey.started:
             # Part of a stream is with the caller: only a connection that
--- a/linnetwind/service_room.py
+++ b/linnetwind/service_room.py
@@ -9,8 +9,8 @@
     GROUP_GONE,
     GroupCount,
     GroupRoom,
+    closed_for,
     measure,
-    opens_in,
     rate,
 )
 from linnetwind.lives import Life
@@ -100,20 +100,30 @@
     if _awaits_first_word(room, now):
         return _untold_view(room, counts, now)
     groups = {name: room.groups[name] for name in counts}
-    waits = {name: opens_in(each, now) for name, each in groups.items()}
+    waits = {
+        name: closed_for(each, counts[name], now)
+        for name, each in groups.items()
+    }
     open_groups = [name for name, wait in waits.items() if wait is None]
     free = sum(
         max(0, groups[name].allowance.most - counts[name].own_running)
         for name in open_groups
     )
     ends = sum(rate(groups[name].ends, now) for name in open_groups)
-    closed = [wait for wait in waits.values() if wait is not None]
-    soonest = None if open_groups else min(closed, default=None)
+    closed = [(wait, name) for name, wait in waits.items() if wait is not None]
+    soonest, first = (None, None) if open_groups or not closed else min(closed)
     reserved = max(
         reserve(free, rate(room.arrivals, now), ends),
         hold_back(rate(room.newcomers, now)),
     )
-    return GroupView(free, ends, _start_time(room), soonest, reserved)
+    return GroupView(
+        free,
+        ends,
+        _start_time(room),
+        soonest,
+        reserved,
+        all_pause=first is not None and soonest == counts[first].all_pause_for,
+    )
 
 
 def load_of(service: str, room: ServiceRoom, now: timedelta) -> StreamLoad:
--- a/linnetwind/stream_gate.py
+++ b/linnetwind/stream_gate.py
@@ -64,7 +64,8 @@
     in a second. `start_time` passes from a stream's start to its first event.
     `opens_in` is set while the group cannot run at all; `scouts` streams may
     run then to find out whether it can. `reserved` of the free places are left
-    to streams that can be in time.
+    to streams that can be in time. `all_pause` says that the group is sound but
+    all its ranks have asked for a pause; `opens_in` is no estimate then.
     """
 
     free: int
@@ -73,6 +74,7 @@
     opens_in: timedelta | None
     reserved: int = 0
     scouts: int = 0
+    all_pause: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,7 +132,7 @@
     if view.opens_in is not None:
         if view.scouts > waiter.ahead:
             return RunNow()
-        return _await_group(view.opens_in, waiter)
+        return _await_group(view, waiter)
     most = RETURN_WAIT
     if not waiter.returning:
         most = waiter.target - view.start_time
@@ -184,7 +186,7 @@
     return int(newcomers_per_s * _NEXT.total_seconds())
 
 
-def _await_group(opens_in: timedelta, waiter: Waiter) -> Verdict:
+def _await_group(view: GroupView, waiter: Waiter) -> Verdict:
     """Decide on a stream whose group cannot run.
 
     After a power loss all that was under way came back before the groups had
@@ -193,10 +195,13 @@
     """
     left = RETURN_WAIT - waiter.waited
     # A caller that came back has no try left, and the time is an estimate.
-    slack = _ESTIMATE_SLACK if waiter.returning else timedelta()
-    if left > timedelta() and opens_in < left + slack:
+    is_estimate = waiter.returning and not view.all_pause
+    slack = _ESTIMATE_SLACK if is_estimate else timedelta()
+    if left > timedelta() and view.opens_in < left + slack:
         return WaitFor(left)
-    return _turn_away(opens_in, 'group is broken')
+    if view.all_pause:
+        return TurnAway(max(view.opens_in, LEAST_RETRY), 'all ranks pause')
+    return _turn_away(view.opens_in, 'group is broken')
 
 
 def _turn_away(wait: timedelta, reason: str) -> TurnAway:
--- a/linnetwind/stream_room.py
+++ b/linnetwind/stream_room.py
@@ -16,6 +16,7 @@
     UNNAMED,
     GroupCount,
     GroupRoom,
+    closed_for,
     forget,
     fresh_brief,
     limit_of,
@@ -323,7 +324,7 @@
             found = {
                 name: rooms[name].allowance.most - count.own_running
                 for name, count in counts.items()
-                if name in rooms and opens_in(rooms[name], now) is None
+                if name in rooms and closed_for(rooms[name], count, now) is None
             }
         return found or dict.fromkeys(counts, 0)
 
--- a/linnetwind/upstream_backoff.py
+++ b/linnetwind/upstream_backoff.py
@@ -6,12 +6,13 @@
 """
 
 import threading
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 
 from linnetwind.clock import Clock
 from linnetwind.lives import Life
+from linnetwind.upstream_list import Upstream
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,6 +35,7 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._pauses: Mapping[Life, Backoff] = {}
+        self._last_end = timedelta()
 
     def note(self, life: Life, wanted: timedelta) -> Backoff | None:
         """Take note that an upstream wants a pause from now on.
@@ -57,8 +59,51 @@
                     **_under_way(self._pauses, now),
                     life: Backoff(now, until),
                 }
+                self._last_end = max(self._last_end, until)
         return before
 
+    def left(self, life: Life) -> timedelta:
+        """Return what is left of an upstream's pause.
+
+        Args:
+          life: The upstream's life.
+
+        Returns:
+          The time, zero without a pause.
+        """
+        pause = self._pauses.get(life)
+        if pause is None:
+            return timedelta()
+        return max(pause.until - self._clock.elapsed(), timedelta())
+
+    def free(self, upstreams: list[Upstream]) -> list[Upstream]:
+        """Return the upstreams that are not in a pause.
+
+        Args:
+          upstreams: Any upstreams.
+
+        Returns:
+          Those that take requests from this daemon; the same object while
+          nobody has asked for a pause.
+        """
+        if self._last_end <= self._clock.elapsed():
+            return upstreams
+        return [each for each in upstreams if not self.left(each.life)]
+
+    def all_pause_for(self, upstreams: Iterable[Upstream]) -> timedelta:
+        """Return when the first of some upstreams takes requests again.
+
+        Args:
+          upstreams: Any upstreams.
+
+        Returns:
+          The time until then; zero if one takes requests, or there is none.
+        """
+        if self._last_end <= self._clock.elapsed():
+            return timedelta()
+        lefts = (self.left(each.life) for each in upstreams)
+        return min(lefts, default=timedelta())
+
 
 def _under_way(
     pauses: Mapping[Life, Backoff], now: timedelta
--- /dev/null
+++ b/linnetwind/upstream_refusals_test.py
@@ -0,0 +1,98 @@
+"""A replay of ranks that refuse part of their requests and ask for pauses."""
+
+import random
+from datetime import UTC, datetime
+
+from linnetwind.address import Address
+from linnetwind.clock import ManualClock
+from linnetwind.gateway_state import GatewayState
+from linnetwind.peer_book import GroupBrief
+from linnetwind.repeat_budget import BudgetTerms
+from linnetwind.routes import RoutedService
+from linnetwind.upstream_list import Registered
+from standins.gateway_fixtures import MS, SECOND, make_engine, make_upstream
+
+MODEL = RoutedService('model', '/health', 248, make_engine())
+PAUSE = 3 * SECOND
+RANKS = 16
+SICK = 5
+REFUSED_SHARE = 0.4
+# One gateway's part of 37 streams a second, for ten seconds.
+STREAMS = 100
+SPACING = 100 * MS
+TRIES = 2
+# An upstream bears what was on its way when it asked.
+ON_THE_WAY = SECOND / 2
+
+
+class Sick:
+    """Ranks of which some refuse part of what they get."""
+
+    def __init__(self, clock, state, *, names_pauses):
+        """Start with sound ranks."""
+        self._clock = clock
+        self._state = state
+        self._names_pauses = names_pauses
+        self._asked = {}
+        self._random = random.Random(3)
+        self.in_pauses = 0
+        self.refused = 0
+
+    def send(self, upstream) -> bool:
+        """Return whether a rank takes a stream."""
+        now = self._clock.elapsed()
+        asked = self._asked.get(upstream.instance, -PAUSE)
+        self.in_pauses += ON_THE_WAY < now - asked < PAUSE
+        is_sick = int(upstream.instance) < SICK
+        if not is_sick or self._random.random() > REFUSED_SHARE:
+            return True
+        self.refused += 1
+        self._asked[upstream.instance] = now
+        if self._names_pauses:
+            self._state.books.backoffs.note(upstream.life, PAUSE)
+        return False
+
+
+def _ask(state, ranks) -> bool:
+    """Return whether a stream runs within its tries."""
+    tried = set()
+    for _try in range(TRIES):
+        upstream = state.take_upstream(MODEL, frozenset(tried))
+        runs = ranks.send(upstream)
+        state.give_back(upstream)
+        if runs:
+            return True
+        tried.add(upstream.instance)
+    return False
+
+
+def _play(*, names_pauses):
+    random.seed(7)
+    clock = ManualClock(datetime(2026, 1, 1, tzinfo=UTC))
+    terms = BudgetTerms(10 * SECOND, 0.2, 88)
+    state = GatewayState(clock, Address('127.0.0.1', 1), terms)
+    entries = [
+        make_upstream(str(rank), rank + 1, 'model') for rank in range(RANKS)
+    ]
+    records = [Registered(each.instance, 0, each) for each in entries]
+    state.change_upstreams(lambda known: known.take(records, 1))
+    lives = tuple(each.life for each in entries)
+    ranks = Sick(clock, state, names_pauses=names_pauses)
+    lost = 0
+    for _stream in range(STREAMS):
+        clock.advance(SPACING)
+        told = GroupBrief('model', 'group', 1, True, 1.5, 0, lives)
+        state.room.take_brief(told)
+        lost += not _ask(state, ranks)
+    return ranks, lost
+
+
+def test_refusals_that_name_a_pause_cost_one_try_a_pause():
+    """Guards against callers refused while other ranks have free slots."""
+    ranks, lost = _play(names_pauses=True)
+    assert ranks.in_pauses == 0
+    assert lost == 0
+    # Each sick rank once a pause; without the pauses they refuse more.
+    pauses = STREAMS * SPACING / PAUSE
+    assert ranks.refused <= SICK * pauses
+    assert _play(names_pauses=False)[0].refused > ranks.refused
