A test of a broken group waits for the log line that it reads

A gateway answers its caller before it logs how the request ended, so that the second line may not be there yet when the caller has its answer.

Nothing of what it checks has changed.

--- a/linnetwind/platform/gateway_crashes_test.py
+++ b/linnetwind/platform/gateway_crashes_test.py
@@ -94,6 +94,6 @@
     assert status == 503
     assert float(dict(headers)['Retry-After']) > 1
     assert not other.requests
-    ended = gateway.log.of(RequestEnded)[-1]
+    ended = gateway.log.nth(RequestEnded, 2)
     assert ended.reason == 'group is broken'
     assert ended.retry_after.total_seconds() > 1
--- a/standins/gateway_harness.py
+++ b/standins/gateway_harness.py
@@ -41,10 +41,14 @@
 
     def first(self, kind: type):
         """Wait for an event of a type; the caller may see its cause before."""
+        return self.nth(kind, 1)
+
+    def nth(self, kind: type, number: int):
+        """Wait for so many events of a type and return the last of them."""
         for _look in range(1000):
             found = self.of(kind)
-            if found:
-                return found[0]
+            if len(found) >= number:
+                return found[number - 1]
             time.sleep(0.01)
         raise LookupError(kind)
 
