A test of a request that crashes upstreams waits for the log line that it reads

The same race as in the test of a broken group, found by looking for it: with 50 ms of sleep before each log line its four cases failed, with the outcome of an earlier try or none; they pass with the wait for the line of the last try. Nothing of what they check has changed.

--- a/linnetwind/platform/gateway_crashes_test.py
+++ b/linnetwind/platform/gateway_crashes_test.py
@@ -63,7 +63,7 @@
     crashes = gateway.log.of(UpstreamCrashed)
     assert len(crashes) == begun
     assert len({each.fingerprint for each in crashes}) == 1
-    ended = gateway.log.of(RequestEnded)[-1]
+    ended = gateway.log.nth(RequestEnded, UPSTREAMS)
     assert ended.outcome == 'refused'
     assert not ended.upstreams
 
