An upstream that says in an answer that it leaves gets no more work

Some never register that they drain, and a gateway without the store would not hear of it.

Cause: the header was not read; the same class as the pauses: what an answer says of its upstream ended with the request. The word now counts for that life in the list of upstreams, beside its entry; later entries of the same life change nothing, its next life gets work again. A request that has waited for its turn at a limit is not sent to an upstream that drains meanwhile.

--- a/linnetwind/call_types.py
+++ b/linnetwind/call_types.py
@@ -78,7 +78,7 @@
     the answer names no call. `most_per_s` is how many requests a second the
     upstream takes from all daemons together, None if it names no limit.
     `backoff` is for how long it wants nothing more from this daemon, None if it
-    does not say so.
+    does not say so. `leaving` says that it will end and takes no new work.
     """
 
     signed: bool
@@ -89,6 +89,7 @@
     load: ReportedLoad | None
     most_per_s: float | None = None
     backoff: timedelta | None = None
+    leaving: bool = False
 
 
 class Dialect(Protocol):
--- a/linnetwind/gateway_events.py
+++ b/linnetwind/gateway_events.py
@@ -150,6 +150,14 @@
     left_before: timedelta | None
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamLeaves:
+    """An upstream has said in an answer that it is leaving."""
+
+    request: str
+    upstream: str
+
+
 @dataclass(frozen=True, slots=True)
 class PeerSeen:
     """Another gateway daemon was heard of for the first time."""
--- a/linnetwind/platform/headers.py
+++ b/linnetwind/platform/headers.py
@@ -28,6 +28,8 @@
 _LOAD = b'server-load'
 _MOST_REQUESTS = b'server-limit'
 _BACKOFF = b'retry-after'
+_LEAVING = b'server-leaving'
+_YES = '1'
 _DECIMAL = re.compile(r'[0-9]{1,9}(\.[0-9]{1,9})?')
 _MISDIRECTED = 421
 _REFUSED = 503
@@ -134,6 +136,7 @@
             load=_load(_text(named.get(_LOAD))),
             most_per_s=_decimal(_text(named.get(_MOST_REQUESTS))),
             backoff=_backoff(status, _text(named.get(_BACKOFF))),
+            leaving=_text(named.get(_LEAVING)) == _YES,
         )
 
     def answer_headers(self, headers: Headers) -> Headers:
--- a/linnetwind/upstream_claim.py
+++ b/linnetwind/upstream_claim.py
@@ -23,8 +23,8 @@
     """
     upstream = journey.claimed or _take(tools, journey)
     journey.claimed = None
-    while upstream is not None and not _is_wanted(tools, upstream):
-        # It has asked for a pause while the request waited for its turn.
+    while upstream is not None and not _takes_requests(tools, upstream):
+        # It drains or pauses since the request began to wait for its turn.
         tools.state.give_back(upstream)
         upstream = _take(tools, journey)
     return upstream
@@ -49,8 +49,10 @@
     return max(RETRY_SOON, wait or RETRY_SOON)
 
 
-def _is_wanted(tools: GatewayTools, upstream: Upstream) -> bool:
-    return not tools.state.books.backoffs.left(upstream.life)
+def _takes_requests(tools: GatewayTools, upstream: Upstream) -> bool:
+    now = tools.clock.elapsed()
+    is_usable = tools.state.upstreams.is_usable(upstream, now)
+    return is_usable and not tools.state.books.backoffs.left(upstream.life)
 
 
 def _take(tools: GatewayTools, journey: Journey) -> Upstream | None:
--- a/linnetwind/upstream_list.py
+++ b/linnetwind/upstream_list.py
@@ -22,6 +22,8 @@
 RETURN_GRACE = timedelta(seconds=2)
 # What lapsed counts as older than all records.
 _LAPSED_OFFSET = -1
+# More than leave while any of them still serves.
+_MOST_LEAVING = 1_000
 
 _Entry = TypeVar('_Entry')
 
@@ -81,7 +83,9 @@
     time at which they are taken as gone; `replaced` the instances whose
     address was answered by another one, with the offset below which their
     records do not count; `ended` the life before of those that started again;
-    `named` the services of the configuration in force, None before the first.
+    `named` the services of the configuration in force, None before the first;
+    `leaving` the lives that have said in an answer that they leave, the last
+    one at the end.
     """
 
     end: int = 0
@@ -93,6 +97,7 @@
     ended: Mapping[str, _Ended] = field(default_factory=dict)
     named: frozenset[str] | None = None
     era: int = 0
+    leaving: tuple[Life, ...] = ()
 
     def usable(self, service: str, now: timedelta) -> list[Upstream]:
         """Return the upstreams of a service that may be given work.
@@ -141,6 +146,32 @@
         barred = {expected.instance: self.end}
         return replace(self, replaced={**self.replaced, **barred})
 
+    def note_leaving(self, upstream: Upstream) -> Self:
+        """Return the list after an upstream has said that it leaves.
+
+        Args:
+          upstream: Who said so.
+
+        Returns:
+          The list; this life is not usable any more, whatever its entry says.
+        """
+        others = [each for each in self.leaving if each != upstream.life]
+        kept = others[-_MOST_LEAVING:]
+        return replace(self, leaving=(*kept, upstream.life))
+
+    def is_usable(self, upstream: Upstream, now: timedelta) -> bool:
+        """Return whether an upstream may still be given work.
+
+        Args:
+          upstream: One that was usable.
+          now: The monotonic time.
+
+        Returns:
+          Whether the same life is usable now.
+        """
+        usable = self.usable(upstream.service, now)
+        return any(each.life == upstream.life for each in usable)
+
     def name_services(self, services: Iterable[str]) -> Self:
         """Return the list after a configuration came into force.
 
@@ -300,7 +331,8 @@
         usable: dict[str, list[Upstream]] = {}
         for at, each in newest.values():
             is_there = at >= self.replaced.get(each.instance, at)
-            if is_there and not each.draining:
+            leaves = each.draining or each.life in self.leaving
+            if is_there and not leaves:
                 usable.setdefault(each.service, []).append(each)
         return usable
 
