A side sends its upstream no calls in the pause that it asked for

The gate now refuses new and waiting calls for that time, as not run and with what is left of it, so that the entry daemon routes them to other upstreams.

--- a/linnetwind/gate.py
+++ b/linnetwind/gate.py
@@ -71,6 +71,7 @@
         self._arrivals = 0
         self._service = _FIRST_GUESS
         self._leaving = False
+        self._pause_ends = timedelta()
 
     @property
     def running(self) -> int:
@@ -112,6 +113,9 @@
             return (Refuse(call_id, Reason.BARRED, _SHORTEST_RETRY),)
         if self._leaving:
             return (self._refuse(call_id, Reason.LEAVING, _LEAVING_RETRY),)
+        pause = self._pause_ends - self._clock.elapsed()
+        if pause > timedelta():
+            return (self._refuse(call_id, Reason.OVERLOADED, pause),)
         if self.running < self.concurrency and not self._queue:
             return (self._start(call_id),)
         wait = self._expected_wait(priority)
@@ -191,17 +195,36 @@
           A refusal for each waiting call.
         """
         self._leaving = True
+        return self._refuse_waiting(Reason.LEAVING, _LEAVING_RETRY)
+
+    def come_back(self) -> None:
+        """Take new calls again."""
+        self._leaving = False
+
+    def back_off(self, pause: timedelta) -> tuple[Action, ...]:
+        """Refuse new and waiting calls for a time that the upstream named.
+
+        Args:
+          pause: How long it wants no calls.
+
+        Returns:
+          A refusal for each waiting call.
+        """
+        now = self._clock.elapsed()
+        self._pause_ends = max(self._pause_ends, now + pause)
+        left = self._pause_ends - now
+        return self._refuse_waiting(Reason.OVERLOADED, left)
+
+    def _refuse_waiting(
+        self, reason: Reason, retry_after: timedelta
+    ) -> tuple[Action, ...]:
         waiting = self._queue
         self._queue = []
         return tuple(
-            self._refuse(each.call_id, Reason.LEAVING, _LEAVING_RETRY)
+            self._refuse(each.call_id, reason, retry_after)
             for each in sorted(waiting)
         )
 
-    def come_back(self) -> None:
-        """Take new calls again."""
-        self._leaving = False
-
     def _fill(self) -> Iterator[Action]:
         now = self._clock.elapsed()
         while self._queue and self.running < self.concurrency:
--- a/linnetwind/gate_test.py
+++ b/linnetwind/gate_test.py
@@ -97,3 +97,18 @@
     gate.come_back()
     gate.finish('running', None)
     assert gate.offer('again', 5, LONG) == (Start('again'),)
+
+
+def test_calls_that_wait_are_refused_when_the_upstream_backs_off(clock):
+    """Guards against calls that are held and sent into the pause."""
+    gate = full_gate(clock)
+    gate.offer('waits', 5, LONG)
+    pause = timedelta(seconds=3)
+    (refusal,) = gate.back_off(pause)
+    assert (refusal.call_id, refusal.retry_after) == ('waits', pause)
+    assert gate.finish('running', None) == ()
+    gate.back_off(timedelta(seconds=1))
+    (refusal,) = gate.offer('next', 5, LONG)
+    assert (refusal.reason, refusal.retry_after) == (Reason.OVERLOADED, pause)
+    clock.advance(pause)
+    assert gate.offer('later', 5, LONG) == (Start('later'),)
--- a/linnetwind/side_calls.py
+++ b/linnetwind/side_calls.py
@@ -12,9 +12,9 @@
 from linnetwind.address import Address
 from linnetwind.clock import Clock
 from linnetwind.gate import Action, Gate, Refuse, Start
-from linnetwind.messages import Call, End, Fate, Lost, Refused
+from linnetwind.messages import Call, End, Fate, Head, Lost, Refused
 from linnetwind.outcome import Reason
-from linnetwind.upstream_http import UpstreamRun
+from linnetwind.upstream_http import UpstreamRun, pause_asked
 
 Send = Callable[[Any], bool]
 
@@ -150,6 +150,8 @@
         delivered = True
         whole = False
         for answer in run.answers():
+            if isinstance(answer, Head):
+                self._note_pause(answer)
             # A call that may not be repeated is followed to its end even if
             # nobody listens: its outcome must be known to the next repeat.
             reached = pending.send(answer)
@@ -160,6 +162,14 @@
             whole = isinstance(answer, End)
         return whole
 
+    def _note_pause(self, head: Head) -> None:
+        pause = pause_asked(head)
+        if pause is None:
+            return
+        logger.info('upstream {} wants no calls for {}', self._address, pause)
+        with self._lock:
+            self._perform(self._gate.back_off(pause))
+
     def _finish(self, call: Call, took: timedelta, *, whole: bool) -> None:
         with self._lock:
             self._pending.pop(call.call_id, None)
--- a/linnetwind/upstream_http.py
+++ b/linnetwind/upstream_http.py
@@ -6,7 +6,9 @@
 millisecond.
 """
 
+import re
 from collections.abc import Iterator
+from datetime import timedelta
 from http.client import HTTPConnection, HTTPException, HTTPResponse
 
 from loguru import logger
@@ -45,6 +47,10 @@
 
 _SET_HERE = _HOP_BY_HOP | frozenset(('content-length', 'host'))
 
+_REFUSED = 503
+_PAUSE_HEADER = 'retry-after'
+_SECONDS = re.compile('[0-9]{1,9}')
+
 Answer = Head | Chunk | End | Refused | Lost
 
 
@@ -193,6 +199,24 @@
             self._connection.close()
 
 
+def pause_asked(head: Head) -> timedelta | None:
+    """Return for how long an upstream wants no calls.
+
+    Args:
+      head: The head of its answer.
+
+    Returns:
+      The time, None if it asks for no pause or names it by a date.
+    """
+    if head.status != _REFUSED:
+        return None
+    named = {name.lower(): text.strip() for name, text in head.headers}
+    text = named.get(_PAUSE_HEADER, '')
+    if not _SECONDS.fullmatch(text):
+        return None
+    return timedelta(seconds=int(text))
+
+
 def _has_its_length(response: HTTPResponse, call: Call) -> bool:
     # The library raises for a chunked body without its end. A body without
     # any length ends where the connection does, which proves nothing.
