Soak: upstreams ask for pauses, or say that they leave

Checked by gateway: at most two calls in a pause from half a second on, none to an upstream that leaves from 2 s on; stops, kills and freezes of that gateway and faults of links excuse.

--- a/standins/soak.py
+++ b/standins/soak.py
@@ -16,7 +16,7 @@
 import threading
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, fields
 from pathlib import Path
 
 from standins.platform_cluster import (
@@ -34,10 +34,12 @@
     check_drains,
     check_recovery,
     check_stops,
+    check_wishes,
 )
 from standins.soak_extras import (
     come_back_older,
     crash_upstreams,
+    name_wishes,
     start_again,
     write_as_others,
 )
@@ -150,6 +152,7 @@
             *check_stops(self.history),
             *check_drains(self.history, _DRAIN_S),
             *check_crashes(self.history),
+            *check_wishes(self.history, self.registered),
             *self.book.broken(),
         ]
 
@@ -268,21 +271,30 @@
                 self._problems.append(f'{host.ip} stopped with {code}')
             self._start(host)
             host.process.wait_ready()
+            self._upset(host, start)
 
     def _kill(self, source: random.Random, length: float) -> None:
         host = source.choice(self.hosts)
         with host.lock:
+            start = time.monotonic()
             host.process.kill()
             time.sleep(length / 4)
             self._start(host)
             host.process.wait_ready()
+            self._upset(host, start)
 
     def _freeze(self, source: random.Random, length: float) -> None:
         host = source.choice(self.hosts)
         with host.lock:
+            start = time.monotonic()
             host.process.process.send_signal(signal.SIGSTOP)
             time.sleep(length)
             host.process.process.send_signal(signal.SIGCONT)
+            self._upset(host, start)
+
+    def _upset(self, host: _Host, start: float) -> None:
+        span = Span(host.ip, start, time.monotonic())
+        self.history.upsets.append(span)
 
     def _reload(self, source: random.Random, _length: float) -> None:
         host = source.choice(self.hosts)
@@ -334,6 +346,7 @@
         write_as_others: extras.strangers,
         come_back_older: extras.returns,
         crash_upstreams: extras.crashers,
+        name_wishes: extras.wishes,
     }
     return [extra for extra, chosen in known.items() if chosen]
 
@@ -366,16 +379,13 @@
     parser.add_argument('--seed', type=int, required=True)
     parser.add_argument('--seconds', type=float, default=60)
     parser.add_argument('--folder', type=Path, default=None)
-    parser.add_argument('--restarts', action='store_true')
-    parser.add_argument('--strangers', action='store_true')
-    parser.add_argument('--returns', action='store_true')
-    parser.add_argument('--crashers', action='store_true')
+    kinds = [each.name for each in fields(Extras)]
+    for kind in kinds:
+        parser.add_argument(f'--{kind}', action='store_true')
     chosen = parser.parse_args()
     folder = chosen.folder or Path(tempfile.mkdtemp(prefix='soak-'))
     folder.mkdir(parents=True, exist_ok=True)
-    extras = Extras(
-        chosen.restarts, chosen.strangers, chosen.returns, chosen.crashers
-    )
+    extras = Extras(**{kind: getattr(chosen, kind) for kind in kinds})
     broken, picture = soak(chosen.seed, chosen.seconds, folder, extras)
     sys.stdout.write(f'{picture}\n')
     for line in broken:
--- a/standins/soak_book.py
+++ b/standins/soak_book.py
@@ -15,13 +15,15 @@
 
     `restarts`: upstreams start again under their names; `strangers`: other
     writers write among the entries of upstreams; `returns`: the store comes
-    back from older copies; `crashers`: a request crashes upstreams.
+    back from older copies; `crashers`: a request crashes upstreams; `wishes`:
+    upstreams ask for pauses or say that they leave.
     """
 
     restarts: bool = False
     strangers: bool = False
     returns: bool = False
     crashers: bool = False
+    wishes: bool = False
 
 
 @dataclass
--- a/standins/soak_checks.py
+++ b/standins/soak_checks.py
@@ -1,5 +1,6 @@
 """Checks of the soak that need to know which faults went on."""
 
+import math
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
@@ -16,6 +17,11 @@
 # A request that has crashed so many may be sent so many times more.
 _MOST_CRASHES = 3
 _MOST_LATE = 3
+# What may still reach an upstream in its pause, and how long it may be on its
+# way; an upstream that leaves gets nothing after so long.
+_MOST_IN_PAUSE = 2
+_ON_THE_WAY_S = 0.5
+_LEAVING_S = 2
 
 
 @dataclass(frozen=True)
@@ -33,12 +39,16 @@
 
 @dataclass
 class History:
-    """What was seen, the faults, and the planned stops and drains."""
+    """What was seen, the faults, and the planned stops and drains.
+
+    `upsets` are the stops, kills and freezes by the address of their host.
+    """
 
     book: Book
     faults: list[Span] = field(default_factory=list)
     stops: list[Span] = field(default_factory=list)
     drains: list[tuple[float, SoakUpstream]] = field(default_factory=list)
+    upsets: list[Span] = field(default_factory=list)
 
     def is_calm(self, start: float, end: float) -> bool:
         """Return whether nothing but planned work went on."""
@@ -47,6 +57,18 @@
             each.touches(start, end) for each in crashes
         )
 
+    def is_excused(self, gateway: str, start: float, end: float) -> bool:
+        """Return whether a host was upset meanwhile, or a link held calls up."""
+        upset = any(
+            each.what == gateway and each.start <= end and start <= each.end
+            for each in self.upsets
+        )
+        return upset or any(
+            each.touches(start, end)
+            for each in self.faults
+            if each.what == 'upstream link'
+        )
+
     def is_calm_but_for_crashes(self, start: float, end: float) -> bool:
         """Return whether nothing but planned work and crashes went on."""
         return not any(
@@ -102,6 +124,37 @@
             yield f'{upstream.instance} ran calls {late} s after its drain'
 
 
+def check_wishes(
+    history: History, upstreams: list[SoakUpstream]
+) -> Iterator[str]:
+    """Yield each upstream that got calls it had told a gateway not to send.
+
+    A gateway that was stopped or frozen since may have forgotten, and calls
+    that a link has held up came late.
+    """
+    gateways = {call.name: call.gateway for call in history.book.calls}
+    for upstream in upstreams:
+        for told in upstream.arrivals:
+            until = told.at + told.pause
+            after = told.at + _ON_THE_WAY_S
+            allowed = _MOST_IN_PAUSE
+            if told.leaving:
+                until = math.inf
+                after = told.at + _LEAVING_S
+                allowed = 0
+            gateway = gateways.get(told.call)
+            late = [
+                each.at - told.at
+                for each in upstream.arrivals
+                if after < each.at < until
+                and each.life == told.life
+                and gateways.get(each.call) == gateway
+                and not history.is_excused(gateway, told.at, each.at)
+            ]
+            if len(late) > allowed:
+                yield f'{upstream.instance} got calls {late} s after {told}'
+
+
 def check_crashes(history: History) -> Iterator[str]:
     """Yield it if a request went on after it had crashed three upstreams.
 
--- a/standins/soak_extras.py
+++ b/standins/soak_extras.py
@@ -14,6 +14,8 @@
 # The share of bad entries that stand beside the upstreams' own, and their keys.
 _BESIDE = 0.5
 _STRANGERS = 20
+# The share of upstreams that leave, of those that name a wish.
+_LEAVING = 0.3
 
 
 def write_as_others(run, source: random.Random, until: float) -> None:
@@ -68,6 +70,27 @@
         time.sleep(source.uniform(1, 4))
 
 
+def name_wishes(run, source: random.Random, until: float) -> None:
+    """Have upstreams ask for pauses, or say that they leave and do.
+
+    Their entries say nothing of either.
+    """
+    while time.monotonic() < until:
+        time.sleep(source.uniform(0.2, 1))
+        upstream = source.choice(run.upstreams)
+        leaves = source.random() < _LEAVING
+        run.book.note(f'{upstream.instance} {"leaves" if leaves else "pauses"}')
+        upstream.pausing = not leaves
+        upstream.leaving = leaves
+        time.sleep(source.uniform(2.5, 5))
+        upstream.pausing = False
+        if leaves:
+            start = time.monotonic()
+            upstream.start_again()
+            span = Span('start again', start, time.monotonic())
+            run.history.faults.append(span)
+
+
 def crash_upstreams(run, source: random.Random, until: float) -> None:
     """Send a request that crashes upstreams through any gateway."""
     for number in itertools.count():
--- a/standins/soak_upstreams.py
+++ b/standins/soak_upstreams.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+from dataclasses import dataclass
 
 from standins.platform_cluster import entry_of
 from standins.scripted_upstream import ScriptedUpstream
@@ -11,6 +12,22 @@
 
 _EVENT_S = 0.05
 _BACK_AFTER_S = 1.0
+_PAUSE_S = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A call that reached an upstream, and what its answer told the gateway.
+
+    `pause` is how many seconds of pause were asked for, `leaving` says that
+    the answer named the upstream as leaving; `life` counts its starts.
+    """
+
+    at: float
+    call: str
+    life: int
+    pause: int = 0
+    leaving: bool = False
 
 
 class SoakUpstream:
@@ -19,6 +36,8 @@
     `mood` is 'sound', 'failing' (500), 'full' (refuses, not run), 'hanging',
     'breaking' (resets in the middle of an answer) or 'wrong' (bytes that are
     no answer).
+    `pausing` has every second call refused with a pause, `leaving` is told in
+    each answer.
     """
 
     def __init__(self, instance: str, service: str, book: Book, store):
@@ -26,6 +45,10 @@
         self.instance = instance
         self.mood = 'sound'
         self.last_runs: list[float] = []
+        self.pausing = False
+        self.leaving = False
+        self.arrivals: list[Arrival] = []
+        self._lives = 0
         self._born_ms = int(time.time() * 1000)
         self._state = 'ready'
         self._lock = threading.Lock()
@@ -55,6 +78,8 @@
             self.proxy.close()
             self.proxy = SoakProxy(self._upstream.port)
             self._born_ms = int(time.time() * 1000)
+            self._lives += 1
+            self.leaving = False
             self._write()
             return True
 
@@ -97,6 +122,7 @@
             if self._state == 'ready':
                 self.proxy = SoakProxy(self._upstream.port)
                 self._born_ms = int(time.time() * 1000)
+                self._lives += 1
                 self._write()
 
     def close(self) -> None:
@@ -111,6 +137,21 @@
 
     def _serve(self, connection, request) -> None:
         name = request.headers.get('attempt-id', '')
+        refuses = self.pausing and len(self.arrivals) % 2
+        pause = _PAUSE_S if refuses else 0
+        self.arrivals.append(
+            Arrival(time.monotonic(), name, self._lives, pause, self.leaving)
+        )
+        if pause:
+            connection.answer(
+                request,
+                'not now',
+                503,
+                Not_Executed='1',
+                Retry_After=str(pause),
+                Server_Leaving='1' if self.leaving else '',
+            )
+            return
         if self.mood == 'full':
             connection.answer(request, 'full', 503, Not_Executed='1')
             return
@@ -133,9 +174,17 @@
 
     def _answer(self, connection, request, name: str) -> None:
         if '/s/' not in request.target:
-            connection.answer(request, expected_body(name).decode())
+            connection.answer(
+                request,
+                expected_body(name).decode(),
+                Server_Leaving='1' if self.leaving else '',
+            )
             return
-        connection.head(request, Transfer_Encoding='chunked')
+        connection.head(
+            request,
+            Transfer_Encoding='chunked',
+            Server_Leaving='1' if self.leaving else '',
+        )
         for event in self._events_after(request, name):
             connection.chunk(f'{event}\n\n')
             time.sleep(_EVENT_S)
