--- a/linnetwind/upstream_backoff.py
+++ b/linnetwind/upstream_backoff.py
@@ -6,7 +6,7 @@
 """
 
 import threading
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -86,9 +86,10 @@
           Those that take requests from this daemon; the same object while
           nobody has asked for a pause.
         """
-        if self._last_end <= self._clock.elapsed():
+        pausing = self._pausing()
+        if not pausing:
             return upstreams
-        return [each for each in upstreams if not self.left(each.life)]
+        return [each for each in upstreams if each.life not in pausing]
 
     def all_pause_for(self, upstreams: Iterable[Upstream]) -> timedelta:
         """Return when the first of some upstreams takes requests again.
@@ -99,10 +100,17 @@
         Returns:
           The time until then; zero if one takes requests, or there is none.
         """
-        if self._last_end <= self._clock.elapsed():
+        pausing = self._pausing()
+        lives = [each.life for each in upstreams] if pausing else []
+        if any(life not in pausing for life in lives):
             return timedelta()
-        lefts = (self.left(each.life) for each in upstreams)
-        return min(lefts, default=timedelta())
+        return min(map(self.left, lives), default=timedelta())
+
+    def _pausing(self) -> Collection[Life]:
+        now = self._clock.elapsed()
+        if self._last_end <= now:
+            return ()
+        return _under_way(self._pauses, now)
 
 
 def _under_way(
