--- a/linnetwind/relay.py
+++ b/linnetwind/relay.py
@@ -35,10 +35,11 @@
 )
 from linnetwind.request_report import report_end
 from linnetwind.routes import RouteTable, choose_service
-from linnetwind.stream_gate import STOPPING, Claim, TurnAway, bounded_retry
+from linnetwind.stream_gate import STOPPING, TurnAway, bounded_retry
 from linnetwind.upstream_attempt import UpstreamAttempt
 from linnetwind.upstream_claim import RETRY_SOON, claim_upstream, next_turn
 from linnetwind.upstream_list import Upstream
+from linnetwind.waiting_line import Claim
 
 # The time limit of a caller that names none.
 _USUAL_TIME_LIMIT_S = 30
--- a/linnetwind/service_room.py
+++ b/linnetwind/service_room.py
@@ -18,12 +18,8 @@
 from linnetwind.place_shares import Demand, own_share
 from linnetwind.ranks_by_group import SortedRanks
 from linnetwind.routes import EngineFigures
-from linnetwind.stream_gate import (
-    GroupView,
-    WaitingLine,
-    hold_back,
-    reserve,
-)
+from linnetwind.stream_gate import GroupView, hold_back, reserve
+from linnetwind.waiting_line import WaitingLine
 
 # The starts that count for the time of the next one, and the part of them
 # that is shorter.
--- a/linnetwind/stream_room.py
+++ b/linnetwind/stream_room.py
@@ -40,13 +40,9 @@
     share_of,
     view_of,
 )
-from linnetwind.stream_gate import (
-    Claim,
-    GroupView,
-    TurnAway,
-    WaitingLine,
-)
+from linnetwind.stream_gate import GroupView, TurnAway
 from linnetwind.upstream_list import Upstream
+from linnetwind.waiting_line import Claim, WaitingLine
 
 
 class StreamRoom:
