--- a/linnetwind/platform/gateway_backoff_test.py
+++ b/linnetwind/platform/gateway_backoff_test.py
@@ -7,18 +7,14 @@
 
 from linnetwind.gateway_events import BackoffAsked
 from linnetwind.lives import name_life
-from standins.gateway_harness import read_answer
 from standins.gateway_requests import FRAGILE, GET, ONCE, STREAM
+from standins.upstream_scripts import answer, sent_after, stream
 
 CALLS = 20
 # Longer than all calls of a test take.
 PAUSE_S = 5
 
 
-def _answer(connection, request):
-    connection.answer(request)
-
-
 def _refuse(wanted, **headers):
     """Refuse each request and want no more for some seconds."""
 
@@ -30,16 +26,6 @@
     return script
 
 
-def _stream(connection, request):
-    connection.head(
-        request,
-        Content_Type='text/event-stream',
-        Transfer_Encoding='chunked',
-    )
-    connection.chunk('id: 1\ndata: 1\n\n')
-    connection.send('0\r\n\r\n')
-
-
 def _ask(gateway, text):
     """Send calls one after the other; return statuses and headers."""
     answers = [gateway.ask(text) for _call in range(CALLS)]
@@ -62,7 +48,7 @@
     is_stream = text in {STREAM, FRAGILE}
     service = 'model' if is_stream else 'plain'
     resting = gateway.add(_refuse(str(PAUSE_S)), service)
-    gateway.add(_stream if is_stream else _answer, service)
+    gateway.add(stream if is_stream else answer, service)
     statuses = [status for status, _headers in _ask(gateway, text)]
     assert statuses == [200] * CALLS
     assert len(resting.requests) <= 1
@@ -86,19 +72,8 @@
 def test_a_request_that_waits_is_not_sent_into_a_pause(gateway):
     """Guards against a pause that begins between choice and sending."""
 
-    def script(connection, request):
-        connection.answer(request, Server_Limit='4')
+    def pause(_upstream):
+        wanted = timedelta(seconds=PAUSE_S)
+        gateway.state.books.backoffs.note(name_life('i-0', None), wanted)
 
-    upstream = gateway.add(script)
-    gateway.ask(GET)
-    # More than may go at once: some wait for their turn.
-    callers = [gateway.call(GET) for _call in range(CALLS)]
-    time.sleep(0.1)
-    pause = timedelta(seconds=PAUSE_S)
-    gateway.state.books.backoffs.note(name_life('i-0', None), pause)
-    time.sleep(0.05)
-    sent = len(upstream.requests)
-    statuses = [read_answer(caller)[0] for caller in callers]
-    assert len(upstream.requests) == sent
-    # The first call came before these.
-    assert statuses.count(200) == sent - 1
+    assert sent_after(gateway, GET, pause) == (0, 0)
--- a/linnetwind/platform/gateway_leaving_test.py
+++ b/linnetwind/platform/gateway_leaving_test.py
@@ -1,39 +1,22 @@
 """Tests of upstreams that say in their answers that they are leaving."""
 
-import time
-
 import pytest
 
 from linnetwind.gateway_events import UpstreamLeaves
 from linnetwind.upstream_list import Registered
 from standins.gateway_fixtures import make_upstream
-from standins.gateway_harness import read_answer
 from standins.gateway_requests import FRAGILE, GET, ONCE, STREAM
+from standins.upstream_scripts import answer, sent_after, stream
 
 CALLS = 20
 
 
-def _answer(connection, request):
-    connection.answer(request)
-
-
-def _stream(connection, request, **headers):
-    connection.head(
-        request,
-        Content_Type='text/event-stream',
-        Transfer_Encoding='chunked',
-        **headers,
-    )
-    connection.chunk('id: 1\ndata: 1\n\n')
-    connection.send('0\r\n\r\n')
-
-
 def _leave(connection, request):
     connection.answer(request, Server_Leaving='1')
 
 
 def _leave_in_stream(connection, request):
-    _stream(connection, request, Server_Leaving='1')
+    stream(connection, request, Server_Leaving='1')
 
 
 def _refuse(connection, request):
@@ -47,12 +30,12 @@
 @pytest.mark.parametrize(
     ('text', 'leave', 'stay'),
     [
-        (GET, _leave, _answer),
-        (ONCE, _leave, _answer),
-        (GET, _refuse, _answer),
-        (STREAM, _leave_in_stream, _stream),
-        (FRAGILE, _leave_in_stream, _stream),
-        (STREAM, _refuse, _stream),
+        (GET, _leave, answer),
+        (ONCE, _leave, answer),
+        (GET, _refuse, answer),
+        (STREAM, _leave_in_stream, stream),
+        (FRAGILE, _leave_in_stream, stream),
+        (STREAM, _refuse, stream),
     ],
 )
 def test_an_upstream_that_says_it_leaves_gets_no_more(
@@ -102,20 +85,10 @@
 def test_a_request_that_waits_is_not_sent_to_an_upstream_that_leaves(gateway):
     """Guards against an upstream that leaves between choice and sending."""
 
-    def script(connection, request):
-        connection.answer(request, Server_Limit='4')
+    def drain(upstream):
+        entry = make_upstream('i-0', upstream.port, draining=True)
+        gateway.state.change_upstreams(
+            lambda known: known.take([Registered('i-0', 9, entry)], 10)
+        )
 
-    upstream = gateway.add(script)
-    gateway.ask(GET)
-    # More than may go at once: some wait for their turn.
-    callers = [gateway.call(GET) for _call in range(CALLS)]
-    time.sleep(0.1)
-    draining = make_upstream('i-0', upstream.port, draining=True)
-    gateway.state.change_upstreams(
-        lambda known: known.take([Registered('i-0', 9, draining)], 10)
-    )
-    time.sleep(0.05)
-    sent = len(upstream.requests)
-    statuses = [read_answer(caller)[0] for caller in callers]
-    assert len(upstream.requests) == sent
-    assert statuses.count(200) == sent - 1
+    assert sent_after(gateway, GET, drain) == (0, 0)
--- a/linnetwind/platform/gateway_limits_test.py
+++ b/linnetwind/platform/gateway_limits_test.py
@@ -6,16 +6,13 @@
 import pytest
 
 from standins.gateway_requests import GET, STREAM
+from standins.upstream_scripts import answer, stream
 
 # What may reach an upstream beside one and a half times what it named.
 EXTRA = 5
 CALLS = 60
 
 
-def _answer(connection, request):
-    connection.answer(request)
-
-
 def _limited(per_s):
     def script(connection, request):
         connection.answer(request, Server_Limit=per_s)
@@ -23,15 +20,8 @@
     return script
 
 
-def _stream(connection, request):
-    connection.head(
-        request,
-        Content_Type='text/event-stream',
-        Transfer_Encoding='chunked',
-        Server_Limit='2',
-    )
-    connection.chunk('id: 1\ndata: 1\n\n')
-    connection.send('0\r\n\r\n')
+def _limited_stream(connection, request):
+    stream(connection, request, Server_Limit='2')
 
 
 def _ask_at_once(gateway, text):
@@ -51,7 +41,7 @@
     # that came, some hundred a second, and fell over.
     text, script = (GET, _limited('2'))
     if service == 'model':
-        text, script = STREAM, _stream
+        text, script = STREAM, _limited_stream
     upstream = gateway.add(script, service)
     gateway.ask(text)
     began = time.monotonic()
@@ -66,7 +56,7 @@
 
 def test_what_does_not_fit_goes_to_another_upstream(gateway):
     limited = gateway.add(_limited('0.5'))
-    free = gateway.add(_answer)
+    free = gateway.add(answer)
     statuses = [gateway.ask(GET)[0] for _call in range(CALLS)]
     assert statuses == [200] * CALLS
     assert len(limited.requests) <= _allowed(0.5, 1)
