--- a/linnetwind/gate.py
+++ b/linnetwind/gate.py
@@ -71,7 +71,7 @@
         self._arrivals = 0
         self._service = _FIRST_GUESS
         self._leaving = False
-        self._pause_ends = timedelta()
+        self._backoff_ends = timedelta()
 
     @property
     def running(self) -> int:
@@ -113,9 +113,9 @@
             return (Refuse(call_id, Reason.BARRED, _SHORTEST_RETRY),)
         if self._leaving:
             return (self._refuse(call_id, Reason.LEAVING, _LEAVING_RETRY),)
-        pause = self._pause_ends - self._clock.elapsed()
-        if pause > timedelta():
-            return (self._refuse(call_id, Reason.OVERLOADED, pause),)
+        backoff = self._backoff_ends - self._clock.elapsed()
+        if backoff > timedelta():
+            return (self._refuse(call_id, Reason.OVERLOADED, backoff),)
         if self.running < self.concurrency and not self._queue:
             return (self._start(call_id),)
         wait = self._expected_wait(priority)
@@ -201,18 +201,18 @@
         """Take new calls again."""
         self._leaving = False
 
-    def back_off(self, pause: timedelta) -> tuple[Action, ...]:
+    def back_off(self, wanted: timedelta) -> tuple[Action, ...]:
         """Refuse new and waiting calls for a time that the upstream named.
 
         Args:
-          pause: How long it wants no calls.
+          wanted: How long it wants no calls.
 
         Returns:
           A refusal for each waiting call.
         """
         now = self._clock.elapsed()
-        self._pause_ends = max(self._pause_ends, now + pause)
-        left = self._pause_ends - now
+        self._backoff_ends = max(self._backoff_ends, now + wanted)
+        left = self._backoff_ends - now
         return self._refuse_waiting(Reason.OVERLOADED, left)
 
     def _refuse_waiting(
--- a/linnetwind/gate_test.py
+++ b/linnetwind/gate_test.py
@@ -100,15 +100,15 @@
 
 
 def test_calls_that_wait_are_refused_when_the_upstream_backs_off(clock):
-    """Guards against calls that are held and sent into the pause."""
+    """Guards against calls that are held and sent all the same."""
     gate = full_gate(clock)
     gate.offer('waits', 5, LONG)
-    pause = timedelta(seconds=3)
-    (refusal,) = gate.back_off(pause)
-    assert (refusal.call_id, refusal.retry_after) == ('waits', pause)
+    wanted = timedelta(seconds=3)
+    (refusal,) = gate.back_off(wanted)
+    assert (refusal.call_id, refusal.retry_after) == ('waits', wanted)
     assert gate.finish('running', None) == ()
     gate.back_off(timedelta(seconds=1))
     (refusal,) = gate.offer('next', 5, LONG)
-    assert (refusal.reason, refusal.retry_after) == (Reason.OVERLOADED, pause)
-    clock.advance(pause)
+    assert (refusal.reason, refusal.retry_after) == (Reason.OVERLOADED, wanted)
+    clock.advance(wanted)
     assert gate.offer('later', 5, LONG) == (Start('later'),)
--- a/linnetwind/gateway_events.py
+++ b/linnetwind/gateway_events.py
@@ -137,9 +137,9 @@
 class BackoffAsked:
     """An upstream refused a request and wants no more from here for a time.
 
-    `backoff` is how long, `in_hand` how long this daemon had the request. If a
-    pause was under way already, `asked_before` is how long ago it was asked for
-    and `left_before` what was left of it.
+    `backoff` is how long, `in_hand` how long this daemon had the request. If it
+    had asked before and the time was not over, `asked_before` is how long ago
+    that was and `left_before` what was left of the time.
     """
 
     request: str
--- a/linnetwind/gateway_metrics.py
+++ b/linnetwind/gateway_metrics.py
@@ -46,7 +46,7 @@
         self._requests = self._counter('requests', 'Ended.', 'outcome')
         self._attempts = self._counter('attempts_failed', 'Lost.', 'failure')
         self._crashes = self._counter('upstreams_crashed', 'Under requests.')
-        self._backoffs = self._counter('backoffs_asked', 'Pauses.', 'during')
+        self._backoffs = self._counter('backoffs_asked', 'Asked.', 'during')
         self._orders = self._counter('rank_orders_failed', 'Not done.', 'order')
         self._records = self._counter('bad_records', 'Of the store.', 'topic')
         self._answers = self._counter('bad_answers', 'Of engines.', 'call')
@@ -100,7 +100,7 @@
             case UpstreamCrashed():
                 self._crashes.inc()
             case BackoffAsked():
-                during = 'none' if event.left_before is None else 'pause'
+                during = 'none' if event.left_before is None else 'backoff'
                 self._backoffs.labels(during).inc()
             case OrderFailed():
                 self._orders.labels(event.order).inc()
--- a/linnetwind/gateway_state.py
+++ b/linnetwind/gateway_state.py
@@ -355,7 +355,7 @@
             sum(running.get(each.life, 0) for each in members),
             sum(own.get(each.life, 0) for each in members),
             len(backoffs.free(members)),
-            backoffs.all_pause_for(members),
+            backoffs.left_for_all(members),
         )
         for name, members in groups.items()
     }
--- a/linnetwind/group_room.py
+++ b/linnetwind/group_room.py
@@ -30,14 +30,14 @@
 class GroupCount:
     """The streams of a group and its ranks, as this daemon counts them.
 
-    `ranks` are those that take streams from this daemon; `all_pause_for` is
-    how long none of them does, since all have asked for a pause.
+    `ranks` are those that take streams from this daemon; `backoff` is
+    how long none does, since all have asked this daemon to back off.
     """
 
     running: int
     own_running: int
     ranks: int
-    all_pause_for: timedelta = timedelta()
+    backoff: timedelta = timedelta()
 
 
 @dataclass
@@ -117,9 +117,9 @@
       The time until it should; None if nothing is known to be in the way.
     """
     broken = opens_in(room, now)
-    if not count.all_pause_for:
+    if not count.backoff:
         return broken
-    return max(broken or timedelta(), count.all_pause_for)
+    return max(broken or timedelta(), count.backoff)
 
 
 def limit_of(
--- a/linnetwind/platform/gateway_backoff_test.py
+++ b/linnetwind/platform/gateway_backoff_test.py
@@ -12,7 +12,7 @@
 
 CALLS = 20
 # Longer than all calls of a test take.
-PAUSE_S = 5
+BACKOFF_S = 5
 
 
 def _refuse(wanted, **headers):
@@ -32,7 +32,7 @@
     return [(status, headers) for status, headers, _body in answers]
 
 
-def test_the_log_tells_of_a_pause_that_an_upstream_asked_for(gateway):
+def test_the_log_tells_of_a_backoff(gateway):
     gateway.add(_refuse('2.5'))
     gateway.ask(GET)
     asked = gateway.log.first(BackoffAsked)
@@ -43,11 +43,11 @@
 
 
 @pytest.mark.parametrize('text', [GET, ONCE, STREAM, FRAGILE])
-def test_an_upstream_gets_nothing_in_the_pause_it_asked_for(gateway, text):
+def test_an_upstream_that_asked_to_back_off_gets_nothing(gateway, text):
     """Guards against tries that are wasted on upstreams that back off."""
     is_stream = text in {STREAM, FRAGILE}
     service = 'model' if is_stream else 'plain'
-    resting = gateway.add(_refuse(str(PAUSE_S)), service)
+    resting = gateway.add(_refuse(str(BACKOFF_S)), service)
     gateway.add(stream if is_stream else answer, service)
     statuses = [status for status, _headers in _ask(gateway, text)]
     assert statuses == [200] * CALLS
@@ -55,10 +55,12 @@
 
 
 @pytest.mark.parametrize('text', [GET, ONCE, STREAM, FRAGILE])
-def test_callers_are_told_when_upstreams_that_all_pause_are_back(gateway, text):
+def test_callers_are_told_when_upstreams_that_want_none_are_back(gateway, text):
     """Guards against waits and returns that are refused again."""
     service = 'model' if text in {STREAM, FRAGILE} else 'plain'
-    upstreams = [gateway.add(_refuse(str(PAUSE_S)), service) for _ in range(2)]
+    upstreams = [
+        gateway.add(_refuse(str(BACKOFF_S)), service) for _ in range(2)
+    ]
     gateway.ask(text)
     began = time.monotonic()
     answers = _ask(gateway, text)
@@ -66,14 +68,14 @@
     assert [len(each.requests) for each in upstreams] == [1, 1]
     for status, headers in answers:
         assert status == 503
-        assert float(headers['Retry-After']) >= PAUSE_S - took - 1
+        assert float(headers['Retry-After']) >= BACKOFF_S - took - 1
 
 
-def test_a_request_that_waits_is_not_sent_into_a_pause(gateway):
-    """Guards against a pause that begins between choice and sending."""
+def test_a_request_that_waits_is_not_sent_in_a_backoff(gateway):
+    """Guards against a backoff that begins between choice and sending."""
 
-    def pause(_upstream):
-        wanted = timedelta(seconds=PAUSE_S)
+    def back_off(_upstream):
+        wanted = timedelta(seconds=BACKOFF_S)
         gateway.state.books.backoffs.note(name_life('i-0', None), wanted)
 
-    assert sent_after(gateway, GET, pause) == (0, 0)
+    assert sent_after(gateway, GET, back_off) == (0, 0)
--- a/linnetwind/service_room.py
+++ b/linnetwind/service_room.py
@@ -118,7 +118,7 @@
         _start_time(room),
         soonest,
         reserved,
-        all_pause=first is not None and soonest == counts[first].all_pause_for,
+        is_backoff=first is not None and soonest == counts[first].backoff,
     )
 
 
--- a/linnetwind/side_calls.py
+++ b/linnetwind/side_calls.py
@@ -14,7 +14,7 @@
 from linnetwind.gate import Action, Gate, Refuse, Start
 from linnetwind.messages import Call, End, Fate, Head, Lost, Refused
 from linnetwind.outcome import Reason
-from linnetwind.upstream_http import UpstreamRun, pause_asked
+from linnetwind.upstream_http import UpstreamRun, backoff_asked
 
 Send = Callable[[Any], bool]
 
@@ -151,7 +151,7 @@
         whole = False
         for answer in run.answers():
             if isinstance(answer, Head):
-                self._note_pause(answer)
+                self._note_backoff(answer)
             # A call that may not be repeated is followed to its end even if
             # nobody listens: its outcome must be known to the next repeat.
             reached = pending.send(answer)
@@ -162,13 +162,13 @@
             whole = isinstance(answer, End)
         return whole
 
-    def _note_pause(self, head: Head) -> None:
-        pause = pause_asked(head)
-        if pause is None:
+    def _note_backoff(self, head: Head) -> None:
+        backoff = backoff_asked(head)
+        if backoff is None:
             return
-        logger.info('upstream {} wants no calls for {}', self._address, pause)
+        logger.info('upstream {} wants no calls for {}', self._address, backoff)
         with self._lock:
-            self._perform(self._gate.back_off(pause))
+            self._perform(self._gate.back_off(backoff))
 
     def _finish(self, call: Call, took: timedelta, *, whole: bool) -> None:
         with self._lock:
--- a/linnetwind/side_calls_test.py
+++ b/linnetwind/side_calls_test.py
@@ -13,7 +13,7 @@
 from standins.scripted_upstream import ScriptedUpstream
 
 SECOND = timedelta(seconds=1)
-PAUSE = 3 * SECOND
+BACKOFF = 3 * SECOND
 
 
 class InlineExecutor:
@@ -78,7 +78,7 @@
     connection.answer(request, 'no', 503, Retry_After='3')
 
 
-def test_an_upstream_gets_no_calls_in_the_pause_it_asked_for(serve):
+def test_an_upstream_that_asked_to_back_off_gets_no_calls(serve):
     """Guards against calls that go on to an upstream that backs off."""
     side = serve(_refuse)
     assert side.ask().status == 503
@@ -93,7 +93,7 @@
 
 
 @pytest.mark.parametrize('told', ['', 'soon', '-1', 'Wed, 21 Oct 2026 07:28'])
-def test_a_pause_without_a_number_of_seconds_is_none(serve, told):
+def test_a_backoff_without_a_number_of_seconds_is_none(serve, told):
     def script(connection, request):
         connection.answer(request, 'no', 503, Retry_After=told)
 
@@ -101,7 +101,7 @@
     assert [side.ask().status for _call in range(3)] == [503] * 3
 
 
-def test_only_a_refusal_asks_for_a_pause(serve):
+def test_only_a_refusal_asks_to_back_off(serve):
     def script(connection, request):
         connection.answer(request, Retry_After='3')
 
--- a/linnetwind/stream_pause_test.py
+++ b/linnetwind/stream_backoff_test.py
@@ -1,4 +1,4 @@
-"""Tests of streams whose ranks have all asked for a pause."""
+"""Tests of streams whose ranks have all asked to back off."""
 
 from datetime import UTC, datetime
 
@@ -24,8 +24,8 @@
 FIRST = Waiter(0, waited=0 * MS, target=500 * MS, returning=False)
 
 
-def _pausing(left):
-    return GroupView(0, 40, 200 * MS, left, all_pause=True)
+def _refusing(left):
+    return GroupView(0, 40, 200 * MS, left, is_backoff=True)
 
 
 def _look(**counts):
@@ -39,35 +39,35 @@
     return view, room.places('model', counts)
 
 
-def test_a_stream_waits_for_the_end_of_a_pause():
-    assert judge(_pausing(SECOND), FIRST) == WaitFor(RETURN_WAIT)
+def test_a_stream_waits_for_the_end_of_a_backoff():
+    assert judge(_refusing(SECOND), FIRST) == WaitFor(RETURN_WAIT)
 
 
-def test_a_caller_is_told_when_a_pause_is_over():
+def test_a_caller_is_told_when_a_backoff_is_over():
     """Guards against callers who come back sooner and are refused again."""
-    assert judge(_pausing(5 * SECOND), FIRST).retry_after == 5 * SECOND
+    assert judge(_refusing(5 * SECOND), FIRST).retry_after == 5 * SECOND
     waited = Waiter(0, RETURN_WAIT, FIRST.target, returning=True)
-    verdict = judge(_pausing(100 * MS), waited)
+    verdict = judge(_refusing(100 * MS), waited)
     assert isinstance(verdict, TurnAway)
     assert verdict.retry_after == LEAST_RETRY
 
 
-def test_a_group_whose_ranks_all_pause_takes_no_streams():
-    """Guards against streams that are sent to ranks in their pause."""
-    resting = GroupCount(0, 0, ranks=0, all_pause_for=SECOND)
+def test_a_group_whose_ranks_all_want_none_takes_no_streams():
+    """Guards against streams that are sent to ranks that back off."""
+    resting = GroupCount(0, 0, ranks=0, backoff=SECOND)
     view, _places = _look(a=resting)
     assert view.opens_in == SECOND
-    assert view.all_pause
+    assert view.is_backoff
 
 
-def test_another_group_takes_what_a_pausing_one_would():
-    resting = GroupCount(0, 0, ranks=0, all_pause_for=SECOND)
+def test_another_group_takes_what_a_refusing_one_would():
+    resting = GroupCount(0, 0, ranks=0, backoff=SECOND)
     view, places = _look(a=resting, b=GroupCount(0, 0, ranks=16))
     assert view.opens_in is None
     assert list(places) == ['b']
 
 
-def test_ranks_in_a_pause_leave_fewer_places():
+def test_ranks_that_want_none_leave_fewer_places():
     """Guards against streams that wait for slots at the ranks that are left."""
     _view, all_take = _look(a=GroupCount(0, 0, ranks=16))
     _view, some_take = _look(a=GroupCount(0, 0, ranks=4))
--- a/linnetwind/stream_gate.py
+++ b/linnetwind/stream_gate.py
@@ -40,8 +40,8 @@
     in a second. `start_time` passes from a stream's start to its first event.
     `opens_in` is set while the group cannot run at all; `scouts` streams may
     run then to find out whether it can. `reserved` of the free places are left
-    to streams that can be in time. `all_pause` says that the group is sound but
-    all its ranks have asked for a pause; `opens_in` is no estimate then.
+    to streams that can be in time. `is_backoff` says that the group is sound
+    but its ranks want no streams until `opens_in`, which is no estimate then.
     """
 
     free: int
@@ -50,7 +50,7 @@
     opens_in: timedelta | None
     reserved: int = 0
     scouts: int = 0
-    all_pause: bool = False
+    is_backoff: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -171,12 +171,14 @@
     """
     left = RETURN_WAIT - waiter.waited
     # A caller that came back has no try left, and the time is an estimate.
-    is_estimate = waiter.returning and not view.all_pause
+    is_estimate = waiter.returning and not view.is_backoff
     slack = _ESTIMATE_SLACK if is_estimate else timedelta()
     if left > timedelta() and view.opens_in < left + slack:
         return WaitFor(left)
-    if view.all_pause:
-        return TurnAway(max(view.opens_in, LEAST_RETRY), 'all ranks pause')
+    if view.is_backoff:
+        return TurnAway(
+            max(view.opens_in, LEAST_RETRY), 'all ranks want no streams'
+        )
     return _turn_away(view.opens_in, 'group is broken')
 
 
--- a/linnetwind/upstream_backoff.py
+++ b/linnetwind/upstream_backoff.py
@@ -1,8 +1,8 @@
-"""Upstreams that want no requests from this daemon for a time; any thread.
+"""Upstreams that want no requests from this daemon for a time.
 
-An upstream that refuses a request may say for how long it wants nothing more
-from the daemon that sent it. Each daemon hears that for itself only, so that
-nothing is told to peers.
+An upstream that refuses a request may say for how long the daemon that sent it
+has to back off. Each daemon hears that for itself only, so that nothing is
+told to peers.
 """
 
 import threading
@@ -17,81 +17,77 @@
 
 @dataclass(frozen=True, slots=True)
 class Backoff:
-    """The monotonic times at which a pause was asked for and is over."""
+    """The monotonic times at which an upstream asked and is to be back."""
 
     asked_at: timedelta
     until: timedelta
 
 
 class UpstreamBackoffs:
-    """The pauses that upstreams have asked for."""
+    """The backoffs that upstreams have asked for; for any thread."""
 
     def __init__(self, clock: Clock) -> None:
-        """Start without pauses.
+        """Start without any.
 
         Args:
           clock: For their ends.
         """
         self._clock = clock
         self._lock = threading.Lock()
-        self._pauses: Mapping[Life, Backoff] = {}
+        self._backoffs: Mapping[Life, Backoff] = {}
         self._last_end = timedelta()
 
     def note(self, life: Life, wanted: timedelta) -> Backoff | None:
-        """Take note that an upstream wants a pause from now on.
+        """Take note that an upstream asks to back off from now on.
 
         Args:
           life: The upstream's life.
-          wanted: How long the pause lasts. One that was asked for before is
-            not made shorter.
+          wanted: For how long. One that was asked for before is not made
+            shorter.
 
         Returns:
-          The pause that was under way already, if any.
+          The backoff that was in force already, if any.
         """
         now = self._clock.elapsed()
         with self._lock:
-            before = self._pauses.get(life)
-            if before is not None and before.until <= now:
-                before = None
+            in_force = _in_force(self._backoffs, now)
+            before = in_force.get(life)
             until = now + wanted
             if before is None or before.until < until:
-                self._pauses = {
-                    **_under_way(self._pauses, now),
-                    life: Backoff(now, until),
-                }
+                self._backoffs = {**in_force, life: Backoff(now, until)}
                 self._last_end = max(self._last_end, until)
         return before
 
     def left(self, life: Life) -> timedelta:
-        """Return what is left of an upstream's pause.
+        """Return for how long an upstream still wants no requests.
 
         Args:
           life: The upstream's life.
 
         Returns:
-          The time, zero without a pause.
+          The time, zero if it takes requests.
         """
-        pause = self._pauses.get(life)
-        if pause is None:
+        backoff = self._backoffs.get(life)
+        if backoff is None:
             return timedelta()
-        return max(pause.until - self._clock.elapsed(), timedelta())
+        return max(backoff.until - self._clock.elapsed(), timedelta())
 
     def free(self, upstreams: list[Upstream]) -> list[Upstream]:
-        """Return the upstreams that are not in a pause.
+        """Return the upstreams that take requests from this daemon.
 
         Args:
           upstreams: Any upstreams.
 
         Returns:
-          Those that take requests from this daemon; the same object while
-          nobody has asked for a pause.
+          Those of them that did not ask to back off; the same object if no
+          upstream did.
         """
-        pausing = self._pausing()
-        if not pausing:
+        refusing = self._refusing()
+        if not refusing:
             return upstreams
-        return [each for each in upstreams if each.life not in pausing]
+        return [each for each in upstreams if each.life not in refusing]
 
-    def all_pause_for(self, upstreams: Iterable[Upstream]) -> timedelta:
+    def left_for_all(self, upstreams: Iterable[Upstream]) -> timedelta:
         """Return when the first of some upstreams takes requests again.
 
         Args:
@@ -100,20 +96,20 @@
         Returns:
           The time until then; zero if one takes requests, or there is none.
         """
-        pausing = self._pausing()
-        lives = [each.life for each in upstreams] if pausing else []
-        if any(life not in pausing for life in lives):
+        refusing = self._refusing()
+        lives = [each.life for each in upstreams] if refusing else []
+        if any(life not in refusing for life in lives):
             return timedelta()
         return min(map(self.left, lives), default=timedelta())
 
-    def _pausing(self) -> Collection[Life]:
+    def _refusing(self) -> Collection[Life]:
         now = self._clock.elapsed()
         if self._last_end <= now:
             return ()
-        return _under_way(self._pauses, now)
+        return _in_force(self._backoffs, now)
 
 
-def _under_way(
-    pauses: Mapping[Life, Backoff], now: timedelta
+def _in_force(
+    backoffs: Mapping[Life, Backoff], now: timedelta
 ) -> dict[Life, Backoff]:
-    return {life: each for life, each in pauses.items() if now < each.until}
+    return {life: each for life, each in backoffs.items() if now < each.until}
--- a/linnetwind/upstream_backoff_test.py
+++ b/linnetwind/upstream_backoff_test.py
@@ -1,4 +1,4 @@
-"""Tests of the pauses that upstreams ask for."""
+"""Tests of the backoffs that upstreams ask for."""
 
 from datetime import UTC, datetime, timedelta
 
@@ -25,20 +25,20 @@
     return UpstreamBackoffs(clock)
 
 
-def test_a_pause_under_way_is_told(clock, backoffs):
+def test_a_backoff_in_force_is_told(clock, backoffs):
     assert backoffs.note(SICK.life, 3 * SECOND) is None
     clock.advance(SECOND)
-    under_way = Backoff(10 * SECOND, 13 * SECOND)
-    assert backoffs.note(SICK.life, 4 * SECOND) == under_way
+    in_force = Backoff(10 * SECOND, 13 * SECOND)
+    assert backoffs.note(SICK.life, 4 * SECOND) == in_force
 
 
-def test_a_pause_that_is_over_is_not_told(clock, backoffs):
+def test_a_backoff_that_is_over_is_not_told(clock, backoffs):
     backoffs.note(SICK.life, 3 * SECOND)
     clock.advance(3 * SECOND)
     assert backoffs.note(SICK.life, SECOND) is None
 
 
-def test_an_upstream_in_a_pause_is_not_free(clock, backoffs):
+def test_an_upstream_that_wants_none_is_not_free(clock, backoffs):
     both = [SICK, SISTER]
     assert backoffs.free(both) is both
     backoffs.note(SICK.life, 3 * SECOND)
@@ -47,7 +47,7 @@
     assert backoffs.free(both) is both
 
 
-def test_a_later_shorter_pause_does_not_end_a_longer_one(clock, backoffs):
+def test_a_later_shorter_backoff_does_not_end_a_longer_one(clock, backoffs):
     """Guards against a second answer that cuts the first one's time short."""
     backoffs.note(SICK.life, 3 * SECOND)
     clock.advance(SECOND)
@@ -55,12 +55,12 @@
     assert backoffs.left(SICK.life) == 2 * SECOND
 
 
-def test_all_pause_until_the_first_one_is_back(backoffs):
+def test_all_want_none_until_the_first_one_is_back(backoffs):
     backoffs.note(SICK.life, 3 * SECOND)
-    assert not backoffs.all_pause_for([SICK, SISTER])
+    assert not backoffs.left_for_all([SICK, SISTER])
     backoffs.note(SISTER.life, SECOND)
-    assert backoffs.all_pause_for([SICK, SISTER]) == SECOND
-    assert not backoffs.all_pause_for([])
+    assert backoffs.left_for_all([SICK, SISTER]) == SECOND
+    assert not backoffs.left_for_all([])
 
 
 def test_the_next_life_of_an_upstream_has_asked_for_nothing(backoffs):
--- a/linnetwind/upstream_claim.py
+++ b/linnetwind/upstream_claim.py
@@ -24,7 +24,7 @@
     upstream = journey.claimed or _take(tools, journey)
     journey.claimed = None
     while upstream is not None and not _takes_requests(tools, upstream):
-        # It drains or pauses since the request began to wait for its turn.
+        # It began to drain or to refuse while the request waited.
         tools.state.give_back(upstream)
         upstream = _take(tools, journey)
     return upstream
@@ -41,7 +41,7 @@
       The time until an upstream should take it.
     """
     limits = tools.state.books.limits
-    wait = _pause(tools, journey)
+    wait = _backoff(tools, journey)
     if not wait and limits.any_known:
         tried = frozenset(journey.tried)
         usable = tools.state.candidates(journey.service, tried)
@@ -62,21 +62,21 @@
         return taken
     left = journey.request.received + journey.route.target
     left -= tools.clock.elapsed()
-    pause = _pause(tools, journey)
-    if pause:
-        return _wait_for_end(tools, journey, pause, left)
+    backoff = _backoff(tools, journey)
+    if backoff:
+        return _wait_for_end(tools, journey, backoff, left)
     if tools.state.books.limits.any_known:
         return _wait_for_turn(tools, journey, left)
     return None
 
 
 def _wait_for_end(
-    tools: GatewayTools, journey: Journey, pause: timedelta, left: timedelta
+    tools: GatewayTools, journey: Journey, backoff: timedelta, left: timedelta
 ) -> Upstream | None:
-    """Wait for the end of a pause, if the answer can be in time."""
-    if pause > left:
+    """Wait for the end of a backoff, if the answer can be in time."""
+    if backoff > left:
         return None
-    threading.Event().wait(pause.total_seconds())
+    threading.Event().wait(backoff.total_seconds())
     tried = frozenset(journey.tried)
     return tools.state.take_upstream(journey.service, tried)
 
@@ -93,9 +93,9 @@
     return turn.upstream
 
 
-def _pause(tools: GatewayTools, journey: Journey) -> timedelta:
-    """Return when the first is back of upstreams that all pause, or zero."""
+def _backoff(tools: GatewayTools, journey: Journey) -> timedelta:
+    """Return how long all upstreams want no requests, or zero."""
     now = tools.clock.elapsed()
     usable = tools.state.upstreams.usable(journey.service.name, now)
     untried = [each for each in usable if each.instance not in journey.tried]
-    return tools.state.books.backoffs.all_pause_for(untried)
+    return tools.state.books.backoffs.left_for_all(untried)
--- a/linnetwind/upstream_http.py
+++ b/linnetwind/upstream_http.py
@@ -48,7 +48,7 @@
 _SET_HERE = _HOP_BY_HOP | frozenset(('content-length', 'host'))
 
 _REFUSED = 503
-_PAUSE_HEADER = 'retry-after'
+_BACKOFF_HEADER = 'retry-after'
 _SECONDS = re.compile('[0-9]{1,9}')
 
 Answer = Head | Chunk | End | Refused | Lost
@@ -199,19 +199,19 @@
             self._connection.close()
 
 
-def pause_asked(head: Head) -> timedelta | None:
+def backoff_asked(head: Head) -> timedelta | None:
     """Return for how long an upstream wants no calls.
 
     Args:
       head: The head of its answer.
 
     Returns:
-      The time, None if it asks for no pause or names it by a date.
+      The time, None if it asks for nothing or names a date.
     """
     if head.status != _REFUSED:
         return None
     named = {name.lower(): text.strip() for name, text in head.headers}
-    text = named.get(_PAUSE_HEADER, '')
+    text = named.get(_BACKOFF_HEADER, '')
     if not _SECONDS.fullmatch(text):
         return None
     return timedelta(seconds=int(text))
--- a/linnetwind/upstream_refusals_test.py
+++ b/linnetwind/upstream_refusals_test.py
@@ -1,4 +1,4 @@
-"""A replay of ranks that refuse part of their requests and ask for pauses."""
+"""A replay of ranks that refuse part of their requests and ask to back off."""
 
 import random
 from datetime import UTC, datetime
@@ -13,7 +13,7 @@
 from standins.gateway_fixtures import MS, SECOND, make_engine, make_upstream
 
 MODEL = RoutedService('model', '/health', 248, make_engine())
-PAUSE = 3 * SECOND
+BACKOFF = 3 * SECOND
 RANKS = 16
 SICK = 5
 REFUSED_SHARE = 0.4
@@ -28,28 +28,28 @@
 class Sick:
     """Ranks of which some refuse part of what they get."""
 
-    def __init__(self, clock, state, *, names_pauses):
+    def __init__(self, clock, state, *, names_backoffs):
         """Start with sound ranks."""
         self._clock = clock
         self._state = state
-        self._names_pauses = names_pauses
+        self._names_backoffs = names_backoffs
         self._asked = {}
         self._random = random.Random(3)
-        self.in_pauses = 0
+        self.in_backoffs = 0
         self.refused = 0
 
     def send(self, upstream) -> bool:
         """Return whether a rank takes a stream."""
         now = self._clock.elapsed()
-        asked = self._asked.get(upstream.instance, -PAUSE)
-        self.in_pauses += ON_THE_WAY < now - asked < PAUSE
+        asked = self._asked.get(upstream.instance, -BACKOFF)
+        self.in_backoffs += ON_THE_WAY < now - asked < BACKOFF
         is_sick = int(upstream.instance) < SICK
         if not is_sick or self._random.random() > REFUSED_SHARE:
             return True
         self.refused += 1
         self._asked[upstream.instance] = now
-        if self._names_pauses:
-            self._state.books.backoffs.note(upstream.life, PAUSE)
+        if self._names_backoffs:
+            self._state.books.backoffs.note(upstream.life, BACKOFF)
         return False
 
 
@@ -66,7 +66,7 @@
     return False
 
 
-def _play(*, names_pauses):
+def _play(*, names_backoffs):
     random.seed(7)
     clock = ManualClock(datetime(2026, 1, 1, tzinfo=UTC))
     terms = BudgetTerms(10 * SECOND, 0.2, 88)
@@ -77,7 +77,7 @@
     records = [Registered(each.instance, 0, each) for each in entries]
     state.change_upstreams(lambda known: known.take(records, 1))
     lives = tuple(each.life for each in entries)
-    ranks = Sick(clock, state, names_pauses=names_pauses)
+    ranks = Sick(clock, state, names_backoffs=names_backoffs)
     lost = 0
     for _stream in range(STREAMS):
         clock.advance(SPACING)
@@ -87,12 +87,12 @@
     return ranks, lost
 
 
-def test_refusals_that_name_a_pause_cost_one_try_a_pause():
+def test_refusals_that_name_a_backoff_cost_one_try_each():
     """Guards against callers refused while other ranks have free slots."""
-    ranks, lost = _play(names_pauses=True)
-    assert ranks.in_pauses == 0
+    ranks, lost = _play(names_backoffs=True)
+    assert ranks.in_backoffs == 0
     assert lost == 0
-    # Each sick rank once a pause; without the pauses they refuse more.
-    pauses = STREAMS * SPACING / PAUSE
-    assert ranks.refused <= SICK * pauses
-    assert _play(names_pauses=False)[0].refused > ranks.refused
+    # Each sick rank once in that time; else they refuse more.
+    times = STREAMS * SPACING / BACKOFF
+    assert ranks.refused <= SICK * times
+    assert _play(names_backoffs=False)[0].refused > ranks.refused
--- a/standins/soak_book.py
+++ b/standins/soak_book.py
@@ -16,7 +16,7 @@
     `restarts`: upstreams start again under their names; `strangers`: other
     writers write among the entries of upstreams; `returns`: the store comes
     back from older copies; `crashers`: a request crashes upstreams; `wishes`:
-    upstreams ask for pauses or say that they leave.
+    upstreams ask to back off or say that they leave.
     """
 
     restarts: bool = False
--- a/standins/soak_checks.py
+++ b/standins/soak_checks.py
@@ -17,9 +17,9 @@
 # A request that has crashed so many may be sent so many times more.
 _MOST_CRASHES = 3
 _MOST_LATE = 3
-# What may still reach an upstream in its pause, and how long it may be on its
-# way; an upstream that leaves gets nothing after so long.
-_MOST_IN_PAUSE = 2
+# What may still reach an upstream that asked to back off, and how long it may
+# be on its way; an upstream that leaves gets nothing after so long.
+_MOST_IN_BACKOFF = 2
 _ON_THE_WAY_S = 0.5
 _LEAVING_S = 2
 
@@ -135,9 +135,9 @@
     gateways = {call.name: call.gateway for call in history.book.calls}
     for upstream in upstreams:
         for told in upstream.arrivals:
-            until = told.at + told.pause
+            until = told.at + told.backoff
             after = told.at + _ON_THE_WAY_S
-            allowed = _MOST_IN_PAUSE
+            allowed = _MOST_IN_BACKOFF
             if told.leaving:
                 until = math.inf
                 after = told.at + _LEAVING_S
--- a/standins/soak_extras.py
+++ b/standins/soak_extras.py
@@ -71,7 +71,7 @@
 
 
 def name_wishes(run, source: random.Random, until: float) -> None:
-    """Have upstreams ask for pauses, or say that they leave and do.
+    """Have upstreams ask to back off, or say that they leave and do.
 
     Their entries say nothing of either.
     """
@@ -79,11 +79,12 @@
         time.sleep(source.uniform(0.2, 1))
         upstream = source.choice(run.upstreams)
         leaves = source.random() < _LEAVING
-        run.book.note(f'{upstream.instance} {"leaves" if leaves else "pauses"}')
-        upstream.pausing = not leaves
+        wish = 'leaves' if leaves else 'backs off'
+        run.book.note(f'{upstream.instance} {wish}')
+        upstream.refusing = not leaves
         upstream.leaving = leaves
         time.sleep(source.uniform(2.5, 5))
-        upstream.pausing = False
+        upstream.refusing = False
         if leaves:
             start = time.monotonic()
             upstream.start_again()
--- a/standins/soak_upstreams.py
+++ b/standins/soak_upstreams.py
@@ -12,21 +12,21 @@
 
 _EVENT_S = 0.05
 _BACK_AFTER_S = 1.0
-_PAUSE_S = 3
+_BACKOFF_S = 3
 
 
 @dataclass(frozen=True, slots=True)
 class Arrival:
     """A call that reached an upstream, and what its answer told the gateway.
 
-    `pause` is how many seconds of pause were asked for, `leaving` says that
+    `backoff` is for how many seconds it asked to back off, `leaving` says that
     the answer named the upstream as leaving; `life` counts its starts.
     """
 
     at: float
     call: str
     life: int
-    pause: int = 0
+    backoff: int = 0
     leaving: bool = False
 
 
@@ -36,8 +36,8 @@
     `mood` is 'sound', 'failing' (500), 'full' (refuses, not run), 'hanging',
     'breaking' (resets in the middle of an answer) or 'wrong' (bytes that are
     no answer).
-    `pausing` has every second call refused with a pause, `leaving` is told in
-    each answer.
+    `refusing` has every second call refused and asks to back off, `leaving` is
+    told in each answer.
     """
 
     def __init__(self, instance: str, service: str, book: Book, store):
@@ -45,7 +45,7 @@
         self.instance = instance
         self.mood = 'sound'
         self.last_runs: list[float] = []
-        self.pausing = False
+        self.refusing = False
         self.leaving = False
         self.arrivals: list[Arrival] = []
         self._lives = 0
@@ -137,18 +137,18 @@
 
     def _serve(self, connection, request) -> None:
         name = request.headers.get('attempt-id', '')
-        refuses = self.pausing and len(self.arrivals) % 2
-        pause = _PAUSE_S if refuses else 0
+        refuses = self.refusing and len(self.arrivals) % 2
+        backoff = _BACKOFF_S if refuses else 0
         self.arrivals.append(
-            Arrival(time.monotonic(), name, self._lives, pause, self.leaving)
+            Arrival(time.monotonic(), name, self._lives, backoff, self.leaving)
         )
-        if pause:
+        if backoff:
             connection.answer(
                 request,
                 'not now',
                 503,
                 Not_Executed='1',
-                Retry_After=str(pause),
+                Retry_After=str(backoff),
                 Server_Leaving='1' if self.leaving else '',
             )
             return
