--- a/standins/soak_test.py
+++ b/standins/soak_test.py
@@ -1,9 +1,13 @@
 """A short soak with fixed seeds; by hand: `make soak SEED=7 SECONDS=60`."""
 
+from http.client import HTTPConnection
+from types import SimpleNamespace
+
 import pytest
 
 from standins.soak import soak
 from standins.soak_book import Book, Call, Extras
+from standins.soak_upstreams import SoakUpstream
 
 _SHORT_S = 12
 # Each seed failed once within so many seconds; the cause stands beside it.
@@ -65,6 +69,24 @@
     assert broken == [], picture
 
 
+@pytest.mark.parametrize('mood', ['sound', 'failing', 'full'])
+def test_an_upstream_of_the_soak_says_in_all_answers_that_it_leaves(mood):
+    """Guards against calls held against gateways that were told nothing."""
+    store = SimpleNamespace(put=lambda *_entry: None)
+    upstream = SoakUpstream('i-1', 'plain', Book(), store)
+    upstream.leaving = True
+    upstream.mood = mood
+    connection = HTTPConnection('127.0.0.1', upstream.proxy.port, timeout=10)
+    try:
+        connection.request('GET', '/x/')
+        said = connection.getresponse().getheader('Server-Leaving')
+    finally:
+        connection.close()
+        upstream.close()
+    assert said == '1'
+    assert [each.leaving for each in upstream.arrivals] == [True]
+
+
 def _call(**changes):
     fields = {'name': 'a', 'kind': 'once', 'path': '/o/', 'gateway': 'g'}
     return Call(**{**fields, 'sent': 1, 'whole': True, **changes})
--- a/standins/soak_upstreams.py
+++ b/standins/soak_upstreams.py
@@ -13,6 +13,8 @@
 _EVENT_S = 0.05
 _BACK_AFTER_S = 1.0
 _BACKOFF_S = 3
+# In the others a gateway may see no head of an answer.
+_MOODS_THAT_TELL = frozenset(('sound', 'failing', 'full'))
 
 
 @dataclass(frozen=True, slots=True)
@@ -139,21 +141,24 @@
         name = request.headers.get('attempt-id', '')
         refuses = self.refusing and len(self.arrivals) % 2
         backoff = _BACKOFF_S if refuses else 0
+        leaving = self.leaving
+        said = {'Server_Leaving': '1'} if leaving else {}
+        is_told = refuses or self.mood in _MOODS_THAT_TELL
         self.arrivals.append(
-            Arrival(time.monotonic(), name, self._lives, backoff, self.leaving)
-        )
-        if backoff:
-            connection.answer(
-                request,
-                'not now',
-                503,
-                Not_Executed='1',
-                Retry_After=str(backoff),
-                Server_Leaving='1' if self.leaving else '',
+            Arrival(
+                time.monotonic(),
+                name,
+                self._lives,
+                backoff,
+                leaving and is_told,
             )
+        )
+        if refuses:
+            said['Retry_After'] = str(backoff)
+            connection.answer(request, 'no', 503, Not_Executed='1', **said)
             return
         if self.mood == 'full':
-            connection.answer(request, 'full', 503, Not_Executed='1')
+            connection.answer(request, 'full', 503, Not_Executed='1', **said)
             return
         self._book.run(name)
         if request.target == '/x/crash':
@@ -162,43 +167,36 @@
         self.last_runs.append(time.monotonic())
         match self.mood:
             case 'failing':
-                connection.answer(request, 'failed', 500)
+                connection.answer(request, 'failed', 500, **said)
             case 'hanging':
                 self._ended.wait(3)
             case 'wrong':
                 connection.send('HTTP/1.1 what is this\r\n\r\n')
             case 'breaking':
-                self._break(connection, request, name)
+                self._break(connection, request, name, said)
             case _:
-                self._answer(connection, request, name)
+                self._answer(connection, request, name, said)
 
-    def _answer(self, connection, request, name: str) -> None:
+    def _answer(self, connection, request, name: str, said: dict) -> None:
         if '/s/' not in request.target:
-            connection.answer(
-                request,
-                expected_body(name).decode(),
-                Server_Leaving='1' if self.leaving else '',
-            )
+            body = expected_body(name).decode()
+            connection.answer(request, body, **said)
             return
-        connection.head(
-            request,
-            Transfer_Encoding='chunked',
-            Server_Leaving='1' if self.leaving else '',
-        )
+        connection.head(request, Transfer_Encoding='chunked', **said)
         for event in self._events_after(request, name):
             connection.chunk(f'{event}\n\n')
             time.sleep(_EVENT_S)
         connection.send('0\r\n\r\n')
 
-    def _break(self, connection, request, name: str) -> None:
+    def _break(self, connection, request, name: str, said: dict) -> None:
         if '/s/' in request.target:
-            connection.head(request, Transfer_Encoding='chunked')
+            connection.head(request, Transfer_Encoding='chunked', **said)
             events = self._events_after(request, name) or ['']
             # The last one is cut in the middle.
             connection.chunk(f'{events[0]}\n\n{events[-1][:5]}')
         else:
             body = expected_body(name).decode()
-            connection.head(request, Content_Length=str(len(body)))
+            connection.head(request, Content_Length=str(len(body)), **said)
             connection.send(body[:4])
         connection.reset()
 
