Soak: an upstream that breaks off sends no empty event

The gateway passed it on and cut the stream, as it should. The new test fails before.

Its caller saw no harm: six events, whole and in order, and a cut.

--- a/standins/soak_test.py
+++ b/standins/soak_test.py
@@ -1,12 +1,13 @@
 """A short soak with fixed seeds; by hand: `make soak SEED=7 SECONDS=60`."""
 
-from http.client import HTTPConnection
+from http.client import HTTPConnection, IncompleteRead
 from types import SimpleNamespace
 
 import pytest
 
 from standins.soak import soak
 from standins.soak_book import Book, Call, Extras
+from standins.soak_callers import expected_events
 from standins.soak_upstreams import SoakUpstream
 
 _SHORT_S = 12
@@ -87,6 +88,27 @@
     assert [each.leaving for each in upstream.arrivals] == [True]
 
 
+def test_an_upstream_of_the_soak_that_breaks_sends_no_empty_event():
+    """Guards against a stream held wrong for what no upstream would send."""
+    store = SimpleNamespace(put=lambda *_entry: None)
+    upstream = SoakUpstream('i-1', 'plain', Book(), store)
+    upstream.mood = 'breaking'
+    connection = HTTPConnection('127.0.0.1', upstream.proxy.port, timeout=10)
+    received = b''
+    last = str(len(expected_events('call')))
+    try:
+        connection.request('POST', '/s/', headers={'Last-Event-Id': last})
+        received = connection.getresponse().read()
+    except IncompleteRead as error:
+        received = error.partial
+    except OSError:
+        pass
+    finally:
+        connection.close()
+        upstream.close()
+    assert received == b''
+
+
 def _call(**changes):
     fields = {'name': 'a', 'kind': 'once', 'path': '/o/', 'gateway': 'g'}
     return Call(**{**fields, 'sent': 1, 'whole': True, **changes})
--- a/standins/soak_upstreams.py
+++ b/standins/soak_upstreams.py
@@ -191,9 +191,10 @@
     def _break(self, connection, request, name: str, said: dict) -> None:
         if '/s/' in request.target:
             connection.head(request, Transfer_Encoding='chunked', **said)
-            events = self._events_after(request, name) or ['']
-            # The last one is cut in the middle.
-            connection.chunk(f'{events[0]}\n\n{events[-1][:5]}')
+            events = self._events_after(request, name)
+            if events:
+                # The last one is cut in the middle.
+                connection.chunk(f'{events[0]}\n\n{events[-1][:5]}')
         else:
             body = expected_body(name).decode()
             connection.head(request, Content_Length=str(len(body)), **said)
