What an answer says of its upstream is remembered in a module of its own

Cause: one try of a request (upstream_attempt) also built three events and kept three books, so that a reader of a try met limits, backoffs and drains before the answer. Change: backpressure does that, with why it must outlive the request; a move without other change.

--- a/linnetwind/upstream_attempt.py
+++ b/linnetwind/upstream_attempt.py
@@ -4,11 +4,11 @@
 from http import HTTPStatus
 
 from linnetwind.answer_relay import AnswerRelay
+from linnetwind.backpressure import note_backpressure
 from linnetwind.call_policy import AttemptLost
 from linnetwind.call_types import AnswerFacts, Forwarding
 from linnetwind.caller_connection import CallerConnection
 from linnetwind.crash_guard import note_if_crashed
-from linnetwind.gateway_events import BackoffAsked, LimitNamed, UpstreamLeaves
 from linnetwind.journey import CALLER_LEFT, Done, GatewayTools, Journey, as_lost
 from linnetwind.routes import RouteKind
 from linnetwind.upstream_call import Head, NotReached, OutOfTime, UpstreamCall
@@ -108,63 +108,20 @@
         answer = self._tools.dialect.read_answer(head.status, head.headers)
         if answer.not_executed or answer.misdirected:
             self._note_instance(answer)
-            self._note_wishes(answer)
+            self._note_backpressure(answer)
             reason = f'upstream refused with {head.status}'
             return AttemptLost(reason, may_have_run=False, reached=True)
         if not self._is_ours(answer):
             return AttemptLost(
                 'not an answer to this call', may_have_run=True, reached=True
             )
-        self._note_wishes(answer)
+        self._note_backpressure(answer)
         return AnswerRelay(
             self._tools, self._connection, self._journey, call, head
         ).run()
 
-    def _note_wishes(self, answer: AnswerFacts) -> None:
-        """Take note of what an upstream says that it will take."""
-        if answer.misdirected:
-            return
-        self._note_limit(answer)
-        self._note_backoff(answer)
-        self._note_leaving(answer)
-
-    def _note_limit(self, answer: AnswerFacts) -> None:
-        limits = self._tools.state.books.limits
-        if limits.note(self._upstream, answer.most_per_s):
-            self._tools.tell_peers()
-            self._tools.log.event(
-                LimitNamed(
-                    self._journey.facts.call_id,
-                    self._upstream.life,
-                    answer.most_per_s,
-                )
-            )
-
-    def _note_backoff(self, answer: AnswerFacts) -> None:
-        if answer.backoff is None:
-            return
-        life = self._upstream.life
-        before = self._tools.state.books.backoffs.note(life, answer.backoff)
-        now = self._tools.clock.elapsed()
-        self._tools.log.event(
-            BackoffAsked(
-                self._journey.facts.call_id,
-                life,
-                answer.backoff,
-                now - self._journey.request.received,
-                None if before is None else now - before.asked_at,
-                None if before is None else before.until - now,
-            )
-        )
-
-    def _note_leaving(self, answer: AnswerFacts) -> None:
-        state = self._tools.state
-        if not answer.leaving or self._upstream.life in state.upstreams.leaving:
-            return
-        state.change_upstreams(lambda known: known.note_leaving(self._upstream))
-        self._tools.log.event(
-            UpstreamLeaves(self._journey.facts.call_id, self._upstream.life)
-        )
+    def _note_backpressure(self, answer: AnswerFacts) -> None:
+        note_backpressure(self._tools, self._journey, self._upstream, answer)
 
     def _note_instance(self, answer: AnswerFacts) -> None:
         if not answer.misdirected or answer.instance is None:
