Taking an upstream reads as its cases: now, after a backoff, at a turn

Change: the conditions stand together, _backoff_of_all names it, one way to take and one way to sleep. Figures: the eight cases of upstream_claim_test and the tests of limits and backoffs pass as they were. Conclusion: same decisions, one place to read them.

--- a/linnetwind/upstream_claim.py
+++ b/linnetwind/upstream_claim.py
@@ -41,7 +41,7 @@
       The time until an upstream should take it.
     """
     limits = tools.state.books.limits
-    wait = _backoff(tools, journey)
+    wait = _backoff_of_all(tools, journey)
     if not wait and limits.any_known:
         tried = frozenset(journey.tried)
         usable = tools.state.candidates(journey.service, tried)
@@ -56,46 +56,45 @@
 
 
 def _take(tools: GatewayTools, journey: Journey) -> Upstream | None:
-    tried = frozenset(journey.tried)
-    taken = tools.state.take_upstream(journey.service, tried)
+    """Take an upstream now, or one for which the request waits in time."""
+    taken = _take_now(tools, journey)
     if taken is not None:
         return taken
-    left = journey.request.received + journey.route.target
-    left -= tools.clock.elapsed()
-    backoff = _backoff(tools, journey)
-    if backoff:
-        return _wait_for_end(tools, journey, backoff, left)
-    if tools.state.books.limits.any_known:
-        return _wait_for_turn(tools, journey, left)
+    in_time = journey.request.received + journey.route.target
+    longest = in_time - tools.clock.elapsed()
+    backoff = _backoff_of_all(tools, journey)
+    if timedelta() < backoff <= longest:
+        _sleep(backoff)
+        return _take_now(tools, journey)
+    if not backoff and tools.state.books.limits.any_known:
+        return _wait_for_turn(tools, journey, longest)
     return None
 
 
-def _wait_for_end(
-    tools: GatewayTools, journey: Journey, backoff: timedelta, left: timedelta
-) -> Upstream | None:
-    """Wait for the end of a backoff, if the answer can be in time."""
-    if backoff > left:
-        return None
-    threading.Event().wait(backoff.total_seconds())
+def _take_now(tools: GatewayTools, journey: Journey) -> Upstream | None:
     tried = frozenset(journey.tried)
     return tools.state.take_upstream(journey.service, tried)
 
 
 def _wait_for_turn(
-    tools: GatewayTools, journey: Journey, left: timedelta
+    tools: GatewayTools, journey: Journey, longest: timedelta
 ) -> Upstream | None:
-    """Wait for an upstream with a limit, if the answer can be in time."""
+    """Wait for the next turn at an upstream with a limit."""
     tried = frozenset(journey.tried)
-    turn = tools.state.take_turn(journey.service, tried, left)
+    turn = tools.state.take_turn(journey.service, tried, longest)
     if turn is None:
         return None
-    threading.Event().wait(turn.wait.total_seconds())
+    _sleep(turn.wait)
     return turn.upstream
 
 
-def _backoff(tools: GatewayTools, journey: Journey) -> timedelta:
-    """Return how long all upstreams want no requests, or zero."""
+def _backoff_of_all(tools: GatewayTools, journey: Journey) -> timedelta:
+    """Return how long no upstream that is left wants the request, or zero."""
     now = tools.clock.elapsed()
     usable = tools.state.upstreams.usable(journey.service.name, now)
     untried = [each for each in usable if each.instance not in journey.tried]
     return tools.state.books.backoffs.left_for_all(untried)
+
+
+def _sleep(length: timedelta) -> None:
+    threading.Event().wait(length.total_seconds())
