--- a/linnetwind/upstream_list.py
+++ b/linnetwind/upstream_list.py
@@ -22,8 +22,9 @@
 RETURN_GRACE = timedelta(seconds=2)
 # What lapsed counts as older than all records.
 _LAPSED_OFFSET = -1
-# More than leave while any of them still serves.
-_MOST_LEAVING = 1_000
+# Leaving lives that are remembered. Each still serves for seconds after its
+# word; so many do not leave within that time.
+MOST_LEAVING = 1_000
 
 _Entry = TypeVar('_Entry')
 
@@ -156,8 +157,8 @@
           The list; this life is not usable any more, whatever its entry says.
         """
         others = [each for each in self.leaving if each != upstream.life]
-        kept = others[-_MOST_LEAVING:]
-        return replace(self, leaving=(*kept, upstream.life))
+        leaving = (*others, upstream.life)[-MOST_LEAVING:]
+        return replace(self, leaving=leaving)
 
     def is_usable(self, upstream: Upstream, now: timedelta) -> bool:
         """Return whether an upstream may still be given work.
