Streams and views that tests of admission share stand once

Cause: the split of the line's tests had copied what the gate's begin with, two more files had the same stream, and one called another view by the same name; threads were started and joined in six places alike.

--- a/linnetwind/stream_backoff_test.py
+++ b/linnetwind/stream_backoff_test.py
@@ -17,11 +17,11 @@
 )
 from linnetwind.stream_room import StreamRoom
 from standins.gateway_fixtures import MS, SECOND, make_engine
+from standins.stream_fixtures import FIRST
 
 SERVICE = RoutedService('model', '/health', 248, make_engine())
 GAP = 120 * MS
 NEWS = 30 * MS
-FIRST = Waiter(0, waited=0 * MS, target=500 * MS, returning=False)
 
 
 def _refusing(left):
--- a/linnetwind/stream_gate_test.py
+++ b/linnetwind/stream_gate_test.py
@@ -1,27 +1,19 @@
 """Tests of which streams run, wait and are turned away."""
 
 from dataclasses import replace
-from datetime import UTC, datetime, timedelta
 
 from linnetwind.stream_gate import (
     LEAST_RETRY,
     MOST_RETRY,
     RETURN_WAIT,
-    GroupView,
     RunNow,
     TurnAway,
-    Waiter,
     WaitFor,
     judge,
     reserve,
 )
-
-MS = timedelta(milliseconds=1)
-SECOND = timedelta(seconds=1)
-TARGET = 500 * MS
-VIEW = GroupView(free=8, ends_per_s=40, start_time=200 * MS, opens_in=None)
-NOW = datetime(2026, 1, 1, tzinfo=UTC)
-FIRST = Waiter(ahead=0, waited=timedelta(), target=TARGET, returning=False)
+from standins.gateway_fixtures import MS
+from standins.stream_fixtures import FIRST, VIEW
 
 
 def test_a_stream_runs_while_there_is_room():
--- a/linnetwind/stream_overload_test.py
+++ b/linnetwind/stream_overload_test.py
@@ -2,22 +2,19 @@
 
 import random
 from dataclasses import replace
-from datetime import timedelta
 from statistics import fmean
 
 from linnetwind.stream_gate import (
     GroupView,
     RunNow,
     TurnAway,
-    Waiter,
     hold_back,
     judge,
 )
 from standins.gateway_fixtures import MS, SECOND
+from standins.stream_fixtures import FIRST, TARGET
 
-TARGET = 500 * MS
-VIEW = GroupView(free=0, ends_per_s=13, start_time=200 * MS, opens_in=None)
-FIRST = Waiter(ahead=0, waited=timedelta(), target=TARGET, returning=False)
+FULL = GroupView(free=0, ends_per_s=13, start_time=200 * MS, opens_in=None)
 
 
 def _in_time_after_an_outage(held_back, seed):
@@ -32,12 +29,12 @@
         for kind, count in (('end', 130), ('new', 100))
         for _each in range(count)
     )
-    view = replace(VIEW, reserved=held_back)
+    view = replace(FULL, reserved=held_back)
     late = replace(FIRST, returning=True)
     waiting: list[float] = []
     in_time = 0
     for at, kind in events:
-        longest = (TARGET - VIEW.start_time) / SECOND
+        longest = (TARGET - FULL.start_time) / SECOND
         waiting = [since for since in waiting if at - since <= longest]
         if kind == 'end':
             view = replace(view, free=view.free + 1)
--- a/linnetwind/waiting_line_test.py
+++ b/linnetwind/waiting_line_test.py
@@ -12,17 +12,29 @@
     STOPPING,
     GroupView,
     TurnAway,
-    Waiter,
 )
 from linnetwind.waiting_line import Claim, WaitingLine, precedence
-from standins.gateway_fixtures import make_upstream
+from standins.gateway_fixtures import MS, SECOND, make_upstream
+from standins.stream_fixtures import TARGET, VIEW
 
-MS = timedelta(milliseconds=1)
-SECOND = timedelta(seconds=1)
-TARGET = 500 * MS
-VIEW = GroupView(free=8, ends_per_s=40, start_time=200 * MS, opens_in=None)
 NOW = datetime(2026, 1, 1, tzinfo=UTC)
-FIRST = Waiter(ahead=0, waited=timedelta(), target=TARGET, returning=False)
+
+
+def _start(ask, number):
+    """Let so many streams ask for a place, each in a thread."""
+    threads = [threading.Thread(target=ask) for _stream in range(number)]
+    for thread in threads:
+        thread.start()
+    return threads
+
+
+def _join(threads):
+    for thread in threads:
+        thread.join()
+
+
+def _always():
+    return True
 
 
 def test_who_waited_for_a_group_goes_behind_those_who_can_be_in_time():
@@ -60,8 +72,7 @@
         time.sleep(0.01)
     views[0] = replace(VIEW, free=9)
     line.wake()
-    for thread in threads:
-        thread.join()
+    _join(threads)
     assert order == ['new', 'early']
 
 
@@ -88,9 +99,7 @@
         found = line.enter(claim, look, take, _always)
         ended.append(found)
 
-    threads = [threading.Thread(target=ask) for _stream in range(20)]
-    for thread in threads:
-        thread.start()
+    threads = _start(ask, 20)
     while line.length < 20:
         continue
     running[0] = 9
@@ -100,8 +109,7 @@
     # The others have waited as long as they may.
     clock.advance(RETURN_WAIT)
     line.wake()
-    for thread in threads:
-        thread.join()
+    _join(threads)
     assert ended.count(upstream) == 1
     assert sum(isinstance(each, TurnAway) for each in ended) == 19
 
@@ -140,8 +148,7 @@
         line.wake()
         while len(order) <= place:
             continue
-    for thread in threads:
-        thread.join()
+    _join(threads)
     assert order[0] == 'new'
 
 
@@ -165,8 +172,7 @@
     threads = [threading.Thread(target=ask, args=(gap,)) for gap in gaps]
     for thread in threads:
         thread.start()
-    for thread in threads:
-        thread.join()
+    _join(threads)
     # Alone, each stream looks every 25 ms for 1.6 s: 64 times.
     assert set(looks) == {120 * MS, 200 * MS}
     assert len(looks) < 30 * 64 / 2
@@ -215,10 +221,6 @@
     assert _play_overload(precedence) > 0.95
 
 
-def _always():
-    return True
-
-
 def test_a_stream_in_line_is_refused_when_the_daemon_has_no_time_left():
     # A stream waits for a place when the daemon is told to stop. It was left
     # in line, and got its place when the daemon had no time for it any more,
@@ -253,14 +255,11 @@
         full = GroupView(0, 1, 200 * MS, None)
         line.enter(claim, lambda _gap: full, lambda: None, has_time)
 
-    threads = [threading.Thread(target=ask) for _stream in range(200)]
-    for thread in threads:
-        thread.start()
+    threads = _start(ask, 200)
     for _change in range(100):
         line.wake()
         time.sleep(0.01)
-    for thread in threads:
-        thread.join()
+    _join(threads)
     # Alone the first look, and one each 0.25 s until 1.6 s have passed, and
     # the first in line at each change.
     assert len(asked) < 200 * (1 + 8) + 100 + 400
@@ -287,13 +286,10 @@
             _always,
         )
 
-    threads = [threading.Thread(target=ask) for _stream in range(5)]
-    for thread in threads:
-        thread.start()
+    threads = _start(ask, 5)
     while line.length < 5:
         continue
     free[0] = 5
     line.wake()
-    for thread in threads:
-        thread.join()
+    _join(threads)
     assert len(ran) == 5
