--- a/linnetwind/group_room.py
+++ b/linnetwind/group_room.py
@@ -30,8 +30,8 @@
 class GroupCount:
     """The streams of a group and its ranks, as this daemon counts them.
 
-    `ranks` are those that take streams from this daemon; `backoff` is
-    how long none does, since all have asked this daemon to back off.
+    `ranks` are those that take streams from this daemon; `backoff` is how
+    long none does, since all have asked this daemon to back off.
     """
 
     running: int
--- a/linnetwind/map_planner.py
+++ b/linnetwind/map_planner.py
@@ -162,8 +162,8 @@
         now = self._clock.elapsed()
         if now - group.whole_at < _BLIND:
             return True
-        # No planner reaches a rank that has crashed. Handed on then, the lead
-        # went round among three daemons every tenth of a second.
+        # No planner reaches a rank that has crashed; handed on then, the lead
+        # would go round among all daemons for as long as the rank is away.
         return bool(group.reports) and not is_open(group, now)
 
     def _plan_service(self, service: RoutedService) -> list[GroupBrief]:
--- a/linnetwind/stream_gate.py
+++ b/linnetwind/stream_gate.py
@@ -18,8 +18,7 @@
 _MOST_RETRY_MS = 2500
 MOST_RETRY = timedelta(milliseconds=_MOST_RETRY_MS)
 # How long a caller that came back may wait for its place. Callers give up a
-# stream that shows nothing for two seconds: at a wait of 2 s some left while
-# they waited, at 1.2 s half as many again were refused twice in an overload.
+# stream that shows nothing for two seconds; the rest is for its first event.
 _RETURN_WAIT_S = 1.6
 RETURN_WAIT = timedelta(seconds=_RETURN_WAIT_S)
 # By so much sooner than expected a group may open.
@@ -127,10 +126,10 @@
 def reserve(free: int, arrivals_per_s: float, ends_per_s: float) -> int:
     """Return the places that late streams leave to those that come next.
 
-    When a group opens after a power loss, those that waited for it took all
-    places; none came free for a second, since all had begun at once, and
-    newcomers were late in turn: for 3.6 s, 13 of 81 were in time. While as
-    many streams end as come, nothing is reserved.
+    When a group opens after a power loss, those that waited for it would take
+    all places. None comes free for a second then, since all have begun at
+    once, and newcomers would be late in turn. While as many streams end as
+    come, nothing is reserved.
 
     Args:
       free: The places that this daemon may fill.
@@ -165,9 +164,9 @@
 def _await_group(view: GroupView, waiter: Waiter) -> Verdict:
     """Decide on a stream whose group cannot run.
 
-    After a power loss all that was under way came back before the groups had
-    formed anew, half a second later. Refused then, most callers had used up
-    their second try: 50 of 150 requests of these seconds got no answer.
+    After a power loss all that was under way comes back before the groups have
+    formed anew. Refused then, most callers have used up their second try and
+    get no answer.
     """
     left = RETURN_WAIT - waiter.waited
     # A caller that came back has no try left, and the time is an estimate.
--- a/linnetwind/waiting_line.py
+++ b/linnetwind/waiting_line.py
@@ -129,8 +129,8 @@
         """Wait for a place while that is worth it.
 
         The place is taken before the next stream in line looks. Taken later,
-        all streams in line would run for one free place: after a power loss
-        90 streams ran where 51 could in time, and for 5 s all were late.
+        all streams in line would run for one free place, and all that run
+        would be late.
 
         Args:
           claim: The stream.
@@ -195,8 +195,8 @@
     ) -> GroupView:
         """Return the present view, made once for all that wait.
 
-        Made by each of them at 0.13 ms, it takes two thirds of a core with 10
-        streams in line and 500 states of peers a second.
+        Each state of a peer makes them look. A view of its own for each would
+        take most of a core where there are many peers.
         """
         now = self._clock.elapsed()
         made_at, view = self._views.get(gap, _NO_VIEW)
