--- a/standins/soak.py
+++ b/standins/soak.py
@@ -34,12 +34,12 @@
     check_drains,
     check_recovery,
     check_stops,
-    check_wishes,
+    check_backpressure,
 )
 from standins.soak_extras import (
     come_back_older,
     crash_upstreams,
-    name_wishes,
+    press_back,
     start_again,
     write_as_others,
 )
@@ -152,7 +152,7 @@
             *check_stops(self.history),
             *check_drains(self.history, _DRAIN_S),
             *check_crashes(self.history),
-            *check_wishes(self.history, self.registered),
+            *check_backpressure(self.history, self.registered),
             *self.book.broken(),
         ]
 
@@ -346,7 +346,7 @@
         write_as_others: extras.strangers,
         come_back_older: extras.returns,
         crash_upstreams: extras.crashers,
-        name_wishes: extras.wishes,
+        press_back: extras.backpressure,
     }
     return [extra for extra, chosen in known.items() if chosen]
 
--- a/standins/soak_book.py
+++ b/standins/soak_book.py
@@ -15,7 +15,7 @@
 
     `restarts`: upstreams start again under their names; `strangers`: other
     writers write among the entries of upstreams; `returns`: the store comes
-    back from older copies; `crashers`: a request crashes upstreams; `wishes`:
+    back from older copies; `crashers`: a request crashes upstreams; `backpressure`:
     upstreams ask to back off or say that they leave.
     """
 
@@ -23,7 +23,7 @@
     strangers: bool = False
     returns: bool = False
     crashers: bool = False
-    wishes: bool = False
+    backpressure: bool = False
 
 
 @dataclass
--- a/standins/soak_checks.py
+++ b/standins/soak_checks.py
@@ -7,7 +7,7 @@
 from standins.platform_cluster import GatewayProcess
 from standins.soak_book import Book, Call
 from standins.soak_callers import describe
-from standins.soak_upstreams import SoakUpstream
+from standins.soak_upstreams import Arrival, SoakUpstream
 
 # For so long after a fault its effects are not held against the gateways.
 _AFTERMATH_S = 3
@@ -17,10 +17,11 @@
 # A request that has crashed so many may be sent so many times more.
 _MOST_CRASHES = 3
 _MOST_LATE = 3
-# What may still reach an upstream that asked to back off, and how long it may
-# be on its way; an upstream that leaves gets nothing after so long.
-_MOST_IN_BACKOFF = 2
+# How long calls may be on their way when an upstream asks to back off, and how
+# many may come after that.
 _ON_THE_WAY_S = 0.5
+_MOST_IN_BACKOFF = 2
+# How long calls may still reach an upstream that says it leaves.
 _LEAVING_S = 2
 
 
@@ -37,6 +38,15 @@
         return self.start <= end and start <= self.end + _AFTERMATH_S
 
 
+@dataclass(frozen=True)
+class _Unwanted:
+    """A time in which an upstream wants at most so many calls."""
+
+    start: float
+    end: float
+    allowed: int
+
+
 @dataclass
 class History:
     """What was seen, the faults, and the planned stops and drains.
@@ -58,7 +68,11 @@
         )
 
     def is_excused(self, gateway: str, start: float, end: float) -> bool:
-        """Return whether a host was upset meanwhile, or a link held calls up."""
+        """Return whether a gateway may have sent what an upstream did not want.
+
+        One that was stopped, killed or frozen since has forgotten, and calls
+        that a link has held up come late.
+        """
         upset = any(
             each.what == gateway and each.start <= end and start <= each.end
             for each in self.upsets
@@ -124,35 +138,33 @@
             yield f'{upstream.instance} ran calls {late} s after its drain'
 
 
-def check_wishes(
+def check_backpressure(
     history: History, upstreams: list[SoakUpstream]
 ) -> Iterator[str]:
-    """Yield each upstream that got calls it had told a gateway not to send.
-
-    A gateway that was stopped or frozen since may have forgotten, and calls
-    that a link has held up came late.
-    """
+    """Yield each upstream that got calls it had told a gateway not to send."""
     gateways = {call.name: call.gateway for call in history.book.calls}
     for upstream in upstreams:
         for told in upstream.arrivals:
-            until = told.at + told.backoff
-            after = told.at + _ON_THE_WAY_S
-            allowed = _MOST_IN_BACKOFF
-            if told.leaving:
-                until = math.inf
-                after = told.at + _LEAVING_S
-                allowed = 0
             gateway = gateways.get(told.call)
-            late = [
-                each.at - told.at
+            unwanted = _unwanted_after(told)
+            got = [
+                each
                 for each in upstream.arrivals
-                if after < each.at < until
+                if unwanted.start < each.at < unwanted.end
                 and each.life == told.life
                 and gateways.get(each.call) == gateway
                 and not history.is_excused(gateway, told.at, each.at)
             ]
-            if len(late) > allowed:
-                yield f'{upstream.instance} got calls {late} s after {told}'
+            if len(got) > unwanted.allowed:
+                yield f'{upstream.instance} got {got} after {told}'
+
+
+def _unwanted_after(told: Arrival) -> _Unwanted:
+    if told.leaving:
+        return _Unwanted(told.at + _LEAVING_S, math.inf, 0)
+    return _Unwanted(
+        told.at + _ON_THE_WAY_S, told.at + told.backoff, _MOST_IN_BACKOFF
+    )
 
 
 def check_crashes(history: History) -> Iterator[str]:
--- a/standins/soak_extras.py
+++ b/standins/soak_extras.py
@@ -14,7 +14,7 @@
 # The share of bad entries that stand beside the upstreams' own, and their keys.
 _BESIDE = 0.5
 _STRANGERS = 20
-# The share of upstreams that leave, of those that name a wish.
+# The share of those that leave; the others ask to back off.
 _LEAVING = 0.3
 
 
@@ -70,7 +70,7 @@
         time.sleep(source.uniform(1, 4))
 
 
-def name_wishes(run, source: random.Random, until: float) -> None:
+def press_back(run, source: random.Random, until: float) -> None:
     """Have upstreams ask to back off, or say that they leave and do.
 
     Their entries say nothing of either.
@@ -79,8 +79,8 @@
         time.sleep(source.uniform(0.2, 1))
         upstream = source.choice(run.upstreams)
         leaves = source.random() < _LEAVING
-        wish = 'leaves' if leaves else 'backs off'
-        run.book.note(f'{upstream.instance} {wish}')
+        what = 'leaves' if leaves else 'asks to back off'
+        run.book.note(f'{upstream.instance} {what}')
         upstream.refusing = not leaves
         upstream.leaving = leaves
         time.sleep(source.uniform(2.5, 5))
--- a/standins/soak_test.py
+++ b/standins/soak_test.py
@@ -63,9 +63,9 @@
 def test_promises_hold_while_upstreams_back_off_and_leave(tmp_path):
     # Upstreams refuse calls and ask to back off, or say that they leave, while
     # everything else goes wrong as well.
-    extras = Extras(wishes=True)
+    extras = Extras(backpressure=True)
     broken, picture = soak(8, _SHORT_S, tmp_path, extras)
-    assert ' backs off' in picture
+    assert ' asks to back off' in picture
     assert ' leaves' in picture
     assert broken == [], picture
 
--- a/standins/soak_upstreams.py
+++ b/standins/soak_upstreams.py
@@ -13,7 +13,7 @@
 _EVENT_S = 0.05
 _BACK_AFTER_S = 1.0
 _BACKOFF_S = 3
-# In the others a gateway may see no head of an answer.
+# In the other moods a gateway may get no head of an answer, and so is not told.
 _MOODS_THAT_TELL = frozenset(('sound', 'failing', 'full'))
 
 
@@ -38,8 +38,8 @@
     `mood` is 'sound', 'failing' (500), 'full' (refuses, not run), 'hanging',
     'breaking' (resets in the middle of an answer) or 'wrong' (bytes that are
     no answer).
-    `refusing` has every second call refused and asks to back off, `leaving` is
-    told in each answer.
+    `refusing` has every second call refused and asks to back off. `leaving` is
+    told in each answer; the entry does not say so.
     """
 
     def __init__(self, instance: str, service: str, book: Book, store):
@@ -139,25 +139,18 @@
 
     def _serve(self, connection, request) -> None:
         name = request.headers.get('attempt-id', '')
+        # Read once: a fault may change it while the call is answered.
+        mood = self.mood
         refuses = self.refusing and len(self.arrivals) % 2
+        said = {'Server_Leaving': '1'} if self.leaving else {}
+        is_told = refuses or mood in _MOODS_THAT_TELL
         backoff = _BACKOFF_S if refuses else 0
-        leaving = self.leaving
-        said = {'Server_Leaving': '1'} if leaving else {}
-        is_told = refuses or self.mood in _MOODS_THAT_TELL
-        self.arrivals.append(
-            Arrival(
-                time.monotonic(),
-                name,
-                self._lives,
-                backoff,
-                leaving and is_told,
-            )
-        )
+        self._note_arrival(name, backoff, leaving=bool(said and is_told))
         if refuses:
             said['Retry_After'] = str(backoff)
             connection.answer(request, 'no', 503, Not_Executed='1', **said)
             return
-        if self.mood == 'full':
+        if mood == 'full':
             connection.answer(request, 'full', 503, Not_Executed='1', **said)
             return
         self._book.run(name)
@@ -165,7 +158,7 @@
             self._crash(connection)
             return
         self.last_runs.append(time.monotonic())
-        match self.mood:
+        match mood:
             case 'failing':
                 connection.answer(request, 'failed', 500, **said)
             case 'hanging':
@@ -177,6 +170,11 @@
             case _:
                 self._answer(connection, request, name, said)
 
+    def _note_arrival(self, call: str, backoff: int, *, leaving: bool) -> None:
+        now = time.monotonic()
+        arrival = Arrival(now, call, self._lives, backoff, leaving)
+        self.arrivals.append(arrival)
+
     def _answer(self, connection, request, name: str, said: dict) -> None:
         if '/s/' not in request.target:
             body = expected_body(name).decode()
