--- a/linnetwind/upstream_refusals_test.py
+++ b/linnetwind/upstream_refusals_test.py
@@ -15,7 +15,7 @@
 MODEL = RoutedService('model', '/health', 248, make_engine())
 BACKOFF = 3 * SECOND
 RANKS = 16
-SICK = 5
+REFUSING = 5
 REFUSED_SHARE = 0.4
 # One gateway's part of 37 streams a second, for ten seconds.
 STREAMS = 100
@@ -25,11 +25,11 @@
 ON_THE_WAY = SECOND / 2
 
 
-class Sick:
-    """Ranks of which some refuse part of what they get."""
+class RefusingRanks:
+    """Ranks of which the first few refuse part of what they get."""
 
     def __init__(self, clock, state, *, names_backoffs):
-        """Start with sound ranks."""
+        """Start without refusals; `names_backoffs`: they tell the gateway."""
         self._clock = clock
         self._state = state
         self._names_backoffs = names_backoffs
@@ -43,8 +43,8 @@
         now = self._clock.elapsed()
         asked = self._asked.get(upstream.instance, -BACKOFF)
         self.in_backoffs += ON_THE_WAY < now - asked < BACKOFF
-        is_sick = int(upstream.instance) < SICK
-        if not is_sick or self._random.random() > REFUSED_SHARE:
+        refuses = int(upstream.instance) < REFUSING
+        if not refuses or self._random.random() > REFUSED_SHARE:
             return True
         self.refused += 1
         self._asked[upstream.instance] = now
@@ -77,7 +77,7 @@
     records = [Registered(each.instance, 0, each) for each in entries]
     state.change_upstreams(lambda known: known.take(records, 1))
     lives = tuple(each.life for each in entries)
-    ranks = Sick(clock, state, names_backoffs=names_backoffs)
+    ranks = RefusingRanks(clock, state, names_backoffs=names_backoffs)
     lost = 0
     for _stream in range(STREAMS):
         clock.advance(SPACING)
@@ -92,7 +92,7 @@
     ranks, lost = _play(names_backoffs=True)
     assert ranks.in_backoffs == 0
     assert lost == 0
-    # Each sick rank once in that time; else they refuse more.
+    # Each of them once in that time; untold, they refuse more.
     times = STREAMS * SPACING / BACKOFF
-    assert ranks.refused <= SICK * times
+    assert ranks.refused <= REFUSING * times
     assert _play(names_backoffs=False)[0].refused > ranks.refused
