What an answer says of its upstream's load is not read any more

Cause: since the first gateway on the platform the header was decoded into a type that nothing used; the choice of an upstream goes by the gateways' own counts, and a reader looked for the place where it counts. Change: the field, its type and its decoder are gone. Figures: no use of it in product or tests (grep); the 357 tests of the platform's folder pass. Conclusion: dead code less; the choice has not changed.

--- a/linnetwind/call_types.py
+++ b/linnetwind/call_types.py
@@ -59,15 +59,6 @@
     resume_after: int | None
 
 
-@dataclass(frozen=True, slots=True)
-class ReportedLoad:
-    """The requests that run and wait at an upstream, and its slots."""
-
-    running: int
-    waiting: int
-    slots: int
-
-
 @dataclass(frozen=True, slots=True)
 class AnswerFacts:
     """What an answer's head says, in the project's terms.
@@ -86,7 +77,6 @@
     not_executed: bool
     misdirected: bool
     instance: str | None
-    load: ReportedLoad | None
     most_per_s: float | None = None
     backoff: timedelta | None = None
     leaving: bool = False
--- a/linnetwind/platform/headers.py
+++ b/linnetwind/platform/headers.py
@@ -9,7 +9,6 @@
     CallFacts,
     Forwarding,
     Headers,
-    ReportedLoad,
     TokenCounts,
 )
 
@@ -25,11 +24,10 @@
 _SIGNATURE = b'response-seal'
 _NOT_RUN = b'not-executed'
 _ANSWERED_BY = b'instance-id'
-_LOAD = b'server-load'
 _MOST_REQUESTS = b'server-limit'
 _BACKOFF = b'retry-after'
 _LEAVING = b'server-leaving'
-_YES = '1'
+_LEAVES = '1'
 _DECIMAL = re.compile(r'[0-9]{1,9}(\.[0-9]{1,9})?')
 _MISDIRECTED = 421
 _REFUSED = 503
@@ -133,10 +131,9 @@
             not_executed=_NOT_RUN in named,
             misdirected=status == _MISDIRECTED,
             instance=_text(named.get(_ANSWERED_BY)) or None,
-            load=_load(_text(named.get(_LOAD))),
             most_per_s=_decimal(_text(named.get(_MOST_REQUESTS))),
             backoff=_backoff(status, _text(named.get(_BACKOFF))),
-            leaving=_text(named.get(_LEAVING)) == _YES,
+            leaving=_text(named.get(_LEAVING)) == _LEAVES,
         )
 
     def answer_headers(self, headers: Headers) -> Headers:
@@ -196,11 +193,3 @@
 def _subject(text: str) -> str:
     """Return the id of a prompt's last part, which is the session's own."""
     return text.rpartition(',')[2].partition(':')[0]
-
-
-def _load(text: str) -> ReportedLoad | None:
-    parts = text.split(',')
-    if len(parts) == 3 and all(part.isdigit() for part in parts):
-        running, waiting, slots = parts
-        return ReportedLoad(int(running), int(waiting), int(slots))
-    return None
