Packages by job: admission, upstreams, experts, peers

The flat folder is full. The modules that the coming work changes in depth move to packages; nothing else changes.

--- /dev/null
+++ b/linnetwind/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission of requests: who runs, waits or is rejected."""
--- a/linnetwind/admission_policy_test.py
+++ b/linnetwind/admission/admission_policy_test.py
@@ -2,7 +2,7 @@
 
 from dataclasses import replace
 
-from linnetwind.admission_policy import (
+from linnetwind.admission.admission_policy import (
     MAX_RETRY_AFTER,
     MAX_RETRY_WAIT,
     MIN_RETRY_AFTER,
--- a/linnetwind/group_capacity.py
+++ b/linnetwind/admission/group_capacity.py
@@ -5,19 +5,19 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
+from linnetwind.admission.pass_time_estimator import (
+    DEFAULT_SKEW,
+    PassTimeEstimator,
+    stream_limit,
+)
+from linnetwind.admission.permit_shares import Allowance
 from linnetwind.group_outages import (
     GroupAnnouncement,
     GroupHealth,
     apply_announcement,
     time_until_open,
 )
-from linnetwind.pass_time_estimator import (
-    DEFAULT_SKEW,
-    PassTimeEstimator,
-    stream_limit,
-)
-from linnetwind.peer_table import GroupSummary
-from linnetwind.permit_shares import Allowance
+from linnetwind.peers.peer_table import GroupSummary
 from linnetwind.routes import EngineProfile
 
 # The period in which arrivals and ends of streams count for their rates.
--- a/linnetwind/pass_time_estimator_test.py
+++ b/linnetwind/admission/pass_time_estimator_test.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from linnetwind.pass_time_estimator import (
+from linnetwind.admission.pass_time_estimator import (
     PassTimeEstimator,
     Pause,
     stream_limit,
--- a/linnetwind/permit_shares_test.py
+++ b/linnetwind/admission/permit_shares_test.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from linnetwind.permit_shares import (
+from linnetwind.admission.permit_shares import (
     Demand,
     compute_allowance,
     own_share,
--- a/linnetwind/service_capacity.py
+++ b/linnetwind/admission/service_capacity.py
@@ -5,12 +5,12 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
-from linnetwind.admission_policy import (
+from linnetwind.admission.admission_policy import (
     CapacityView,
     reserve_for_arrivals,
     reserve_for_newcomers,
 )
-from linnetwind.group_capacity import (
+from linnetwind.admission.group_capacity import (
     GROUP_EXPIRY,
     GroupCapacity,
     GroupCount,
@@ -18,12 +18,12 @@
     rate,
     unavailable_for,
 )
-from linnetwind.peer_table import PassTimePerStream, StreamLoad
-from linnetwind.permit_shares import Demand, own_share
+from linnetwind.admission.permit_shares import Demand, own_share
+from linnetwind.admission.wait_queue import WaitQueue
+from linnetwind.peers.peer_table import PassTimePerStream, StreamLoad
 from linnetwind.ranks_by_group import SortedRanks
 from linnetwind.routes import EngineProfile
 from linnetwind.upstream_incarnation import UpstreamIncarnation
-from linnetwind.wait_queue import WaitQueue
 
 # The number of recent starts from which the time of the next one is estimated,
 # and the quantile of their times that is the estimate.
--- a/linnetwind/stream_admission_control.py
+++ b/linnetwind/admission/stream_admission_control.py
@@ -10,9 +10,8 @@
 from collections.abc import Callable, Mapping, Sequence
 from datetime import timedelta
 
-from linnetwind.admission_policy import CapacityView, RejectStream
-from linnetwind.clock import Clock
-from linnetwind.group_capacity import (
+from linnetwind.admission.admission_policy import CapacityView, RejectStream
+from linnetwind.admission.group_capacity import (
     UNNAMED_GROUP,
     GroupCapacity,
     GroupCount,
@@ -23,26 +22,27 @@
     recent_summary,
     unavailable_for,
 )
+from linnetwind.admission.pass_time_estimator import Pause
+from linnetwind.admission.permit_shares import compute_allowance
+from linnetwind.admission.service_capacity import (
+    ServiceCapacity,
+    capacity_view,
+    expire_groups,
+    permit_share,
+    stream_load,
+)
+from linnetwind.admission.wait_queue import PermitRequest, WaitQueue
+from linnetwind.clock import Clock
 from linnetwind.group_outages import record_crash
-from linnetwind.pass_time_estimator import Pause
-from linnetwind.peer_table import (
+from linnetwind.peers.peer_table import (
     GroupSummary,
     PeerState,
     StreamLoad,
 )
-from linnetwind.permit_shares import compute_allowance
 from linnetwind.ranks_by_group import sort_ranks
 from linnetwind.routes import RoutedService
-from linnetwind.service_capacity import (
-    ServiceCapacity,
-    capacity_view,
-    expire_groups,
-    permit_share,
-    stream_load,
-)
 from linnetwind.upstream_incarnation import UpstreamIncarnation
-from linnetwind.upstream_list import Upstream
-from linnetwind.wait_queue import PermitRequest, WaitQueue
+from linnetwind.upstreams.upstream_list import Upstream
 
 
 class StreamAdmission:
--- a/linnetwind/stream_admission_control_test.py
+++ b/linnetwind/admission/stream_admission_control_test.py
@@ -2,11 +2,11 @@
 
 from datetime import UTC, datetime, timedelta
 
+from linnetwind.admission.group_capacity import GroupCount
+from linnetwind.admission.stream_admission_control import StreamAdmission
 from linnetwind.clock import ManualClock
-from linnetwind.group_capacity import GroupCount
-from linnetwind.peer_table import GroupSummary
+from linnetwind.peers.peer_table import GroupSummary
 from linnetwind.routes import RoutedService
-from linnetwind.stream_admission_control import StreamAdmission
 from standins.gateway_fixtures import MS, make_engine, make_upstream
 
 SERVICE = RoutedService('model', '/health', 248, make_engine())
--- a/linnetwind/wait_queue.py
+++ b/linnetwind/admission/wait_queue.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass, replace
 from datetime import timedelta
 
-from linnetwind.admission_policy import (
+from linnetwind.admission.admission_policy import (
     MAX_RETRY_WAIT,
     STOPPING,
     AdmissionDecision,
@@ -24,7 +24,7 @@
     decide_admission,
 )
 from linnetwind.clock import Clock
-from linnetwind.upstream_list import Upstream
+from linnetwind.upstreams.upstream_list import Upstream
 
 # How often the first stream in the queue polls the capacity, which depends on
 # the streams of other daemons. A stream behind it polls at a multiple of this
--- a/linnetwind/wait_queue_test.py
+++ b/linnetwind/admission/wait_queue_test.py
@@ -5,15 +5,19 @@
 from dataclasses import replace
 from datetime import UTC, datetime, timedelta
 
-from linnetwind.admission_policy import (
+from linnetwind.admission.admission_policy import (
     MAX_RETRY_WAIT,
     MIN_RETRY_AFTER,
     STOPPING,
     CapacityView,
     RejectStream,
 )
+from linnetwind.admission.wait_queue import (
+    PermitRequest,
+    WaitQueue,
+    queue_position_key,
+)
 from linnetwind.clock import ManualClock, SystemClock
-from linnetwind.wait_queue import PermitRequest, WaitQueue, queue_position_key
 from standins.gateway_fixtures import MS, SECOND, make_upstream
 from standins.stream_fixtures import TARGET, VIEW
 
--- a/linnetwind/backpressure.py
+++ b/linnetwind/backpressure.py
@@ -7,7 +7,7 @@
 from linnetwind.call_types import ResponseFacts
 from linnetwind.gateway_events import BackoffAsked, LimitNamed, UpstreamLeaves
 from linnetwind.request_context import GatewayContext, RequestContext
-from linnetwind.upstream_list import Upstream
+from linnetwind.upstreams.upstream_list import Upstream
 
 
 def record_backpressure(
--- a/linnetwind/crash_guard.py
+++ b/linnetwind/crash_guard.py
@@ -10,7 +10,7 @@
     RequestResult,
 )
 from linnetwind.upstream_call import CONNECT_TIMEOUT, BrokenCall, ConnectFailed
-from linnetwind.upstream_list import Upstream
+from linnetwind.upstreams.upstream_list import Upstream
 
 QUARANTINED = 'upstreams crashed under it'
 _FIRST_SUCCESS = 200
--- a/linnetwind/drain_order.py
+++ b/linnetwind/drain_order.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from linnetwind.peer_table import PeerTable, ReceivedState
+from linnetwind.peers.peer_table import PeerTable, ReceivedState
 
 # The time after a restart until the platform routes callers to a daemon: it
 # needs one successful readiness probe, and sends one each second.
--- a/linnetwind/drain_order_test.py
+++ b/linnetwind/drain_order_test.py
@@ -17,7 +17,7 @@
     plans_while_stopping,
     reachable_fleet,
 )
-from linnetwind.peer_table import PeerTable
+from linnetwind.peers.peer_table import PeerTable
 from standins.gateway_fixtures import make_peer
 
 NOW = timedelta(seconds=100)
--- /dev/null
+++ b/linnetwind/experts/__init__.py
@@ -0,0 +1,1 @@
+"""Expert maps: demand, planning and rollout to rank groups."""
--- a/linnetwind/expert_demand_test.py
+++ b/linnetwind/experts/expert_demand_test.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from linnetwind.expert_demand import HALF_LIFE, ExpertDemand
+from linnetwind.experts.expert_demand import HALF_LIFE, ExpertDemand
 from linnetwind.rank_messages import make_lane_counts
 from linnetwind.rank_types import RankCounts
 
--- a/linnetwind/map_planner.py
+++ b/linnetwind/experts/map_planner.py
@@ -11,6 +11,12 @@
 
 from linnetwind.clock import Clock
 from linnetwind.event_log import EventLog
+from linnetwind.experts.target_map import (
+    can_gain,
+    even_demand,
+    map_skew,
+    plan_map,
+)
 from linnetwind.gateway_events import (
     GroupChanged,
     LeaderChanged,
@@ -26,7 +32,7 @@
 )
 from linnetwind.group_summary import is_open, make_summaries
 from linnetwind.peer_mesh import PeerMesh
-from linnetwind.peer_table import GroupSummary
+from linnetwind.peers.peer_table import GroupSummary
 from linnetwind.planned_group import (
     PlannedGroup,
     PlannedService,
@@ -49,8 +55,7 @@
     next_round,
 )
 from linnetwind.routes import RoutedService
-from linnetwind.target_map import can_gain, even_demand, map_skew, plan_map
-from linnetwind.upstream_list import Upstream
+from linnetwind.upstreams.upstream_list import Upstream
 
 # How often the ranks are polled for their counts: about every two passes.
 _POLL_INTERVAL_MS = 100
--- a/linnetwind/map_planner_test.py
+++ b/linnetwind/experts/map_planner_test.py
@@ -9,8 +9,8 @@
 
 from linnetwind.address import Address
 from linnetwind.clock import SystemClock
+from linnetwind.experts.map_planner import MapPlanner
 from linnetwind.gateway_state import GatewayState
-from linnetwind.map_planner import MapPlanner
 from linnetwind.rank_messages import OrderReply, RankSnapshot, make_lane_counts
 from linnetwind.rank_packing import join_counts
 from linnetwind.rank_types import (
@@ -23,7 +23,7 @@
 )
 from linnetwind.routes import RoutedService, RouteTable
 from linnetwind.shared_retry_budget import RetryBudgetTerms
-from linnetwind.upstream_list import UpstreamList, UpstreamRecord
+from linnetwind.upstreams.upstream_list import UpstreamList, UpstreamRecord
 from standins.gateway_fixtures import (
     make_engine,
     make_report,
--- a/linnetwind/target_map_test.py
+++ b/linnetwind/experts/target_map_test.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from linnetwind.target_map import (
+from linnetwind.experts.target_map import (
     MIN_COPIES_PER_RANK,
     can_gain,
     even_demand,
--- a/linnetwind/gateway_daemon.py
+++ b/linnetwind/gateway_daemon.py
@@ -20,13 +20,13 @@
 from linnetwind.daemon_threads import DaemonThreads
 from linnetwind.drain_order import FleetDaemon
 from linnetwind.event_log import EventLog
+from linnetwind.experts.map_planner import MapPlanner
 from linnetwind.gateway_events import SettingsReloaded
 from linnetwind.gateway_feeds import GatewayFeeds
 from linnetwind.gateway_metrics import GatewayMetrics
 from linnetwind.gateway_setup import GatewayPorts, GatewaySetup
 from linnetwind.gateway_state import GatewayState
 from linnetwind.gateway_stop import make_stop
-from linnetwind.map_planner import MapPlanner
 from linnetwind.peer_mesh import MeshSettings, PeerMesh
 from linnetwind.quarantine_store import QuarantineStore
 from linnetwind.rank_link import RankLink
@@ -34,7 +34,7 @@
 from linnetwind.routes import CallerLimits
 from linnetwind.stop_signals import StopSignals
 from linnetwind.upstream_call import open_call
-from linnetwind.upstream_list import Upstream
+from linnetwind.upstreams.upstream_list import Upstream
 
 # The caller connections that are served at once, with a thread for each.
 _MAX_CONNECTIONS = 900
--- a/linnetwind/gateway_feeds.py
+++ b/linnetwind/gateway_feeds.py
@@ -22,7 +22,7 @@
     configuration_rate_limit,
     upstreams_rate_limit,
 )
-from linnetwind.upstream_list import UpstreamList, UpstreamRecord
+from linnetwind.upstreams.upstream_list import UpstreamList, UpstreamRecord
 
 # How often a daemon checks whether a peer has a newer configuration. It fetches
 # one from a peer if the store has not delivered it by the next check.
--- a/linnetwind/gateway_setup.py
+++ b/linnetwind/gateway_setup.py
@@ -10,7 +10,7 @@
 from linnetwind.gateway_feeds import FeedPorts
 from linnetwind.rank_types import RankPort
 from linnetwind.shared_retry_budget import RetryBudgetTerms
-from linnetwind.upstream_list import Upstream
+from linnetwind.upstreams.upstream_list import Upstream
 
 
 @dataclass(frozen=True, slots=True)
--- a/linnetwind/gateway_state.py
+++ b/linnetwind/gateway_state.py
@@ -10,17 +10,18 @@
 from datetime import timedelta
 
 from linnetwind.address import Address
-from linnetwind.admission_policy import CapacityView
+from linnetwind.admission.admission_policy import CapacityView
+from linnetwind.admission.group_capacity import UNNAMED_GROUP, GroupCount
+from linnetwind.admission.stream_admission_control import StreamAdmission
 from linnetwind.clock import Clock
-from linnetwind.group_capacity import UNNAMED_GROUP, GroupCount
-from linnetwind.peer_table import PeerState, PeerTable
+from linnetwind.peers.peer_table import PeerState, PeerTable
 from linnetwind.request_counts import RequestCounts
 from linnetwind.request_history import RequestHistory, make_request_history
 from linnetwind.routes import RoutedService, RouteTable
 from linnetwind.shared_retry_budget import RetryBudgetTerms
-from linnetwind.stream_admission_control import StreamAdmission
 from linnetwind.upstream_backoff import UpstreamBackoffs
-from linnetwind.upstream_choice import (
+from linnetwind.upstream_incarnation import UpstreamIncarnation
+from linnetwind.upstreams.upstream_choice import (
     UpstreamStats,
     choose_group,
     choose_plain,
@@ -28,9 +29,8 @@
     record_answer,
     record_connect_failure,
 )
-from linnetwind.upstream_incarnation import UpstreamIncarnation
-from linnetwind.upstream_limits import Reservation
-from linnetwind.upstream_list import Upstream, UpstreamList
+from linnetwind.upstreams.upstream_limits import Reservation
+from linnetwind.upstreams.upstream_list import Upstream, UpstreamList
 
 # How often the table of peers is checked for peers to expire.
 _EXPIRY_CHECK_INTERVAL = timedelta(seconds=1)
--- a/linnetwind/gateway_state_test.py
+++ b/linnetwind/gateway_state_test.py
@@ -7,10 +7,10 @@
 from linnetwind.address import Address
 from linnetwind.clock import ManualClock, SystemClock
 from linnetwind.gateway_state import GatewayState
-from linnetwind.peer_table import GroupSummary
+from linnetwind.peers.peer_table import GroupSummary
 from linnetwind.routes import RoutedService
 from linnetwind.shared_retry_budget import RetryBudgetTerms
-from linnetwind.upstream_list import UpstreamRecord
+from linnetwind.upstreams.upstream_list import UpstreamRecord
 from standins.gateway_fixtures import (
     MS,
     SECOND,
--- a/linnetwind/gateway_stop.py
+++ b/linnetwind/gateway_stop.py
@@ -15,7 +15,7 @@
     may_drain,
     reachable_fleet,
 )
-from linnetwind.peer_table import PeerTable
+from linnetwind.peers.peer_table import PeerTable
 
 # The time after which the platform sends no more connections to a daemon that
 # is not ready. The platform sends a readiness probe each second and takes the
--- a/linnetwind/group_observations.py
+++ b/linnetwind/group_observations.py
@@ -14,7 +14,7 @@
     UpstreamIncarnation,
     name_incarnation,
 )
-from linnetwind.upstream_list import Upstream
+from linnetwind.upstreams.upstream_list import Upstream
 
 
 @dataclass(frozen=True, slots=True)
--- a/linnetwind/group_summary.py
+++ b/linnetwind/group_summary.py
@@ -3,7 +3,7 @@
 from collections.abc import Collection, Mapping
 from datetime import timedelta
 
-from linnetwind.peer_table import GroupSummary
+from linnetwind.peers.peer_table import GroupSummary
 from linnetwind.planned_group import PlannedGroup
 from linnetwind.routes import RoutedService
 
--- a/linnetwind/peer_mesh.py
+++ b/linnetwind/peer_mesh.py
@@ -22,14 +22,18 @@
 from linnetwind.drain_order import StopTime, plans_while_stopping
 from linnetwind.frames import receive_frame, send_frame
 from linnetwind.gateway_state import GatewayState
-from linnetwind.peer_table import (
+from linnetwind.peers.peer_table import (
     MAX_SEND_INTERVAL,
     GroupSummary,
     PeerState,
     PlannerCandidate,
     leader,
 )
-from linnetwind.peer_wire import FullStateSchedule, StateReader, pack_state
+from linnetwind.peers.peer_wire import (
+    FullStateSchedule,
+    StateReader,
+    pack_state,
+)
 from linnetwind.rank_crashes import merge_peer_rank_crashes
 from linnetwind.record_store import (
     KeyedRecord,
@@ -37,7 +41,7 @@
     StoreUnavailable,
     Topic,
 )
-from linnetwind.upstream_limits import ServiceDemand
+from linnetwind.upstreams.upstream_limits import ServiceDemand
 
 _QUERY_TIMEOUT_S = 0.4
 # How long a daemon does not lead after its start. It knows no peer then and
--- /dev/null
+++ b/linnetwind/peers/__init__.py
@@ -0,0 +1,1 @@
+"""States that gateway daemons advertise to their peers."""
--- a/linnetwind/peer_table.py
+++ b/linnetwind/peers/peer_table.py
@@ -18,7 +18,7 @@
 from linnetwind.crash_history import AdvertisedCrash
 from linnetwind.fingerprint import Fingerprint
 from linnetwind.upstream_incarnation import UpstreamIncarnation
-from linnetwind.upstream_limits import AdvertisedLimit, ServiceDemand
+from linnetwind.upstreams.upstream_limits import AdvertisedLimit, ServiceDemand
 
 # The longest time between two states that a daemon sends, and the shortest
 # time when its counts change. In a large fleet both are longer, see
--- a/linnetwind/peer_table_test.py
+++ b/linnetwind/peers/peer_table_test.py
@@ -3,7 +3,7 @@
 from datetime import timedelta
 
 from linnetwind.address import Address
-from linnetwind.peer_table import (
+from linnetwind.peers.peer_table import (
     PEER_EXPIRY,
     PeerTable,
     PlannerCandidate,
--- a/linnetwind/peer_wire.py
+++ b/linnetwind/peers/peer_wire.py
@@ -26,13 +26,13 @@
 from linnetwind.codec import Codec
 from linnetwind.crash_history import AdvertisedCrash
 from linnetwind.fingerprint import Fingerprint
-from linnetwind.peer_table import GroupSummary, PeerState, StreamLoad
+from linnetwind.peers.peer_table import GroupSummary, PeerState, StreamLoad
 from linnetwind.upstream_incarnation import (
     IncarnationTag,
     UpstreamIncarnation,
     tag_incarnation,
 )
-from linnetwind.upstream_limits import AdvertisedLimit, ServiceDemand
+from linnetwind.upstreams.upstream_limits import AdvertisedLimit, ServiceDemand
 
 _TAG_BYTES = 4
 # Raised for truncated bytes, and for a tag without its count.
--- a/linnetwind/peer_wire_test.py
+++ b/linnetwind/peers/peer_wire_test.py
@@ -11,19 +11,23 @@
 from linnetwind.address import Address
 from linnetwind.crash_history import AdvertisedCrash
 from linnetwind.fingerprint import Fingerprint
-from linnetwind.peer_table import (
+from linnetwind.peers.peer_table import (
     GroupSummary,
     PassTimePerStream,
     PeerState,
     StreamLoad,
 )
-from linnetwind.peer_wire import FullStateSchedule, StateReader, pack_state
+from linnetwind.peers.peer_wire import (
+    FullStateSchedule,
+    StateReader,
+    pack_state,
+)
 from linnetwind.upstream_incarnation import (
     IncarnationTag,
     UpstreamIncarnation,
     tag_incarnation,
 )
-from linnetwind.upstream_limits import AdvertisedLimit, ServiceDemand
+from linnetwind.upstreams.upstream_limits import AdvertisedLimit, ServiceDemand
 
 SECOND = timedelta(seconds=1)
 RANKS = [
--- a/linnetwind/planned_group.py
+++ b/linnetwind/planned_group.py
@@ -4,9 +4,9 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
-from linnetwind.expert_demand import ExpertDemand
+from linnetwind.admission.pass_time_estimator import DEFAULT_SKEW
+from linnetwind.experts.expert_demand import ExpertDemand
 from linnetwind.group_observations import ObservedRank, held_maps
-from linnetwind.pass_time_estimator import DEFAULT_SKEW
 from linnetwind.planner_backoff import PlannerBackoff
 from linnetwind.rank_link import GroupLinks
 from linnetwind.rank_types import RankMaps, RankReport
--- a/linnetwind/platform/gateway_leaving_test.py
+++ b/linnetwind/platform/gateway_leaving_test.py
@@ -3,7 +3,7 @@
 import pytest
 
 from linnetwind.gateway_events import UpstreamLeaves
-from linnetwind.upstream_list import UpstreamRecord
+from linnetwind.upstreams.upstream_list import UpstreamRecord
 from standins.gateway_fixtures import make_upstream
 from standins.gateway_requests import FRAGILE, GET, ONCE, STREAM
 from standins.upstream_scripts import answer, stream
--- a/linnetwind/platform/upstream_format.py
+++ b/linnetwind/platform/upstream_format.py
@@ -20,7 +20,7 @@
 )
 from linnetwind.platform.rank_format import GroupMembership
 from linnetwind.record_store import KeyedRecord
-from linnetwind.upstream_list import Upstream, UpstreamRecord
+from linnetwind.upstreams.upstream_list import Upstream, UpstreamRecord
 
 _DRAINING_STATE = 'draining'
 # Far more concurrent requests than any worker runs. An upstream that states a
--- a/linnetwind/platform/upstream_format_test.py
+++ b/linnetwind/platform/upstream_format_test.py
@@ -17,7 +17,7 @@
 from linnetwind.bad_format import BadFormat
 from linnetwind.platform.upstream_format import decode_upstream
 from linnetwind.record_store import KeyedRecord
-from linnetwind.upstream_list import Upstream, UpstreamRecord
+from linnetwind.upstreams.upstream_list import Upstream, UpstreamRecord
 from standins.bad_messages import BORN, MISSING, near_misses, plain_json
 
 ENTRY = {
--- a/linnetwind/rank_crashes.py
+++ b/linnetwind/rank_crashes.py
@@ -7,7 +7,7 @@
 from linnetwind.crash_history import AdvertisedCrash
 from linnetwind.gateway_state import GatewayState
 from linnetwind.upstream_incarnation import tag_incarnation
-from linnetwind.upstream_list import Upstream
+from linnetwind.upstreams.upstream_list import Upstream
 
 # A crash that a peer advertises at a greater age is ignored: by then the
 # planner has published the state of the rank's group.
--- a/linnetwind/rank_link.py
+++ b/linnetwind/rank_link.py
@@ -35,7 +35,7 @@
     ReleasePass,
 )
 from linnetwind.upstream_incarnation import UpstreamIncarnation
-from linnetwind.upstream_list import Upstream
+from linnetwind.upstreams.upstream_list import Upstream
 
 # The agent queries the engine on its own host, and both respond within
 # milliseconds. The agent's timeout for its engine is shorter than this, so
--- a/linnetwind/ranks_by_group.py
+++ b/linnetwind/ranks_by_group.py
@@ -3,9 +3,9 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
-from linnetwind.group_capacity import UNNAMED_GROUP
+from linnetwind.admission.group_capacity import UNNAMED_GROUP
 from linnetwind.upstream_incarnation import UpstreamIncarnation
-from linnetwind.upstream_list import Upstream
+from linnetwind.upstreams.upstream_list import Upstream
 
 
 @dataclass(frozen=True, slots=True)
--- a/linnetwind/relay.py
+++ b/linnetwind/relay.py
@@ -4,11 +4,12 @@
 from datetime import timedelta
 from http import HTTPStatus
 
-from linnetwind.admission_policy import (
+from linnetwind.admission.admission_policy import (
     STOPPING,
     RejectStream,
     clamp_retry_after,
 )
+from linnetwind.admission.wait_queue import PermitRequest
 from linnetwind.call_policy import (
     Allowed,
     Denied,
@@ -46,8 +47,7 @@
     time_until_accepted,
 )
 from linnetwind.upstream_attempt import UpstreamAttempt
-from linnetwind.upstream_list import Upstream
-from linnetwind.wait_queue import PermitRequest
+from linnetwind.upstreams.upstream_list import Upstream
 
 # The time limit of a request whose headers state none.
 _DEFAULT_TIME_LIMIT_S = 30
--- a/linnetwind/request_context.py
+++ b/linnetwind/request_context.py
@@ -27,7 +27,7 @@
     Head,
     TimedOut,
 )
-from linnetwind.upstream_list import Upstream
+from linnetwind.upstreams.upstream_list import Upstream
 
 
 def _notify_no_peers() -> None:
--- a/linnetwind/request_history.py
+++ b/linnetwind/request_history.py
@@ -5,11 +5,11 @@
 
 from linnetwind.clock import Clock
 from linnetwind.crash_tracker import CrashTracker
-from linnetwind.peer_table import PeerState, PeerTable, demands_of
+from linnetwind.peers.peer_table import PeerState, PeerTable, demands_of
 from linnetwind.refusal_history import RefusalTracker
 from linnetwind.shared_retry_budget import RetryBudgetTerms, SharedRetryBudget
 from linnetwind.upstream_backoff import UpstreamBackoffs
-from linnetwind.upstream_limits import ServiceDemand, UpstreamLimits
+from linnetwind.upstreams.upstream_limits import ServiceDemand, UpstreamLimits
 
 
 @dataclass(frozen=True, slots=True)
--- a/linnetwind/stream_backoff_test.py
+++ b/linnetwind/stream_backoff_test.py
@@ -2,7 +2,7 @@
 
 from datetime import UTC, datetime
 
-from linnetwind.admission_policy import (
+from linnetwind.admission.admission_policy import (
     MAX_RETRY_WAIT,
     MIN_RETRY_AFTER,
     CapacityView,
@@ -11,11 +11,11 @@
     RejectStream,
     decide_admission,
 )
+from linnetwind.admission.group_capacity import GroupCount
+from linnetwind.admission.stream_admission_control import StreamAdmission
 from linnetwind.clock import ManualClock
-from linnetwind.group_capacity import GroupCount
-from linnetwind.peer_table import GroupSummary
+from linnetwind.peers.peer_table import GroupSummary
 from linnetwind.routes import RoutedService
-from linnetwind.stream_admission_control import StreamAdmission
 from standins.gateway_fixtures import MS, SECOND, make_engine
 from standins.stream_fixtures import FIRST
 
--- a/linnetwind/stream_overload_test.py
+++ b/linnetwind/stream_overload_test.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 from statistics import fmean
 
-from linnetwind.admission_policy import (
+from linnetwind.admission.admission_policy import (
     AdmitStream,
     CapacityView,
     RejectStream,
--- a/linnetwind/upstream_acquisition.py
+++ b/linnetwind/upstream_acquisition.py
@@ -4,7 +4,7 @@
 from datetime import timedelta
 
 from linnetwind.request_context import GatewayContext, RequestContext
-from linnetwind.upstream_list import Upstream
+from linnetwind.upstreams.upstream_list import Upstream
 
 # The shortest time after which a caller is told to retry a request that no
 # upstream accepts.
--- a/linnetwind/upstream_acquisition_test.py
+++ b/linnetwind/upstream_acquisition_test.py
@@ -15,7 +15,7 @@
     acquire_or_wait,
     time_until_accepted,
 )
-from linnetwind.upstream_list import UpstreamRecord
+from linnetwind.upstreams.upstream_list import UpstreamRecord
 from standins.gateway_fixtures import MS, SECOND, make_route, make_upstream
 
 PLAIN = RoutedService('plain', '/health', 96, None)
--- a/linnetwind/upstream_attempt.py
+++ b/linnetwind/upstream_attempt.py
@@ -18,7 +18,7 @@
 from linnetwind.response_relay import ResponseRelay
 from linnetwind.routes import RouteKind
 from linnetwind.upstream_call import ConnectFailed, Head, TimedOut, UpstreamCall
-from linnetwind.upstream_list import Upstream
+from linnetwind.upstreams.upstream_list import Upstream
 
 # The fraction of the remaining time that an idempotent request waits for the
 # head of a response. After it the request goes to another upstream, if the
--- a/linnetwind/upstream_backoff.py
+++ b/linnetwind/upstream_backoff.py
@@ -12,7 +12,7 @@
 
 from linnetwind.clock import Clock
 from linnetwind.upstream_incarnation import UpstreamIncarnation
-from linnetwind.upstream_list import Upstream
+from linnetwind.upstreams.upstream_list import Upstream
 
 
 @dataclass(frozen=True, slots=True)
--- a/linnetwind/upstream_leaving_test.py
+++ b/linnetwind/upstream_leaving_test.py
@@ -2,7 +2,11 @@
 
 from datetime import timedelta
 
-from linnetwind.upstream_list import MAX_LEAVING, UpstreamList, UpstreamRecord
+from linnetwind.upstreams.upstream_list import (
+    MAX_LEAVING,
+    UpstreamList,
+    UpstreamRecord,
+)
 from standins.gateway_fixtures import make_upstream
 
 NOW = timedelta()
--- a/linnetwind/upstream_refusals_test.py
+++ b/linnetwind/upstream_refusals_test.py
@@ -6,10 +6,10 @@
 from linnetwind.address import Address
 from linnetwind.clock import ManualClock
 from linnetwind.gateway_state import GatewayState
-from linnetwind.peer_table import GroupSummary
+from linnetwind.peers.peer_table import GroupSummary
 from linnetwind.routes import RoutedService
 from linnetwind.shared_retry_budget import RetryBudgetTerms
-from linnetwind.upstream_list import UpstreamRecord
+from linnetwind.upstreams.upstream_list import UpstreamRecord
 from standins.gateway_fixtures import MS, SECOND, make_engine, make_upstream
 
 MODEL = RoutedService('model', '/health', 248, make_engine())
--- /dev/null
+++ b/linnetwind/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Upstreams: registration, health, rate limits and choice."""
--- a/linnetwind/limit_share_test.py
+++ b/linnetwind/upstreams/limit_share_test.py
@@ -7,8 +7,12 @@
 
 import pytest
 
-from linnetwind.limit_share import NO_RATE_SHARE, SendSchedule, rate_share_of
 from linnetwind.upstream_incarnation import UpstreamIncarnation
+from linnetwind.upstreams.limit_share import (
+    NO_RATE_SHARE,
+    SendSchedule,
+    rate_share_of,
+)
 
 LIFE = UpstreamIncarnation('i-1#5')
 SECOND = timedelta(seconds=1)
--- a/linnetwind/upstream_choice.py
+++ b/linnetwind/upstreams/upstream_choice.py
@@ -14,7 +14,7 @@
 from datetime import timedelta
 
 from linnetwind.upstream_incarnation import UpstreamIncarnation
-from linnetwind.upstream_list import Upstream
+from linnetwind.upstreams.upstream_list import Upstream
 
 # The weight of the newest response in the averages of latency and failures.
 SMOOTHING = 0.2
--- a/linnetwind/upstream_choice_test.py
+++ b/linnetwind/upstreams/upstream_choice_test.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from linnetwind.upstream_choice import (
+from linnetwind.upstreams.upstream_choice import (
     MAX_EJECTION,
     UpstreamStats,
     choose_plain,
--- a/linnetwind/upstream_limits.py
+++ b/linnetwind/upstreams/upstream_limits.py
@@ -15,13 +15,17 @@
 
 from linnetwind.ages import AgeMs, age_of, moment_of
 from linnetwind.clock import Clock
-from linnetwind.limit_share import RateShare, SendSchedule, rate_share_of
 from linnetwind.upstream_incarnation import (
     IncarnationTag,
     UpstreamIncarnation,
     tag_incarnation,
 )
-from linnetwind.upstream_list import Upstream
+from linnetwind.upstreams.limit_share import (
+    RateShare,
+    SendSchedule,
+    rate_share_of,
+)
+from linnetwind.upstreams.upstream_list import Upstream
 
 _MAX_PER_S = 1_000_000_000
 # Peers are not informed at once of a limit that has changed by less than this
--- a/linnetwind/upstream_limits_test.py
+++ b/linnetwind/upstreams/upstream_limits_test.py
@@ -6,7 +6,7 @@
 
 from linnetwind.clock import ManualClock
 from linnetwind.upstream_incarnation import tag_incarnation
-from linnetwind.upstream_limits import AdvertisedLimit, UpstreamLimits
+from linnetwind.upstreams.upstream_limits import AdvertisedLimit, UpstreamLimits
 from standins.gateway_fixtures import make_upstream
 
 SECOND = timedelta(seconds=1)
--- a/linnetwind/upstream_list_era_test.py
+++ b/linnetwind/upstreams/upstream_list_era_test.py
@@ -7,7 +7,11 @@
 
 from datetime import timedelta
 
-from linnetwind.upstream_list import RETURN_GRACE, UpstreamList, UpstreamRecord
+from linnetwind.upstreams.upstream_list import (
+    RETURN_GRACE,
+    UpstreamList,
+    UpstreamRecord,
+)
 from standins.gateway_fixtures import make_upstream
 
 NOW = timedelta(seconds=100)
--- a/linnetwind/upstream_list_test.py
+++ b/linnetwind/upstreams/upstream_list_test.py
@@ -4,7 +4,11 @@
 
 import pytest
 
-from linnetwind.upstream_list import RETURN_GRACE, UpstreamList, UpstreamRecord
+from linnetwind.upstreams.upstream_list import (
+    RETURN_GRACE,
+    UpstreamList,
+    UpstreamRecord,
+)
 from standins.gateway_fixtures import make_upstream
 
 NOW = timedelta(seconds=100)
--- a/standins/bench_plans.py
+++ b/standins/bench_plans.py
@@ -9,10 +9,10 @@
 import time
 from dataclasses import dataclass, replace
 
+from linnetwind.experts.target_map import plan_map
 from linnetwind.placement import even_map
 from linnetwind.rank_types import RankMaps
 from linnetwind.routes import EngineProfile
-from linnetwind.target_map import plan_map
 from standins.gateway_fixtures import make_engine
 from standins.rank_orders import GroupModel
 
--- a/standins/bench_state.py
+++ b/standins/bench_state.py
@@ -13,11 +13,11 @@
 from linnetwind.address import Address
 from linnetwind.clock import SystemClock
 from linnetwind.gateway_state import GatewayState
-from linnetwind.peer_table import GroupSummary, PeerState
-from linnetwind.peer_wire import pack_state
+from linnetwind.peers.peer_table import GroupSummary, PeerState
+from linnetwind.peers.peer_wire import pack_state
 from linnetwind.routes import RoutedService
 from linnetwind.shared_retry_budget import RetryBudgetTerms
-from linnetwind.upstream_list import Upstream, UpstreamRecord
+from linnetwind.upstreams.upstream_list import Upstream, UpstreamRecord
 from standins.gateway_fixtures import MS, SECOND, make_engine, make_upstream
 
 SIZES = ((8, 5), (16, 4), (72, 13), (192, 35), (600, 100))
--- a/standins/gateway_fixtures.py
+++ b/standins/gateway_fixtures.py
@@ -5,7 +5,7 @@
 from datetime import timedelta
 
 from linnetwind.address import Address
-from linnetwind.peer_table import PeerState
+from linnetwind.peers.peer_table import PeerState
 from linnetwind.rank_types import RankReport
 from linnetwind.routes import (
     CallerLimits,
@@ -17,7 +17,7 @@
     WeightedService,
     order_routes,
 )
-from linnetwind.upstream_list import Upstream
+from linnetwind.upstreams.upstream_list import Upstream
 
 SECOND = timedelta(seconds=1)
 MS = timedelta(milliseconds=1)
--- a/standins/gateway_harness.py
+++ b/standins/gateway_harness.py
@@ -13,12 +13,12 @@
 from linnetwind.drain_order import Fleet, FleetDaemon
 from linnetwind.gateway_state import GatewayState
 from linnetwind.gateway_stop import GatewayStop
-from linnetwind.peer_table import GroupSummary
+from linnetwind.peers.peer_table import GroupSummary
 from linnetwind.request_context import GatewayContext
 from linnetwind.routes import RouteTable
 from linnetwind.shared_retry_budget import RetryBudgetTerms
 from linnetwind.upstream_call import open_call
-from linnetwind.upstream_list import UpstreamRecord
+from linnetwind.upstreams.upstream_list import UpstreamRecord
 from standins.gateway_fixtures import make_upstream
 from standins.scripted_upstream import ScriptedUpstream, serve_in_threads
 
--- a/standins/rank_load.py
+++ b/standins/rank_load.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
-from linnetwind.upstream_list import Upstream
+from linnetwind.upstreams.upstream_list import Upstream
 
 Choose = Callable[[list[Upstream], Mapping[str, int]], Upstream]
 
--- a/standins/stream_fixtures.py
+++ b/standins/stream_fixtures.py
@@ -2,7 +2,7 @@
 
 from datetime import timedelta
 
-from linnetwind.admission_policy import CapacityView, PendingStream
+from linnetwind.admission.admission_policy import CapacityView, PendingStream
 from standins.gateway_fixtures import MS
 
 # The latency of a first event that is on time.
