Free permits are divided by class over all daemons

A daemon replaced each of its streams that ended, so that one with many batch streams kept permits that urgent streams of other daemons waited for.

StreamLoad tells peers the waiting streams and arrivals by class. Every daemon computes the room of each class from these: the most urgent class first, each class at least a quarter as often as all. A class whose room is negative gives up some of the permits that its streams release. The first stream of a class that its daemon serves less than a quarter as often as all streams goes to the front of the queue. Order and tallies are in queue_order.py without threads, and the arrivals by class in class_arrivals.py.

A peer without classes counts as the most urgent. With one priority over all daemons, the shares are computed as before.

--- a/linnetwind/admission/admission_policy.py
+++ b/linnetwind/admission/admission_policy.py
@@ -63,6 +63,7 @@
     group is healthy but all its ranks have asked for a backoff until
     `opens_in`, which is exact then and no estimate. `rates` are the arrivals
     by class; it is empty while all streams have the same priority.
+    `free_by_class` counts the permits for each of `rates`.
     """
 
     free: int
@@ -73,6 +74,15 @@
     probes: int = 0
     is_backoff: bool = False
     rates: tuple[ClassRate, ...] = ()
+    free_by_class: tuple[int, ...] = ()
+
+    def free_for(self, priority: int) -> int:
+        """Return the permits that a stream of a priority may use now."""
+        by_priority = {
+            each.priority: free
+            for each, free in zip(self.rates, self.free_by_class, strict=False)
+        }
+        return by_priority.get(priority, self.free)
 
 
 @dataclass(frozen=True, slots=True)
@@ -211,9 +221,10 @@
     if stream.returning:
         latest = caller_patience(stream.target, stream.gap, stream.time_limit)
     wait_left = latest - view.start_time - stream.waited
-    if view.free - _reserved_by_class(view, stream) > stream.ahead:
+    free = view.free_for(stream.priority)
+    if free - _reserved_by_class(view, stream) > stream.ahead:
         return AdmitStream()
-    missing_permits = stream.ahead + 1 - view.free
+    missing_permits = stream.ahead + 1 - free
     room = room_per_s(
         view.rates,
         max(view.ends_per_s, 1),
--- a/linnetwind/admission/permit_shares_test.py
+++ b/linnetwind/admission/permit_shares_test.py
@@ -1,17 +1,25 @@
 """Tests of dividing the free permits of a group among daemons."""
 
+import itertools
 import random
 from datetime import timedelta
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
+from linnetwind.admission.class_arrivals import advertised_demands
 from linnetwind.admission.permit_shares import (
     Demand,
     compute_allowance,
+    compute_class_allowance,
     own_share,
 )
+from linnetwind.admission.urgency import FLOOR, allocate_room
+from linnetwind.peers.peer_table import StreamLoad
 
 SECOND = timedelta(seconds=1)
+NOW = SECOND
 WINDOW = SECOND * 0.15
 
 
@@ -66,3 +74,63 @@
     assert (
         compute_allowance(SECOND, 1, -900, share, rounding=0).max_streams == 0
     )
+
+
+def test_batch_streams_leave_permits_to_urgent_ones_of_other_daemons():
+    # One daemon has many batch streams, another a few urgent ones that wait.
+    # If a daemon may replace each of its streams that ends, the batch streams
+    # keep all permits.
+    batch = {2: Demand(20, 10)}
+    urgent = {0: Demand(4, 10)}
+    first = compute_class_allowance(NOW, 30, 0, batch, [urgent], 0.5)
+    assert first.max_of(2) == 25
+    second = compute_class_allowance(NOW, 3, 5, urgent, [batch], 0.5)
+    assert second.max_of(0) >= 6
+    # A daemon that sends no priorities counts as the most urgent.
+    load = StreamLoad('model', 4, 10, ())
+    assert advertised_demands(load) == urgent
+
+
+@given(
+    st.integers(-30, 60),
+    st.lists(
+        st.dictionaries(
+            st.integers(0, 3),
+            st.builds(Demand, st.integers(0, 9), st.floats(0, 20)),
+        ),
+        min_size=1,
+        max_size=6,
+    ),
+    st.floats(0, 1, exclude_max=True),
+)
+def test_all_daemons_together_use_no_more_than_the_free_permits(
+    free, demands, rounding
+):
+    # Each daemon computes its part by itself; if the parts did not fit, every
+    # stream of the group would be late.
+    used = sum(
+        compute_class_allowance(
+            NOW, 100, free, own, [*demands[:at], *demands[at + 1 :]], rounding
+        ).max_streams
+        - 100
+        for at, own in enumerate(demands)
+        if own
+    )
+    assert used <= max(0, free) + len(demands) * (1 + rounding)
+
+
+@given(
+    st.floats(0, 90),
+    st.dictionaries(st.integers(0, 5), st.floats(0.1, 40), min_size=1),
+)
+def test_rooms_add_up_and_keep_the_floors(free, demands):
+    rooms = allocate_room(free, demands)
+    total = sum(demands.values())
+    if free >= total:
+        assert sum(rooms.values()) == pytest.approx(free)
+    parts = [max(0, rooms[each]) / demands[each] for each in sorted(rooms)]
+    # No class is served less often than a less urgent one.
+    for more, less in itertools.pairwise(parts):
+        assert more >= less - 0.001
+    first = min(rooms)
+    assert rooms[first] >= min(free, demands[first]) * FLOOR
--- a/linnetwind/admission/service_capacity.py
+++ b/linnetwind/admission/service_capacity.py
@@ -1,5 +1,6 @@
 """The capacity of one service for streams, as one daemon knows it."""
 
+import random
 from collections import deque
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
@@ -10,6 +11,12 @@
     reserve_for_arrivals,
     reserve_for_newcomers,
 )
+from linnetwind.admission.class_arrivals import (
+    ClassArrivals,
+    advertised_demands,
+    class_demands,
+    class_rates,
+)
 from linnetwind.admission.group_capacity import (
     GROUP_EXPIRY,
     GroupCapacity,
@@ -19,10 +26,15 @@
     rate,
     unavailable_for,
 )
-from linnetwind.admission.permit_shares import Demand, own_share
-from linnetwind.admission.urgency import ClassRate
-from linnetwind.admission.wait_queue import PermitRequest, WaitQueue
-from linnetwind.peers.peer_table import PassTimePerStream, StreamLoad
+from linnetwind.admission.permit_shares import (
+    Demand,
+    compute_allowance,
+    compute_class_allowance,
+    own_share,
+)
+from linnetwind.admission.queue_order import PermitRequest
+from linnetwind.admission.wait_queue import WaitQueue
+from linnetwind.peers.peer_table import ClassLoad, PassTimePerStream, StreamLoad
 from linnetwind.ranks_by_group import SortedRanks
 from linnetwind.routes import EngineProfile
 from linnetwind.upstream_incarnation import UpstreamIncarnation
@@ -54,34 +66,25 @@
     return deque(maxlen=_STARTS)
 
 
-@dataclass
-class ClassArrivals:
-    """The monotonic times at which streams of one priority arrived.
-
-    `newcomers` are those of streams that are no retries of rejected callers.
-    """
-
-    arrivals: deque[timedelta] = field(default_factory=deque)
-    newcomers: deque[timedelta] = field(default_factory=deque)
-
-
 @dataclass
 class ServiceCapacity:
     """The state of a service from which its free permits are computed.
 
     `arrivals` are the monotonic times at which streams arrived, `newcomers`
     those of streams that are no retries of rejected callers, and `classes`
-    both by priority. `starts` are the durations from a stream's start to its
-    first event. `group_of`, the group of each incarnation of a rank, comes from
-    the summaries of the planner. `first_asked_at` is the monotonic time at
-    which a stream first asked for a permit, `probed_at` that at which a stream
-    was last running before the first summary of a planner.
+    both by priority. `peer_priorities` are those of other daemons' streams.
+    `starts` are the durations from a stream's start to its first event.
+    `group_of`, the group of each incarnation of a rank, comes from the
+    summaries of the planner. `first_asked_at` is the monotonic time at which a
+    stream first asked for a permit, `probed_at` that at which a stream was last
+    running before the first summary of a planner.
     """
 
     queue: WaitQueue
     arrivals: deque[timedelta] = field(default_factory=deque)
     newcomers: deque[timedelta] = field(default_factory=deque)
     classes: dict[int, ClassArrivals] = field(default_factory=dict)
+    peer_priorities: frozenset[int] = frozenset()
     starts: deque[timedelta] = field(default_factory=_no_starts)
     engine: EngineProfile | None = None
     groups: dict[str, GroupCapacity] = field(default_factory=dict)
@@ -110,30 +113,50 @@
         expire_times(times, now)
 
 
-def class_rates(
-    service: ServiceCapacity, now: timedelta
-) -> tuple[ClassRate, ...]:
-    """Return the arrivals of each class at this daemon.
+def own_demands(service: ServiceCapacity, now: timedelta) -> dict[int, Demand]:
+    """Return this daemon's demand by priority."""
+    waiting = service.queue.waiting_by_priority()
+    return class_demands(service.classes, waiting, now)
+
+
+def renew_allowance(
+    service: ServiceCapacity,
+    group: GroupCapacity,
+    count: GroupCount,
+    free: int,
+    share: float,
+    loads: Sequence[StreamLoad],
+    now: timedelta,
+) -> None:
+    """Compute anew how many streams this daemon may run in a group.
 
     Args:
       service: The service.
+      group: The group.
+      count: Its streams.
+      free: Its free permits.
+      share: This daemon's share of them while all priorities are equal.
+      loads: What the other daemons have advertised of the service's streams.
       now: The monotonic time.
-
-    Returns:
-      The classes that streams arrived of or wait in, the most urgent first;
-      empty if there are not several.
     """
-    waiting = service.queue.priorities
-    rates = [
-        ClassRate(priority, rate(each.arrivals, now), rate(each.newcomers, now))
-        for priority, each in sorted(service.classes.items())
-    ]
-    seen = [
-        each
-        for each in rates
-        if each.arrivals_per_s or each.priority in waiting
-    ]
-    return tuple(seen) if len(seen) > 1 else ()
+    rounding = random.random()
+    own = own_demands(service, now)
+    others = [advertised_demands(each) for each in loads]
+    service.peer_priorities = frozenset(key for each in others for key in each)
+    if len(service.peer_priorities | own.keys()) < 2:
+        group.allowance = compute_allowance(
+            now, count.own_running, free, share, rounding
+        )
+        return
+    group.allowance = compute_class_allowance(
+        now,
+        count.own_running,
+        free,
+        own,
+        others,
+        rounding,
+        1 / max(1, len(service.groups)),
+    )
 
 
 def expire_groups(service: ServiceCapacity, now: timedelta) -> None:
@@ -174,6 +197,11 @@
         max(0, groups[name].allowance.max_streams - counts[name].own_running)
         for name in open_groups
     )
+    rates = class_rates(
+        service.classes,
+        service.peer_priorities | own_demands(service, now).keys(),
+        now,
+    )
     ends = sum(rate(groups[name].ends, now) for name in open_groups)
     closed = [(wait, name) for name, wait in waits.items() if wait is not None]
     soonest, first = (None, None) if open_groups or not closed else min(closed)
@@ -188,7 +216,15 @@
         soonest,
         reserved,
         is_backoff=first is not None and soonest == counts[first].backoff,
-        rates=class_rates(service, now),
+        rates=rates,
+        free_by_class=tuple(
+            _free_for(
+                each.priority,
+                [groups[name] for name in open_groups],
+                [counts[name] for name in open_groups],
+            )
+            for each in rates
+        ),
     )
 
 
@@ -215,6 +251,10 @@
         demand.waiting,
         demand.arrivals_per_s,
         tuple(each for each in parts if each.pauses),
+        tuple(
+            ClassLoad(priority, each.waiting, each.arrivals_per_s)
+            for priority, each in own_demands(service, now).items()
+        ),
     )
 
 
@@ -243,6 +283,17 @@
     return Demand(service.queue.length, rate(service.arrivals, now))
 
 
+def _free_for(
+    priority: int,
+    groups: Sequence[GroupCapacity],
+    counts: Sequence[GroupCount],
+) -> int:
+    return sum(
+        max(0, group.allowance.max_of(priority) - count.own_running)
+        for group, count in zip(groups, counts, strict=True)
+    )
+
+
 def _view_without_summary(
     service: ServiceCapacity, counts: Mapping[str, GroupCount], now: timedelta
 ) -> CapacityView:
--- a/linnetwind/admission/stream_admission_control.py
+++ b/linnetwind/admission/stream_admission_control.py
@@ -5,7 +5,6 @@
 slots each, a single slow rank reduced both together to 9 running streams.
 """
 
-import random
 import threading
 from collections.abc import Callable, Mapping, Sequence
 from datetime import timedelta
@@ -23,16 +22,17 @@
     unavailable_for,
 )
 from linnetwind.admission.pass_time_estimator import Pause
-from linnetwind.admission.permit_shares import compute_allowance
+from linnetwind.admission.queue_order import PermitRequest
 from linnetwind.admission.service_capacity import (
     ServiceCapacity,
     capacity_view,
     expire_groups,
     permit_share,
     record_arrival,
+    renew_allowance,
     stream_load,
 )
-from linnetwind.admission.wait_queue import PermitRequest, WaitQueue
+from linnetwind.admission.wait_queue import WaitQueue
 from linnetwind.clock import Clock
 from linnetwind.group_outages import record_crash
 from linnetwind.peers.peer_table import (
@@ -307,12 +307,14 @@
                 )
                 group.utilization = count.running / limit
                 if now - group.allowance.at >= send_interval:
-                    group.allowance = compute_allowance(
-                        now,
-                        count.own_running,
+                    renew_allowance(
+                        state,
+                        group,
+                        count,
                         limit - count.running,
                         share,
-                        random.random(),
+                        loads,
+                        now,
                     )
             return capacity_view(state, counts, now)
 
--- a/linnetwind/admission/urgency.py
+++ b/linnetwind/admission/urgency.py
@@ -6,10 +6,10 @@
 Priority 0 is the most urgent.
 """
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
-from math import sqrt
+from math import exp, sqrt
 
 # A class is not served less than this fraction as often as all streams.
 FLOOR = 0.25
@@ -25,6 +25,8 @@
 _PATIENCE_TARGETS = 4
 _PATIENCE_GAPS = 8
 _PATIENCE_LIMIT = 0.75
+# The time constant with which streams that asked or were served are forgotten.
+_TALLY_TIME = timedelta(seconds=4)
 
 
 @dataclass(frozen=True, slots=True)
@@ -145,3 +147,92 @@
     """
     expected = max(0, room * wait.total_seconds())
     return expected + _DEVIATIONS * sqrt(expected) >= missing
+
+
+@dataclass(frozen=True, slots=True)
+class ClassTally:
+    """The newcomers of a class that asked lately, and its served streams.
+
+    Both are weighted by their age as of the monotonic time `at`.
+    """
+
+    asked: float
+    served: float
+    at: timedelta
+
+    def aged(self, now: timedelta) -> 'ClassTally':
+        """Return the tally as of a later monotonic time."""
+        kept = exp(-((now - self.at) / _TALLY_TIME))
+        return ClassTally(self.asked * kept, self.served * kept, now)
+
+
+def starved_classes(
+    tallies: Mapping[int, ClassTally], now: timedelta
+) -> frozenset[int]:
+    """Return the classes that are served less often than their floor.
+
+    Args:
+      tallies: The tally of each class, by priority.
+      now: The monotonic time.
+
+    Returns:
+      The priorities of the classes that lack one stream or more.
+    """
+    aged = {key: tally.aged(now) for key, tally in tallies.items()}
+    asked = sum(each.asked for each in aged.values())
+    served = sum(each.served for each in aged.values())
+    if not asked:
+        return frozenset()
+    # Retries are served but not counted as asking again.
+    ratio = FLOOR * min(1, served / asked)
+    return frozenset(
+        priority
+        for priority, each in aged.items()
+        if each.asked * ratio - each.served >= 1
+    )
+
+
+def allocate_room(
+    free: float, demands: Mapping[int, float]
+) -> dict[int, float]:
+    """Divide the free permits of a group among the classes.
+
+    Args:
+      free: The free permits, below 0 if the group runs too many streams.
+      demands: The permits that each class needs, by priority.
+
+    Returns:
+      The room of each class. It is below 0 for a class whose streams may not
+      replace as many of those that end, because more urgent streams need the
+      permits. If there are more permits than needed, the rest is divided by
+      demand.
+    """
+    total = sum(demands.values()) or 1
+    floor = FLOOR * min(1, max(0, free) / total)
+    floors = {key: floor * demand for key, demand in demands.items()}
+    left = free - sum(floors.values())
+    rooms = {}
+    # The part of its demand that the class before was given.
+    part = float(1)
+    for priority in sorted(demands):
+        demand = demands[priority]
+        lacking = max(0, demand - floors[priority])
+        room = min(floors[priority] + min(left, lacking), part * demand)
+        rooms[priority] = room
+        part = max(0, room) / demand if demand else part
+        left -= lacking
+    spare = max(0, left) / total
+    return {key: room + spare * demands[key] for key, room in rooms.items()}
+
+
+def demand_of(waiting: int, arrivals_per_s: float) -> float:
+    """Return the permits that a class needs until others become free.
+
+    Args:
+      waiting: The streams that wait for a permit.
+      arrivals_per_s: The streams that arrive per second.
+
+    Returns:
+      The number of permits.
+    """
+    return waiting + arrivals_per_s * _RELEASE_TIME.total_seconds()
--- a/linnetwind/admission/urgency_test.py
+++ b/linnetwind/admission/urgency_test.py
@@ -20,22 +20,22 @@
     decide_admission,
     spread_retry_after,
 )
+from linnetwind.admission.class_arrivals import class_rates
+from linnetwind.admission.queue_order import PermitRequest, queue_position_key
 from linnetwind.admission.service_capacity import (
     ServiceCapacity,
-    class_rates,
+    own_demands,
     record_arrival,
 )
 from linnetwind.admission.urgency import (
     ClassRate,
+    ClassTally,
     caller_patience,
     reserve_for_urgent,
     room_per_s,
+    starved_classes,
 )
-from linnetwind.admission.wait_queue import (
-    PermitRequest,
-    WaitQueue,
-    queue_position_key,
-)
+from linnetwind.admission.wait_queue import WaitQueue
 from linnetwind.clock import ManualClock
 from standins.gateway_fixtures import MS, SECOND
 
@@ -95,7 +95,8 @@
             replace(request, priority=0)
         )
         record_arrival(service, request, clock.elapsed())
-    assert class_rates(service, clock.elapsed()) == ()
+    demands = own_demands(service, clock.elapsed())
+    assert class_rates(service.classes, demands, clock.elapsed()) == ()
 
 
 def test_a_stream_is_rejected_if_urgent_ones_take_its_permits():
@@ -195,3 +196,14 @@
     for thread in threads:
         thread.join()
     assert order == ['new', 'retry', 'batch']
+
+
+def test_a_class_that_gets_nothing_counts_as_starved():
+    # Urgent streams take all permits for seconds. Served a quarter as often as
+    # all streams, two of sixteen batch streams should have been.
+    now = 10 * SECOND
+    tallies = {0: ClassTally(16, 16, now), 2: ClassTally(16, 0, now)}
+    assert starved_classes(tallies, now) == {2}
+    assert not starved_classes({2: ClassTally(16, 3, now)}, now)
+    assert not starved_classes(tallies, now + 9 * SECOND)
+    assert not starved_classes({}, now)
--- a/linnetwind/admission/wait_queue.py
+++ b/linnetwind/admission/wait_queue.py
@@ -1,32 +1,26 @@
-"""A queue of the streams that wait for a permit.
-
-Newcomers come before the retries of rejected callers, which take the permits
-that newcomers leave. In the opposite order, or in the order in which waits
-end, an overload sustains itself: for each permit that a retry takes, a
-newcomer is rejected and becomes a retry. After some seconds hardly any stream
-but retries was served, all of them late, until long after the overload.
-
-More urgent streams come before less urgent ones: the retry of an urgent caller
-comes before the newcomers of a less urgent class.
-"""
+"""A queue of the streams that wait for a permit, each with its thread."""
 
 import itertools
 import random
 import threading
+from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
 
 from linnetwind.admission.admission_policy import (
-    MAX_RETRY_WAIT,
     STOPPING,
     AdmissionDecision,
     CapacityView,
-    PendingStream,
     QueueStream,
     RejectStream,
     decide_admission,
 )
+from linnetwind.admission.queue_order import (
+    PermitRequest,
+    QueuedStream,
+    QueueOrder,
+)
 from linnetwind.clock import Clock
 from linnetwind.upstreams.upstream_list import Upstream
 
@@ -45,61 +39,15 @@
 _MAX_VIEW_AGE = timedelta(milliseconds=_VIEW_AGE_MS)
 
 
-@dataclass(frozen=True, slots=True)
-class PermitRequest:
-    """A request of a stream for a permit.
-
-    `arrived_at` is the monotonic time at which the stream's request arrived,
-    `target` the latency up to which a first event is on time, `gap` the
-    longest pause between events that is in time. `returning` says that this is
-    the retry of a rejected caller. `priority` is 0 for the most urgent streams,
-    and `time_limit` is how long the caller waits for the whole response.
-    `customer` is empty for an anonymous caller. `work` is the stream's
-    estimated work over the mean of its route.
-    """
-
-    arrived_at: timedelta
-    target: timedelta
-    gap: timedelta
-    returning: bool
-    priority: int = 0
-    time_limit: timedelta | None = None
-    customer: str = ''
-    work: float = 1
-
-
-def queue_position_key(request: PermitRequest) -> tuple[bool, timedelta]:
-    """Return the key by which queued streams of one priority are sorted.
-
-    Args:
-      request: The stream's request for a permit.
-
-    Returns:
-      A key that sorts newcomers before retries, and each of these by the end
-      of their wait.
-    """
-    max_wait = MAX_RETRY_WAIT if request.returning else request.target
-    return request.returning, request.arrived_at + max_wait
-
-
 @dataclass(eq=False)
-class _QueueEntry:
-    """A queued stream; `number` counts the streams in order of arrival.
+class _QueueEntry(QueuedStream):
+    """A queued stream with the thread that handles it.
 
     `wakeup` is notified when the stream is the first in the queue and may be
-    admitted. `spread` spreads the retry times of rejected streams.
+    admitted.
     """
 
-    number: int
-    request: PermitRequest
-    wakeup: threading.Condition
-    spread: float
-
-    @property
-    def order(self) -> tuple[int, bool, timedelta, int]:
-        """Return the key by which entries are sorted."""
-        request = self.request
-        return (request.priority, *queue_position_key(request), self.number)
+    wakeup: threading.Condition = field(default_factory=threading.Condition)
 
 
 _NO_VIEW = (timedelta(), None)
@@ -117,18 +65,17 @@
         self._clock = clock
         self._lock = threading.RLock()
         self._numbers = itertools.count()
-        self._entries: list[_QueueEntry] = []
+        self._order: QueueOrder[_QueueEntry] = QueueOrder()
         self._views: dict[timedelta, tuple[timedelta, CapacityView]] = {}
 
     @property
     def length(self) -> int:
         """Return the number of queued streams."""
-        return len(self._entries)
+        return len(self._order.entries)
 
-    @property
-    def priorities(self) -> frozenset[int]:
-        """Return the priorities of the queued streams."""
-        return frozenset(each.request.priority for each in tuple(self._entries))
+    def waiting_by_priority(self) -> Counter[int]:
+        """Return the number of queued streams of each priority."""
+        return self._order.waiting_by_priority()
 
     def wake(self) -> None:
         """Make the first stream check the capacity, which may have changed.
@@ -167,26 +114,34 @@
         """
         wakeup = threading.Condition(self._lock)
         entry = _QueueEntry(
-            next(self._numbers), request, wakeup, random.random()
+            next(self._numbers), request, random.random(), wakeup=wakeup
         )
         with self._lock:
-            self._entries.append(entry)
-            self._sort()
+            self._order.add(entry, self._clock.elapsed())
             try:
                 decision = self._wait(entry, read_view, has_time)
                 return (
                     decision
                     if isinstance(decision, RejectStream)
-                    else acquire()
+                    else self._admit(entry, acquire)
                 )
             finally:
-                self._views.clear()
-                self._entries.remove(entry)
-                self._wake_first()
+                self._remove(entry)
+
+    def _admit(
+        self, entry: _QueueEntry, acquire: Callable[[], Upstream | None]
+    ) -> Upstream | None:
+        self._order.record_served(entry, self._clock.elapsed())
+        return acquire()
+
+    def _remove(self, entry: _QueueEntry) -> None:
+        self._views.clear()
+        self._order.remove(entry, self._clock.elapsed())
+        self._wake_first()
 
     def _wake_first(self) -> None:
-        if self._entries:
-            self._entries[0].wakeup.notify()
+        if self._order.entries:
+            self._order.entries[0].wakeup.notify()
 
     def _wait(
         self,
@@ -199,15 +154,17 @@
         while has_time():
             request = entry.request
             view = self._shared_view(request.gap, read_view)
-            ahead = self._entries.index(entry)
-            decision = decide_admission(view, self._pending(entry, ahead))
+            ahead = self._order.entries.index(entry)
+            decision = decide_admission(
+                view, entry.pending(ahead, self._clock.elapsed())
+            )
             if not isinstance(decision, QueueStream):
                 return decision
             if view.opens_in is not None and not request.returning:
                 # A stream that waited for a broken group is late. When the
                 # group opens, streams that can be in time precede it.
                 entry.request = replace(request, returning=True)
-                self._sort()
+                self._order.sort(self._clock.elapsed())
                 self._wake_first()
             wait = min(
                 decision.max_wait,
@@ -217,22 +174,6 @@
             entry.wakeup.wait(wait.total_seconds())
         return STOPPING
 
-    def _pending(self, entry: _QueueEntry, ahead: int) -> PendingStream:
-        request = entry.request
-        return PendingStream(
-            ahead,
-            self._clock.elapsed() - request.arrived_at,
-            request.target,
-            request.returning,
-            request.priority,
-            request.gap,
-            request.time_limit,
-            entry.spread,
-        )
-
-    def _sort(self) -> None:
-        self._entries.sort(key=lambda entry: entry.order)
-
     def _shared_view(
         self,
         gap: timedelta,
--- a/linnetwind/admission/wait_queue_test.py
+++ b/linnetwind/admission/wait_queue_test.py
@@ -12,11 +12,8 @@
     CapacityView,
     RejectStream,
 )
-from linnetwind.admission.wait_queue import (
-    PermitRequest,
-    WaitQueue,
-    queue_position_key,
-)
+from linnetwind.admission.queue_order import PermitRequest, queue_position_key
+from linnetwind.admission.wait_queue import WaitQueue
 from linnetwind.clock import ManualClock, SystemClock
 from standins.gateway_fixtures import MS, SECOND, make_upstream
 from standins.stream_fixtures import TARGET, VIEW
--- a/linnetwind/peers/peer_table.py
+++ b/linnetwind/peers/peer_table.py
@@ -73,18 +73,34 @@
     pauses: int
 
 
+@dataclass(frozen=True, slots=True)
+class ClassLoad:
+    """The streams of one priority on one daemon.
+
+    `waiting` streams wait for a permit, `arrivals_per_s` arrived in the last
+    second.
+    """
+
+    priority: int
+    waiting: int
+    arrivals_per_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class StreamLoad:
     """The load of a service's streams on one daemon.
 
     `waiting` streams wait for a permit, `arrivals_per_s` arrived in the last
-    second, and `parts` holds the pass time per stream of each group.
+    second, and `parts` holds the pass time per stream of each group. `classes`
+    holds the same streams by priority; the streams of a daemon that sends none
+    count as the most urgent.
     """
 
     service: str
     waiting: int
     arrivals_per_s: float
     parts: tuple[PassTimePerStream, ...]
+    classes: tuple[ClassLoad, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/linnetwind/peers/peer_wire_test.py
+++ b/linnetwind/peers/peer_wire_test.py
@@ -12,6 +12,7 @@
 from linnetwind.crash_history import AdvertisedCrash
 from linnetwind.fingerprint import Fingerprint
 from linnetwind.peers.peer_table import (
+    ClassLoad,
     GroupSummary,
     PassTimePerStream,
     PeerState,
@@ -89,6 +90,21 @@
     assert StateReader().read(before, KNOWN) == _state()
 
 
+def test_streams_by_priority_are_decoded_and_may_be_missing():
+    # A daemon of the previous version sends loads without classes and has to
+    # be understood, and it ignores those that it does not know.
+    load = replace(LOAD, classes=(ClassLoad(0, 1, 2.5), ClassLoad(2, 3, 10)))
+    content = pack_state(_state(loads=(load,)), full=True)
+    assert StateReader().read(content, KNOWN) == _state(loads=(load,))
+    tag, *values = cbor2.loads(content)
+    values[10][0].pop('classes')
+    before = cbor2.dumps([tag, *values])
+    assert StateReader().read(before, KNOWN) == _state()
+    values[10][0]['later'] = 1
+    after = cbor2.dumps([tag, *values])
+    assert StateReader().read(after, KNOWN) == _state()
+
+
 def test_limits_are_part_of_every_state():
     limit = AdvertisedLimit(IncarnationTag(7), 2.5, 40)
     removed_limit = AdvertisedLimit(IncarnationTag(8), None, 40)
--- a/linnetwind/relay.py
+++ b/linnetwind/relay.py
@@ -9,7 +9,7 @@
     RejectStream,
     clamp_retry_after,
 )
-from linnetwind.admission.wait_queue import PermitRequest
+from linnetwind.admission.queue_order import PermitRequest
 from linnetwind.call_policy import (
     Allowed,
     Denied,
