--- a/linnetwind/admission/stream_admission_control.py
+++ b/linnetwind/admission/stream_admission_control.py
@@ -5,7 +5,6 @@
 slots each, a single slow rank reduced both together to 9 running streams.
 """
 
-import random
 import threading
 from collections.abc import Callable, Mapping, Sequence
 from datetime import timedelta
@@ -23,15 +22,17 @@
     unavailable_for,
 )
 from linnetwind.admission.pass_time_estimator import Pause
-from linnetwind.admission.permit_shares import compute_allowance
+from linnetwind.admission.queue_order import PermitRequest
 from linnetwind.admission.service_capacity import (
     ServiceCapacity,
     capacity_view,
     expire_groups,
     permit_share,
+    record_arrival,
+    renew_allowance,
     stream_load,
 )
-from linnetwind.admission.wait_queue import PermitRequest, WaitQueue
+from linnetwind.admission.wait_queue import WaitQueue
 from linnetwind.clock import Clock
 from linnetwind.group_outages import record_crash
 from linnetwind.peers.peer_table import (
@@ -86,11 +87,7 @@
         now = self._clock.elapsed()
         with self._lock:
             state = self._service(service)
-            state.arrivals.append(now)
-            expire_times(state.arrivals, now)
-            if not request.returning:
-                state.newcomers.append(now)
-                expire_times(state.newcomers, now)
+            record_arrival(state, request, now)
         return state.queue.acquire_permit(request, read_view, acquire, has_time)
 
     def wake(self) -> None:
@@ -310,12 +307,14 @@
                 )
                 group.utilization = count.running / limit
                 if now - group.allowance.at >= send_interval:
-                    group.allowance = compute_allowance(
-                        now,
-                        count.own_running,
+                    renew_allowance(
+                        state,
+                        group,
+                        count,
                         limit - count.running,
                         share,
-                        random.random(),
+                        loads,
+                        now,
                     )
             return capacity_view(state, counts, now)
 
