Groups with a slow rank serve streams late instead of rejecting them

A rank that runs several times slower makes the fixed part of each pass of its group longer than the allowed pause. The limit by the pause fell to one stream, and callers were rejected who could have been served late.

The planner's summary of a group now has the pace of its slowest rank. While a rank is slow, slow_group decides by the worth of late responses whether the group runs up to the number of streams whose callers stay, at most the slots of its other ranks. Streams get a permit there only if no other group can serve them in time. If the group was slow before and should be well at the retry, callers are rejected with spread retry times instead.

Pauses are corrected by the pace at which they were seen, so that the limit returns with the pace and not 2.5 s later.

record_start takes the upstream in place of the service's name: starts in a slow group say nothing about the others. One test is called accordingly.

--- a/linnetwind/admission/admission_policy.py
+++ b/linnetwind/admission/admission_policy.py
@@ -43,7 +43,10 @@
     streams may run then to find out whether one can. `reserved` of the free
     permits are left to streams that can be in time. `is_backoff` says that the
     group is healthy but all its ranks have asked for a backoff until
-    `opens_in`, which is exact then and no estimate.
+    `opens_in`, which is exact then and no estimate. `late_free` counts the
+    permits in groups with a slow rank, for streams that cannot be in time. A
+    rejected caller should not retry before `recovers_in`, when such a group
+    should be well again.
     """
 
     free: int
@@ -53,6 +56,8 @@
     reserved: int = 0
     probes: int = 0
     is_backoff: bool = False
+    late_free: int = 0
+    recovers_in: timedelta = timedelta()
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,8 +128,11 @@
     missing_permits = stream.ahead + 1 - view.free
     wait = timedelta(seconds=missing_permits / max(view.ends_per_s, 1))
     hopeless = not stream.waited and wait > wait_left and not stream.returning
-    if hopeless or wait_left <= timedelta():
-        return _reject(wait, 'no room in time')
+    is_late = hopeless or wait_left <= timedelta()
+    if view.late_free > 0 and (is_late or stream.returning):
+        return AdmitStream()
+    if is_late:
+        return _reject(max(wait, view.recovers_in), 'no room in time')
     return QueueStream(wait_left)
 
 
@@ -196,6 +204,22 @@
     return RejectStream(clamp_retry_after(wait), reason)
 
 
+def spread_retry(earliest: timedelta, chance: float) -> timedelta:
+    """Return a retry time after which there should be capacity again.
+
+    Callers that all came back at once would be more than can be queued.
+
+    Args:
+      earliest: When there should be capacity.
+      chance: A random number from 0 to 1.
+
+    Returns:
+      A time from then on, at most the bound of retry times.
+    """
+    latest = max(earliest, MAX_RETRY_AFTER)
+    return earliest + (latest - earliest) * chance
+
+
 def clamp_retry_after(wait: timedelta) -> timedelta:
     """Clamp an estimated wait to the bounds of a retry time.
 
--- a/linnetwind/admission/admission_policy_test.py
+++ b/linnetwind/admission/admission_policy_test.py
@@ -11,6 +11,7 @@
     RejectStream,
     decide_admission,
     reserve_for_arrivals,
+    spread_retry,
 )
 from standins.gateway_fixtures import MS
 from standins.stream_fixtures import FIRST, VIEW
@@ -36,6 +37,26 @@
     assert MIN_RETRY_AFTER <= decision.retry_after <= MAX_RETRY_AFTER
 
 
+def test_a_stream_that_cannot_be_in_time_runs_in_a_slow_group():
+    slow = replace(VIEW, free=0, late_free=3)
+    assert decide_admission(slow, FIRST) == QueueStream(300 * MS)
+    for late in (
+        replace(FIRST, ahead=20),
+        replace(FIRST, waited=301 * MS),
+        replace(FIRST, returning=True),
+    ):
+        assert decide_admission(slow, late) == AdmitStream()
+
+
+def test_a_caller_retries_when_the_slow_group_should_be_well():
+    slow = replace(VIEW, free=-3, recovers_in=2_000 * MS, ends_per_s=100)
+    last = replace(FIRST, ahead=60)
+    assert decide_admission(slow, last).retry_after == 2_000 * MS
+    latest = spread_retry(2_000 * MS, 1)
+    assert spread_retry(2_000 * MS, 0) == 2_000 * MS < latest
+    assert latest == MAX_RETRY_AFTER
+
+
 def test_a_retry_is_queued_where_newcomers_are_rejected():
     # The group is over its limit after a stall. The response to a retry is
     # late in any case, and a caller that is rejected again gets none.
--- a/linnetwind/admission/group_capacity.py
+++ b/linnetwind/admission/group_capacity.py
@@ -5,12 +5,25 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
+from linnetwind.admission.admission_policy import MAX_RETRY_AFTER
 from linnetwind.admission.pass_time_estimator import (
     DEFAULT_SKEW,
     PassTimeEstimator,
+    Pause,
+    part_per_stream,
     stream_limit,
 )
 from linnetwind.admission.permit_shares import Allowance
+from linnetwind.admission.slow_group import (
+    GroupLimits,
+    PaceHistory,
+    PassCosts,
+    ServeInTime,
+    ServeLate,
+    SlowDecision,
+    await_recovery,
+    decide_slow_group,
+)
 from linnetwind.group_outages import (
     GroupAnnouncement,
     GroupHealth,
@@ -55,6 +68,8 @@
     share of the limit that was in use when a stream last asked for a permit,
     `health` says whether the group can run streams. `summary` is the last one
     of the planner, and `summary_at` the monotonic time at which it came.
+    `paces` is the history of its pace, and `slow_decision` says what it serves
+    while a rank is slow.
     """
 
     estimator: PassTimeEstimator = field(default_factory=PassTimeEstimator)
@@ -64,6 +79,8 @@
     health: GroupHealth = GroupHealth()
     summary: GroupSummary | None = None
     summary_at: timedelta = timedelta()
+    paces: PaceHistory = PaceHistory()
+    slow_decision: SlowDecision = ServeInTime()
 
 
 def apply_summary(
@@ -78,6 +95,7 @@
     """
     group.summary = summary
     group.summary_at = now
+    group.paces = group.paces.apply_pace(summary.pace, now)
     announcement = GroupAnnouncement(now, summary.epoch, summary.is_open)
     group.health = apply_announcement(group.health, announcement)
 
@@ -133,6 +151,23 @@
     return max(broken_for or timedelta(), count.backoff)
 
 
+def record_pause(
+    group: GroupCapacity, length: timedelta, running: int, now: timedelta
+) -> None:
+    """Record a pause between two events of a stream.
+
+    Args:
+      group: The group that runs the stream.
+      length: The length of the pause.
+      running: The number of streams of all daemons in the group.
+      now: The monotonic time.
+    """
+    summary = recent_summary(group, now)
+    skew = summary.skew if summary else 0
+    pace = group.paces.pace_during(now - length)
+    group.estimator.record(Pause(now, length, running, skew, pace))
+
+
 def group_stream_limit(
     group: GroupCapacity,
     now: timedelta,
@@ -140,8 +175,11 @@
     gap: timedelta,
     ranks: int,
     peer_estimates: Sequence[tuple[float, int]],
+    bearable_ms: float,
 ) -> int:
-    """Return how many streams may run in a group.
+    """Decide how many streams may run in a group.
+
+    The decision on late streams while a rank is slow is kept in the group.
 
     Args:
       group: The group.
@@ -151,6 +189,7 @@
       ranks: The number of ranks that accept streams.
       peer_estimates: What each stream adds to a pass, as the other daemons
         have estimated it: milliseconds, and the number of pauses.
+      bearable_ms: The longest pass with which no caller leaves.
 
     Returns:
       The number of streams.
@@ -158,7 +197,27 @@
     summary = recent_summary(group, now)
     skew = summary.skew if summary else DEFAULT_SKEW
     estimates = [*peer_estimates, estimate_part(group, now, engine)]
-    return stream_limit(engine, ranks, gap, estimates, skew)
+    pace = _pace(group, now)
+    limit = stream_limit(engine, ranks, gap, estimates, skew, pace)
+    slow_ranks = len(summary.slow) if summary else 0
+    decision = decide_slow_group(
+        PassCosts(
+            engine.steps_per_pass * engine.step_ms * pace,
+            part_per_stream(engine, ranks, estimates, skew),
+            pace,
+        ),
+        GroupLimits(limit, gap, max(1, ranks - slow_ranks) * engine.slots),
+        bearable_ms,
+        group.slow_decision,
+    )
+    decision = await_recovery(decision, group.paces, now, MAX_RETRY_AFTER)
+    group.slow_decision = decision
+    return decision.limit if isinstance(decision, ServeLate) else limit
+
+
+def serves_late(group: GroupCapacity) -> bool:
+    """Return whether streams in a group are late because a rank is slow."""
+    return isinstance(group.slow_decision, ServeLate)
 
 
 def estimate_part(
@@ -176,10 +235,15 @@
     """
     summary = recent_summary(group, now)
     return group.estimator.estimate_part(
-        engine, now, summary.skew if summary else 0
+        engine, now, summary.skew if summary else 0, _pace(group, now)
     )
 
 
+def _pace(group: GroupCapacity, now: timedelta) -> float:
+    """Return the last known pace, also while a planner is being replaced."""
+    return group.paces.pace if now - group.summary_at < GROUP_EXPIRY else 1
+
+
 def rate(times: deque[timedelta], now: timedelta) -> float:
     """Return the number of events per second in the rate window.
 
--- a/linnetwind/admission/pass_time_estimator.py
+++ b/linnetwind/admission/pass_time_estimator.py
@@ -8,7 +8,7 @@
 """
 
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -30,6 +30,9 @@
 # groups ran 84 streams with pauses of 0.14 to 0.18 s where 0.12 s was allowed;
 # with 58 streams the pauses were 0.116 s.
 UNMEASURED_FRACTION = 0.65
+# With this many pauses at the present pace, those at a slower one are left out:
+# about one pass of the streams at one of several daemons.
+_ENOUGH_PAUSES = 10
 # How long an estimate is used; a pass takes longer than this.
 _ESTIMATE_AGE_MS = 50
 _MAX_ESTIMATE_AGE = timedelta(milliseconds=_ESTIMATE_AGE_MS)
@@ -41,13 +44,15 @@
 class Pause:
     """A pause between two events, and the streams that ran in the group.
 
-    `skew` is the skew of the map that was in use, 0 if it is not known.
+    `skew` is the skew of the map that was in use, 0 if it is not known, and
+    `pace` the pace of the slowest rank.
     """
 
     at: timedelta
     length: timedelta
     running: int
     skew: float = 0
+    pace: float = 1
 
 
 class PassTimeEstimator:
@@ -68,19 +73,27 @@
         self._pauses.append(pause)
 
     def estimate_part(
-        self, engine: EngineProfile, now: timedelta, skew: float = 0
+        self,
+        engine: EngineProfile,
+        now: timedelta,
+        skew: float = 0,
+        pace: float = 1,
     ) -> tuple[float, int]:
         """Return the milliseconds that each stream adds to a pass.
 
         A pause under a worse map than the present one is scaled to what it
         would be under the present one. Otherwise the limit would follow a new
         map only when the pauses before it have left the window, and for two
-        seconds callers would be rejected though there is capacity.
+        seconds callers would be rejected though there is capacity. In the same
+        way, the fixed part of a pause is the one at the pace of that time, and
+        pauses at a slower pace than the present one are left out as soon as
+        there are enough others.
 
         Args:
           engine: The configured figures of the engines.
           now: The monotonic time.
           skew: The skew of the map in use, 0 if it is not known.
+          pace: The pace of the slowest rank.
 
         Returns:
           The milliseconds in a long pass of the window, and the number of
@@ -88,11 +101,11 @@
         """
         if now - self._estimated_at >= _MAX_ESTIMATE_AGE:
             self._estimated_at = now
-            self._estimate = self._compute(engine, now, skew)
+            self._estimate = self._compute(engine, now, skew, pace)
         return self._estimate
 
     def _compute(
-        self, engine: EngineProfile, now: timedelta, skew: float
+        self, engine: EngineProfile, now: timedelta, skew: float, pace: float
     ) -> tuple[float, int]:
         while self._pauses and now - self._pauses[0].at > WINDOW:
             self._pauses.popleft()
@@ -100,14 +113,24 @@
             return float(0), 0
         fixed_ms = engine.steps_per_pass * engine.step_ms
         parts = sorted(
-            (each.length / timedelta(milliseconds=1) - fixed_ms)
+            (each.length / timedelta(milliseconds=1) - fixed_ms * each.pace)
             / max(1, each.running)
             * _skew_factor(engine, each.skew, skew)
-            for each in self._pauses
+            for each in _relevant(self._pauses, pace)
         )
         return parts[int(len(parts) * _PAUSE_QUANTILE)], len(parts)
 
 
+def _relevant(pauses: deque[Pause], pace: float) -> Collection[Pause]:
+    """Return the pauses at the present pace or a better one.
+
+    The experts' share of a slow rank grows with its pace too, so that pauses
+    which are corrected only by their fixed part are still too long.
+    """
+    similar = [each for each in pauses if each.pace <= pace]
+    return similar if len(similar) >= _ENOUGH_PAUSES else pauses
+
+
 def _skew_factor(engine: EngineProfile, before: float, now: float) -> float:
     """Return the ratio of a pass's times under the present and a former map.
 
@@ -133,6 +156,7 @@
     gap: timedelta,
     estimates: Sequence[tuple[float, int]],
     skew: float,
+    pace: float = 1,
 ) -> int:
     """Return how many streams may run in a group.
 
@@ -143,22 +167,42 @@
       estimates: The result of `PassTimeEstimator.estimate` of each daemon. All
         daemons use the same ones, so that they admit to the same limit.
       skew: The skew of the map in use, for a group without any pauses.
+      pace: The pace of the slowest rank.
 
     Returns:
       The number of streams, at most the slots of all ranks.
     """
+    part_ms = part_per_stream(engine, ranks, estimates, skew)
+    available_ms = gap / timedelta(milliseconds=1) * MAX_PAUSE_FRACTION
+    available_ms -= engine.steps_per_pass * engine.step_ms * pace
+    limit = min(available_ms / part_ms, ranks * engine.slots)
+    is_measured = any(pauses for _part, pauses in estimates)
+    return max(1, int(limit if is_measured else limit * UNMEASURED_FRACTION))
+
+
+def part_per_stream(
+    engine: EngineProfile,
+    ranks: int,
+    estimates: Sequence[tuple[float, int]],
+    skew: float,
+) -> float:
+    """Return the milliseconds that each stream adds to a pass.
+
+    Args:
+      engine: The configured figures of the engines.
+      ranks: The number of ranks of the group.
+      estimates: The result of `PassTimeEstimator.estimate` of each daemon.
+      skew: The skew of the map in use, for a group without any pauses.
+
+    Returns:
+      The milliseconds, at least those of a perfectly balanced group.
+    """
     even_ms = engine.steps_per_pass * engine.sequence_ms / max(1, ranks)
     derived = sorted(each for each in estimates if each[1])
     if derived:
-        part_ms = _weighted_median(derived)
-    else:
-        part_ms = even_ms * (
-            1 - engine.expert_share + engine.expert_share * skew
-        )
-    available_ms = gap / timedelta(milliseconds=1) * MAX_PAUSE_FRACTION
-    available_ms -= engine.steps_per_pass * engine.step_ms
-    limit = min(available_ms / max(part_ms, even_ms), ranks * engine.slots)
-    return max(1, int(limit if derived else limit * UNMEASURED_FRACTION))
+        return max(even_ms, _weighted_median(derived))
+    modelled = even_ms * (1 - engine.expert_share + engine.expert_share * skew)
+    return max(even_ms, modelled)
 
 
 def _weighted_median(estimates: Sequence[tuple[float, int]]) -> float:
--- a/linnetwind/admission/service_capacity.py
+++ b/linnetwind/admission/service_capacity.py
@@ -9,21 +9,35 @@
     CapacityView,
     reserve_for_arrivals,
     reserve_for_newcomers,
+    spread_retry,
 )
 from linnetwind.admission.group_capacity import (
     GROUP_EXPIRY,
     GroupCapacity,
     GroupCount,
+    apply_summary,
     estimate_part,
     rate,
+    recent_summary,
+    serves_late,
     unavailable_for,
 )
 from linnetwind.admission.permit_shares import Demand, own_share
+from linnetwind.admission.slow_group import (
+    AwaitRecovery,
+    CallerPatience,
+    StreamLengths,
+)
 from linnetwind.admission.wait_queue import WaitQueue
-from linnetwind.peers.peer_table import PassTimePerStream, StreamLoad
-from linnetwind.ranks_by_group import SortedRanks
+from linnetwind.peers.peer_table import (
+    GroupSummary,
+    PassTimePerStream,
+    StreamLoad,
+)
+from linnetwind.ranks_by_group import SortedRanks, sort_ranks
 from linnetwind.routes import EngineProfile
 from linnetwind.upstream_incarnation import UpstreamIncarnation
+from linnetwind.upstreams.upstream_list import Upstream
 
 # The number of recent starts from which the time of the next one is estimated,
 # and the quantile of their times that is the estimate.
@@ -62,7 +76,8 @@
     of each incarnation of a rank, comes from the summaries of the planner.
     `first_asked_at` is the monotonic time at which a stream first asked for a
     permit, `probed_at` that at which a stream was last running before the
-    first summary of a planner.
+    first summary of a planner. `patience` is what its callers bear, `lengths`
+    counts the events of its streams.
     """
 
     queue: WaitQueue
@@ -75,6 +90,8 @@
     sorted_ranks: SortedRanks | None = None
     first_asked_at: timedelta | None = None
     probed_at: timedelta | None = None
+    patience: CallerPatience = CallerPatience()
+    lengths: StreamLengths = StreamLengths()
 
 
 def expire_groups(service: ServiceCapacity, now: timedelta) -> None:
@@ -89,8 +106,61 @@
             service.groups.pop(name)
 
 
+def apply_group_summary(
+    service: ServiceCapacity, summary: GroupSummary, now: timedelta
+) -> None:
+    """Apply the planner's summary of a group of a service.
+
+    Args:
+      service: The service.
+      summary: The summary.
+      now: The monotonic time.
+    """
+    group = service.groups.setdefault(summary.group, GroupCapacity())
+    apply_summary(group, summary, now)
+    expire_groups(service, now)
+    others = {
+        life: name
+        for life, name in service.group_of.items()
+        if name in service.groups and name != summary.group
+    }
+    members = dict.fromkeys(summary.members, summary.group)
+    group_of = {**others, **members}
+    if group_of != service.group_of:
+        service.group_of = group_of
+
+
+def ranks_by_group(
+    service: ServiceCapacity, upstreams: Sequence[Upstream], now: timedelta
+) -> SortedRanks:
+    """Return a service's upstreams sorted by their rank groups.
+
+    Args:
+      service: The service, which keeps the result until it changes.
+      upstreams: Upstreams of the service.
+      now: The monotonic time.
+
+    Returns:
+      The sorted upstreams.
+    """
+    has_summary = any(
+        recent_summary(each, now) for each in service.groups.values()
+    )
+    cached = service.sorted_ranks
+    group_of = service.group_of
+    if not cached or not cached.is_valid_for(
+        upstreams, group_of, has_summary=has_summary
+    ):
+        cached = sort_ranks(upstreams, group_of, has_summary=has_summary)
+        service.sorted_ranks = cached
+    return cached
+
+
 def capacity_view(
-    service: ServiceCapacity, counts: Mapping[str, GroupCount], now: timedelta
+    service: ServiceCapacity,
+    counts: Mapping[str, GroupCount],
+    now: timedelta,
+    chance: float,
 ) -> CapacityView:
     """Return the capacity on which the admission of a stream is decided.
 
@@ -99,23 +169,30 @@
       counts: The streams that run in each group; the service's state has to
         hold each of these groups.
       now: The monotonic time.
+      chance: A random number from 0 to 1, which spreads retry times.
 
     Returns:
       The capacity of all groups together.
     """
     if _awaits_first_summary(service, now):
         return _view_without_summary(service, counts, now)
-    groups = {name: service.groups[name] for name in counts}
     waits = {
-        name: unavailable_for(each, counts[name], now)
-        for name, each in groups.items()
+        name: unavailable_for(service.groups[name], count, now)
+        for name, count in counts.items()
     }
-    open_groups = [name for name, wait in waits.items() if wait is None]
-    free = sum(
-        max(0, groups[name].allowance.max_streams - counts[name].own_running)
-        for name in open_groups
-    )
-    ends = sum(rate(groups[name].ends, now) for name in open_groups)
+    open_groups = {
+        name: service.groups[name]
+        for name, wait in waits.items()
+        if wait is None
+    }
+    in_time = {
+        name: group
+        for name, group in open_groups.items()
+        if not serves_late(group)
+    }
+    free = _count_free(in_time, counts)
+    # Streams that end in a slow group free no permit for one in time.
+    ends = _ends_per_s(in_time or open_groups, now)
     closed = [(wait, name) for name, wait in waits.items() if wait is not None]
     soonest, first = (None, None) if open_groups or not closed else min(closed)
     reserved = max(
@@ -129,9 +206,32 @@
         soonest,
         reserved,
         is_backoff=first is not None and soonest == counts[first].backoff,
+        late_free=_count_free(open_groups, counts) - free,
+        recovers_in=_recovers_in(open_groups, chance),
     )
 
 
+def prefer_groups_in_time(
+    service: ServiceCapacity, permits: Mapping[str, int]
+) -> dict[str, int]:
+    """Withhold the permits of slow groups while other groups have any.
+
+    Args:
+      service: The service.
+      permits: The permits of each open group.
+
+    Returns:
+      The permits that a stream may use now.
+    """
+    late = {name for name in permits if serves_late(service.groups[name])}
+    if all(permits[name] <= 0 for name in permits if name not in late):
+        return dict(permits)
+    return {
+        name: min(0, count) if name in late else count
+        for name, count in permits.items()
+    }
+
+
 def stream_load(
     name: str, service: ServiceCapacity, now: timedelta
 ) -> StreamLoad:
@@ -179,6 +279,36 @@
     return own_share(_demand(service, now), others, window)
 
 
+def _count_free(
+    groups: Mapping[str, GroupCapacity], counts: Mapping[str, GroupCount]
+) -> int:
+    """Return the permits that this daemon may use in some groups."""
+    return sum(
+        max(0, group.allowance.max_streams - counts[name].own_running)
+        for name, group in groups.items()
+    )
+
+
+def _ends_per_s(groups: Mapping[str, GroupCapacity], now: timedelta) -> float:
+    return sum(rate(group.ends, now) for group in groups.values())
+
+
+def _recovers_in(
+    groups: Mapping[str, GroupCapacity], chance: float
+) -> timedelta:
+    """Return when a rejected caller may retry if a group should recover."""
+    decisions = [group.slow_decision for group in groups.values()]
+    earliest = min(
+        (
+            each.recovers_in
+            for each in decisions
+            if isinstance(each, AwaitRecovery)
+        ),
+        default=timedelta(),
+    )
+    return spread_retry(earliest, chance) if earliest else earliest
+
+
 def _demand(service: ServiceCapacity, now: timedelta) -> Demand:
     return Demand(service.queue.length, rate(service.arrivals, now))
 
--- a/linnetwind/admission/stream_admission_control.py
+++ b/linnetwind/admission/stream_admission_control.py
@@ -15,32 +15,33 @@
     UNNAMED_GROUP,
     GroupCapacity,
     GroupCount,
-    apply_summary,
     expire_times,
     group_stream_limit,
     opens_in,
     recent_summary,
+    record_pause,
+    serves_late,
     unavailable_for,
 )
-from linnetwind.admission.pass_time_estimator import Pause
 from linnetwind.admission.permit_shares import compute_allowance
 from linnetwind.admission.service_capacity import (
     ServiceCapacity,
+    apply_group_summary,
     capacity_view,
-    expire_groups,
     permit_share,
+    prefer_groups_in_time,
+    ranks_by_group,
     stream_load,
 )
+from linnetwind.admission.slow_group import (
+    callers_patience,
+    longest_bearable_ms,
+)
 from linnetwind.admission.wait_queue import PermitRequest, WaitQueue
 from linnetwind.clock import Clock
 from linnetwind.group_outages import record_crash
-from linnetwind.peers.peer_table import (
-    GroupSummary,
-    PeerState,
-    StreamLoad,
-)
-from linnetwind.ranks_by_group import sort_ranks
-from linnetwind.routes import RoutedService
+from linnetwind.peers.peer_table import GroupSummary, PeerState, StreamLoad
+from linnetwind.routes import RoutedService, RouteTable
 from linnetwind.upstream_incarnation import UpstreamIncarnation
 from linnetwind.upstreams.upstream_list import Upstream
 
@@ -93,6 +94,21 @@
                 expire_times(state.newcomers, now)
         return state.queue.acquire_permit(request, read_view, acquire, has_time)
 
+    def apply_table(self, table: RouteTable) -> None:
+        """Record what the callers of each service bear.
+
+        Args:
+          table: The configuration.
+        """
+        routes = [
+            each for some in table.routes_by_host.values() for each in some
+        ]
+        with self._lock:
+            for service in table.services.values():
+                if service.engine is not None:
+                    state = self._service(service.name)
+                    state.patience = callers_patience(routes, service.name)
+
     def wake(self) -> None:
         """Make all queues check the capacity, which may have changed."""
         for state in list(self._services.values()):
@@ -111,19 +127,22 @@
         now = self._clock.elapsed()
         with self._lock:
             group = self._group(upstream)
-            summary = recent_summary(group, now)
-            skew = summary.skew if summary else 0
-            group.estimator.record(Pause(now, length, running, skew))
+            record_pause(group, length, running, now)
+            state = self._service(upstream.service)
+            state.lengths = state.lengths.add_pause()
 
-    def record_start(self, service: str, took: timedelta) -> None:
+    def record_start(self, upstream: Upstream, took: timedelta) -> None:
         """Record the time from a stream's start to its first event.
 
         Args:
-          service: The name of the stream's service.
-          took: The time.
+          upstream: The upstream that runs the stream.
+          took: The time. Starts in a group that serves late streams are not
+            used to estimate what can be in time elsewhere.
         """
         with self._lock:
-            state = self._service(service)
+            if serves_late(self._group(upstream)):
+                return
+            state = self._service(upstream.service)
             is_first = not state.starts
             state.starts.append(took)
         if is_first:
@@ -141,6 +160,7 @@
             ends = self._group(upstream).ends
             ends.append(now)
             expire_times(ends, now)
+            state.lengths = state.lengths.add_end()
         state.queue.wake()
 
     def apply_summary(self, summary: GroupSummary) -> None:
@@ -152,18 +172,7 @@
         now = self._clock.elapsed()
         with self._lock:
             state = self._service(summary.service)
-            group = state.groups.setdefault(summary.group, GroupCapacity())
-            apply_summary(group, summary, now)
-            expire_groups(state, now)
-            others = {
-                life: name
-                for life, name in state.group_of.items()
-                if name in state.groups and name != summary.group
-            }
-            members = dict.fromkeys(summary.members, summary.group)
-            group_of = {**others, **members}
-            if group_of != state.group_of:
-                state.group_of = group_of
+            apply_group_summary(state, summary, now)
 
     def record_crash(
         self, service: str, life: UpstreamIncarnation, at: timedelta
@@ -243,19 +252,7 @@
         """
         now = self._clock.elapsed()
         with self._lock:
-            state = self._service(service)
-            has_summary = any(
-                recent_summary(each, now) for each in state.groups.values()
-            )
-            cached = state.sorted_ranks
-            group_of = state.group_of
-            if not cached or not cached.is_valid_for(
-                upstreams, group_of, has_summary=has_summary
-            ):
-                cached = sort_ranks(
-                    upstreams, group_of, has_summary=has_summary
-                )
-                state.sorted_ranks = cached
+            cached = ranks_by_group(self._service(service), upstreams, now)
         return cached.by_group
 
     def view(
@@ -307,6 +304,9 @@
                     gap,
                     count.ranks,
                     parts,
+                    longest_bearable_ms(
+                        state.patience, state.lengths.mean_events
+                    ),
                 )
                 group.utilization = count.running / limit
                 if now - group.allowance.at >= send_interval:
@@ -317,7 +317,7 @@
                         share,
                         random.random(),
                     )
-            return capacity_view(state, counts, now)
+            return capacity_view(state, counts, now, random.random())
 
     def free_permits(
         self, service: str, counts: Mapping[str, GroupCount]
@@ -341,6 +341,7 @@
                 if name in capacities
                 and unavailable_for(capacities[name], count, now) is None
             }
+            permits = prefer_groups_in_time(self._service(service), permits)
         return permits or dict.fromkeys(counts, 0)
 
     def loads(self) -> tuple[StreamLoad, ...]:
--- a/linnetwind/admission/stream_admission_control_test.py
+++ b/linnetwind/admission/stream_admission_control_test.py
@@ -215,7 +215,58 @@
         admission.view(SERVICE, GAP, counts, (), SEND_INTERVAL).opens_in
         is not None
     )
-    admission.record_start('model', 170 * MS)
+    admission.record_start(RANKS_A[0], 170 * MS)
     view = admission.view(SERVICE, GAP, counts, (), SEND_INTERVAL)
     assert view.opens_in is None
     assert view.free > 1
+
+
+def _slow_rank(daemon):
+    # The skew includes the longer time of the slow rank.
+    slow = (RANKS_B[1].life,)
+    daemon.send_summary('b', RANKS_B, skew=3.0, slow=slow, pace=5.0)
+
+
+def test_a_group_with_a_slow_rank_serves_only_what_others_cannot():
+    daemon = LoneDaemon()
+    _slow_rank(daemon)
+    view, permits = daemon.snapshot(in_a=10, in_b=10)
+    assert view.free == permits['a'] > 0
+    assert permits['b'] == 0
+    assert view.late_free > 0
+    # The healthy group is full, so callers get late responses, not rejections.
+    view, permits = daemon.snapshot(in_a=96, in_b=10)
+    assert view.free == 0
+    assert view.late_free == permits['b'] == 15 * SERVICE.engine.slots - 10
+
+
+def test_slow_pauses_do_not_reduce_the_permits_after_the_slowness():
+    # The pauses of the slow time stay in the window for 2.5 s. The limit fell
+    # as long as they did, though all ranks were well.
+    daemon = LoneDaemon()
+    _slow_rank(daemon)
+    daemon.record_pauses(RANKS_B[0], 250 * MS, 60)
+    daemon.send_summary('b', RANKS_B)
+    _view, at_once = daemon.snapshot(in_a=0, in_b=40)
+    daemon.record_pauses(RANKS_B[0], 60 * MS, 40)
+    daemon.send_summary('b', RANKS_B)
+    _view, later = daemon.snapshot(in_a=0, in_b=40)
+    assert later['b'] / 2 < at_once['b'] < later['b']
+
+
+def test_the_slow_pace_is_used_while_the_planner_is_replaced():
+    daemon = LoneDaemon()
+    _slow_rank(daemon)
+    daemon.clock.advance(timedelta(seconds=4))
+    view, _permits = daemon.snapshot(in_a=96, in_b=10)
+    assert view.late_free > 0
+
+
+def test_starts_in_a_slow_group_do_not_count_for_the_others():
+    daemon = LoneDaemon()
+    _slow_rank(daemon)
+    daemon.snapshot(in_a=10, in_b=10)
+    daemon.admission.record_start(RANKS_B[0], 900 * MS)
+    daemon.admission.record_start(RANKS_A[0], 150 * MS)
+    view, _permits = daemon.snapshot(in_a=10, in_b=10)
+    assert view.start_time == 150 * MS
--- a/linnetwind/gateway_state.py
+++ b/linnetwind/gateway_state.py
@@ -123,7 +123,8 @@
             if self._table is not None and table.version <= self._table.version:
                 return False
             self._table = table
-            return True
+        self._room.apply_table(table)
+        return True
 
     def change_upstreams(
         self, change: Callable[[UpstreamList], UpstreamList]
--- a/linnetwind/group_summary.py
+++ b/linnetwind/group_summary.py
@@ -3,7 +3,8 @@
 from collections.abc import Collection, Mapping
 from datetime import timedelta
 
-from linnetwind.peers.peer_table import GroupSummary
+from linnetwind.admission.slow_group import SLOW_PACE
+from linnetwind.peers.peer_table import MAX_PACE, GroupSummary
 from linnetwind.planned_group import PlannedGroup
 from linnetwind.routes import RoutedService
 
@@ -25,9 +26,6 @@
 # makes no passes that would show that it is healthy.
 _ENGINE_TIMEOUT_S = 3
 _ENGINE_TIMEOUT = timedelta(seconds=_ENGINE_TIMEOUT_S)
-# A rank that takes this many times the usual time for the same work gets no new
-# streams. Smaller differences are left to the placement of experts.
-SLOW_PACE = 1.4
 
 
 def make_summaries(
@@ -81,6 +79,7 @@
         # excess streams would be admitted.
         members=tuple(group.incarnations.values()),
         slow=tuple(slow),
+        pace=min(MAX_PACE, max(each.pace for each in group.reports.values())),
     )
 
 
--- a/linnetwind/group_summary_test.py
+++ b/linnetwind/group_summary_test.py
@@ -1,9 +1,11 @@
 """Tests of the summaries of rank groups that a planner sends to gateways."""
 
 from datetime import timedelta
+from math import inf
 
 from linnetwind.group_observations import ObservedRank
 from linnetwind.group_summary import make_summaries
+from linnetwind.peers.peer_table import MAX_PACE
 from linnetwind.planned_group import (
     GROUP_EXPIRY,
     PlannedGroup,
@@ -93,6 +95,11 @@
     summaries = _summaries(groups)
     assert summaries['a'].slow == ('a1',)
     assert summaries['b'].slow == ()
+    assert (summaries['a'].pace, summaries['b'].pace) == (3.0, 1.0)
+
+
+def test_a_rank_without_a_finite_pace_does_not_make_states_undecodable():
+    assert _summaries([_group('a', paces=(1.0, inf))])['a'].pace == MAX_PACE
 
 
 def test_a_service_without_groups_has_no_summaries():
--- a/linnetwind/peers/peer_table.py
+++ b/linnetwind/peers/peer_table.py
@@ -12,7 +12,9 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 from datetime import timedelta
-from typing import Self
+from typing import Annotated, Self
+
+from msgspec import Meta
 
 from linnetwind.address import Address
 from linnetwind.crash_history import AdvertisedCrash
@@ -39,6 +41,9 @@
 # to, so that addresses of replaced hosts do not accumulate.
 _PEER_EXPIRY_S = 30
 PEER_EXPIRY = timedelta(seconds=_PEER_EXPIRY_S)
+# The highest pace that is advertised: a rank that slow serves nothing.
+MAX_PACE = 1_000
+Pace = Annotated[float, Meta(ge=0, le=MAX_PACE)]
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,6 +53,7 @@
     `skew` is the expert load of the most loaded rank divided by the mean,
     `opens_in_ms` the expected time until a broken group opens. `members` are
     the incarnations of its ranks, `slow` the ones whose rank runs slowly.
+    `pace` is the time of the slowest rank for the same work over the usual one.
     """
 
     service: str
@@ -58,6 +64,7 @@
     opens_in_ms: int
     members: tuple[UpstreamIncarnation, ...]
     slow: tuple[UpstreamIncarnation, ...] = ()
+    pace: Pace = 1
 
 
 @dataclass(frozen=True, slots=True)
--- a/linnetwind/peers/peer_wire.py
+++ b/linnetwind/peers/peer_wire.py
@@ -26,7 +26,12 @@
 from linnetwind.codec import Codec
 from linnetwind.crash_history import AdvertisedCrash
 from linnetwind.fingerprint import Fingerprint
-from linnetwind.peers.peer_table import GroupSummary, PeerState, StreamLoad
+from linnetwind.peers.peer_table import (
+    GroupSummary,
+    Pace,
+    PeerState,
+    StreamLoad,
+)
 from linnetwind.upstream_incarnation import (
     IncarnationTag,
     UpstreamIncarnation,
@@ -62,6 +67,7 @@
     roster: int
     members: bytes
     slow: bytes
+    pace: Pace = 1
 
 
 @dataclass(frozen=True, slots=True)
--- a/linnetwind/peers/peer_wire_test.py
+++ b/linnetwind/peers/peer_wire_test.py
@@ -89,6 +89,19 @@
     assert StateReader().read(before, KNOWN) == _state()
 
 
+def test_a_group_of_the_previous_version_has_the_usual_pace():
+    summary = replace(SUMMARY, pace=5.0)
+    tag, *values = cbor2.loads(pack_state(_state(groups=(summary,)), full=True))
+    (group,) = next(
+        each
+        for each in values
+        if isinstance(each, list) and each and 'roster' in each[0]
+    )
+    assert group.pop('pace') == 5
+    before = cbor2.dumps([tag, *values])
+    assert StateReader().read(before, KNOWN).groups == (SUMMARY,)
+
+
 def test_limits_are_part_of_every_state():
     limit = AdvertisedLimit(IncarnationTag(7), 2.5, 40)
     removed_limit = AdvertisedLimit(IncarnationTag(8), None, 40)
--- a/linnetwind/response_relay.py
+++ b/linnetwind/response_relay.py
@@ -168,7 +168,8 @@
         self._context.first_byte = now
         received = self._context.request.received
         self._tools.state.stream_admission.record_start(
-            self._context.service.name, now - received - self._context.queued
+            self._context.current_upstream,
+            now - received - self._context.queued,
         )
         headers = with_connection_close(self._tools, self._headers)
         return self._connection.start(self._head.status, headers)
