Streams that will be late go to a slow group without waiting

A real request has always waited some microseconds when it asks for a permit, so a rule for streams that have not waited at all does not reach it.

--- a/linnetwind/admission/admission_policy.py
+++ b/linnetwind/admission/admission_policy.py
@@ -127,11 +127,11 @@
         return AdmitStream()
     missing_permits = stream.ahead + 1 - view.free
     wait = timedelta(seconds=missing_permits / max(view.ends_per_s, 1))
-    hopeless = not stream.waited and wait > wait_left and not stream.returning
-    is_late = hopeless or wait_left <= timedelta()
-    if view.late_free > 0 and (is_late or stream.returning):
+    will_be_late = wait > wait_left or stream.returning
+    if view.late_free > 0 and will_be_late:
         return AdmitStream()
-    if is_late:
+    hopeless = not stream.waited and will_be_late and not stream.returning
+    if hopeless or wait_left <= timedelta():
         return _reject(max(wait, view.recovers_in), 'no room in time')
     return QueueStream(wait_left)
 
--- a/linnetwind/admission/admission_policy_test.py
+++ b/linnetwind/admission/admission_policy_test.py
@@ -42,6 +42,7 @@
     assert decide_admission(slow, FIRST) == QueueStream(300 * MS)
     for late in (
         replace(FIRST, ahead=20),
+        replace(FIRST, ahead=20, waited=MS),
         replace(FIRST, waited=301 * MS),
         replace(FIRST, returning=True),
     ):
