--- a/linnetwind/admission/admission_policy.py
+++ b/linnetwind/admission/admission_policy.py
@@ -63,7 +63,10 @@
     group is healthy but all its ranks have asked for a backoff until
     `opens_in`, which is exact then and no estimate. `rates` are the arrivals
     by class; it is empty while all streams have the same priority.
-    `free_by_class` counts the permits for each of `rates`.
+    `free_by_class` counts the permits for each of `rates`. `late_free` counts
+    the permits in groups with a slow rank, for streams that cannot be in time.
+    A rejected caller should not retry before `recovers_in`, when such a group
+    should be well again.
     """
 
     free: int
@@ -75,6 +78,8 @@
     is_backoff: bool = False
     rates: tuple[ClassRate, ...] = ()
     free_by_class: tuple[int, ...] = ()
+    late_free: int = 0
+    recovers_in: timedelta = timedelta()
 
     def free_for(self, priority: int) -> int:
         """Return the permits that a stream of a priority may use now."""
@@ -161,9 +166,12 @@
         return AdmitStream()
     missing_permits = stream.ahead + 1 - view.free
     wait = timedelta(seconds=missing_permits / max(view.ends_per_s, 1))
-    hopeless = not stream.waited and wait > wait_left and not stream.returning
+    will_be_late = wait > wait_left or stream.returning
+    if view.late_free > 0 and will_be_late:
+        return AdmitStream()
+    hopeless = not stream.waited and will_be_late and not stream.returning
     if hopeless or wait_left <= timedelta():
-        return _reject(wait, 'no room in time')
+        return _reject(max(wait, view.recovers_in), 'no room in time')
     return QueueStream(wait_left)
 
 
@@ -233,10 +241,13 @@
     )
     is_early = stream.waited <= _EARLY * stream.target
     is_served = can_be_served(missing_permits, room, wait_left)
+    if view.late_free > 0 and (stream.returning or not is_served):
+        return AdmitStream()
     if wait_left <= timedelta() or (is_early and not is_served):
         wait = timedelta(seconds=missing_permits / room)
         return RejectStream(
-            spread_retry_after(wait, stream.spread), 'no room in time'
+            spread_retry_after(max(wait, view.recovers_in), stream.spread),
+            'no room in time',
         )
     return QueueStream(wait_left)
 
@@ -281,6 +292,22 @@
     return RejectStream(clamp_retry_after(wait), reason)
 
 
+def spread_retry(earliest: timedelta, chance: float) -> timedelta:
+    """Return a retry time after which there should be capacity again.
+
+    Callers that all came back at once would be more than can be queued.
+
+    Args:
+      earliest: When there should be capacity.
+      chance: A random number from 0 to 1.
+
+    Returns:
+      A time from then on, at most the bound of retry times.
+    """
+    latest = max(earliest, MAX_RETRY_AFTER)
+    return earliest + (latest - earliest) * chance
+
+
 def clamp_retry_after(wait: timedelta) -> timedelta:
     """Clamp an estimated wait to the bounds of a retry time.
 
--- a/linnetwind/gateway_state.py
+++ b/linnetwind/gateway_state.py
@@ -123,7 +123,8 @@
             if self._table is not None and table.version <= self._table.version:
                 return False
             self._table = table
-            return True
+        self._room.apply_table(table)
+        return True
 
     def change_upstreams(
         self, change: Callable[[UpstreamList], UpstreamList]
@@ -221,20 +222,24 @@
         )
 
     def acquire_upstream(
-        self, service: RoutedService, tried: frozenset[str]
+        self,
+        service: RoutedService,
+        tried: frozenset[str],
+        priority: int = 0,
     ) -> Upstream | None:
         """Choose an upstream for a request and count the request there.
 
         Args:
           service: The service.
           tried: Instances to exclude.
+          priority: The request's priority.
 
         Returns:
           The upstream, or None if none accepts a request at once. The caller
           ends the count with `release_upstream`.
         """
         usable = self._books.limits.within_limit(
-            self.candidates(service, tried)
+            self.candidates(service, tried, priority)
         )
         counts = self._counts()
         slow = self._room.slow(service.name)
@@ -280,13 +285,17 @@
         return self._room.by_group(service, usable)
 
     def candidates(
-        self, service: RoutedService, tried: frozenset[str]
+        self,
+        service: RoutedService,
+        tried: frozenset[str],
+        priority: int = 0,
     ) -> list[Upstream]:
         """Return the upstreams that are eligible for a request now.
 
         Args:
           service: The service.
           tried: Instances to exclude.
+          priority: The request's priority.
 
         Returns:
           The upstreams of a plain service, or the ranks of the group that is
@@ -306,7 +315,9 @@
                 for name, members in groups.items()
                 if any(each.instance in tried for each in members)
             )
-            free_permits = self._room.free_permits(service.name, counts)
+            free_permits = self._room.free_permits(
+                service.name, counts, priority
+            )
             name = choose_group(free_permits, failed, random.random())
         members = self._books.backoffs.without_backoff(groups.get(name, []))
         return [each for each in members if each.instance not in tried]
--- a/linnetwind/relay.py
+++ b/linnetwind/relay.py
@@ -181,7 +181,9 @@
             service.name,
             claim,
             lambda gap: state.group_view(service, gap),
-            lambda: state.acquire_upstream(service, frozenset()),
+            lambda: state.acquire_upstream(
+                service, frozenset(), claim.priority
+            ),
             lambda: self._tools.stop.has_time(self._expected_ending(context)),
         )
         context.queued = self._tools.clock.elapsed() - self._request.received
