Evacuation of a data centre, by records of the store

The record of an operator who evacuates a data centre was not read: requests continued to go to the upstreams there.

The records of the configuration topic whose key is `evacuate/` and a name are now folded into the list of upstreams, whose usable upstreams lack those of an evacuated data centre. The newest position decides; a complete read of the store without the key cancels. A copy from a peer never cancels by what it lacks, since older daemons copy only the configuration; copies now hold the evacuations that the daemon follows.

A crash of a rank in an evacuated data centre still counts as a crash.

--- a/linnetwind/gateway_events.py
+++ b/linnetwind/gateway_events.py
@@ -66,6 +66,32 @@
     removed: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class EvacuationChanged:
+    """A data centre is evacuated, or its evacuation was cancelled.
+
+    `source` is the store or the peer that told of it, `offset` that of the
+    deciding record. `upstreams` is the number of upstreams registered there.
+    """
+
+    site: str
+    evacuated: bool
+    source: str
+    offset: int
+    upstreams: int
+
+
+@dataclass(frozen=True, slots=True)
+class EvacuationUnknown:
+    """No upstream and no daemon of a data centre of this name is known.
+
+    Until there is one, the evacuation has no effect.
+    """
+
+    site: str
+    offset: int
+
+
 @dataclass(frozen=True, slots=True)
 class RequestEnded:
     """A caller's request has ended; `reason` says why with this outcome.
--- a/linnetwind/gateway_feeds.py
+++ b/linnetwind/gateway_feeds.py
@@ -7,6 +7,7 @@
 from linnetwind.bad_format import BadFormat
 from linnetwind.clock import Clock
 from linnetwind.daemon_threads import DaemonThreads
+from linnetwind.evacuation_feed import EvacuationFeed
 from linnetwind.event_log import EventLog
 from linnetwind.gateway_events import (
     BadRecord,
@@ -14,6 +15,7 @@
     UpstreamsChanged,
 )
 from linnetwind.gateway_state import GatewayState
+from linnetwind.peers.peer_table import PeerState
 from linnetwind.record_follower import PeerRecords, RecordFollower, TopicUpdate
 from linnetwind.record_store import KeyedRecord, Records, RecordStore, Topic
 from linnetwind.routes import RouteTable
@@ -34,13 +36,17 @@
 class FeedPorts:
     """The interfaces for reading and decoding records.
 
-    The decoders raise no exception, whatever a record holds.
+    The decoders raise no exception, whatever a record holds. The key of an
+    evacuation is `evacuation_prefix` and the name of the data centre. `site` is
+    the data centre of this daemon.
     """
 
     open_store: Callable[[], RecordStore]
     configuration_key: str
     decode_table: Callable[[bytes], RouteTable | BadFormat]
     decode_upstream: Callable[[KeyedRecord], UpstreamRecord | BadFormat]
+    evacuation_prefix: str
+    site: str
 
 
 class GatewayFeeds:
@@ -68,6 +74,9 @@
         self._newer_advertised = 0
         self._in_force: KeyedRecord | None = None
         self._state = state
+        self._evacuations = EvacuationFeed(
+            ports.evacuation_prefix, ports.site, state, log
+        )
         self._clock = clock
         self._log = log
         self._bad: dict[Topic, dict[str, BadRecord]] = {
@@ -111,7 +120,8 @@
         The configuration is the one in force on this daemon. A store that was
         restored from an older copy may lack it until the operator writes it
         again, and a daemon that starts meanwhile would serve with an older
-        configuration.
+        configuration. The evacuations are those that this daemon follows: it
+        may have learned of some from peers.
 
         Args:
           topic: The topic.
@@ -122,9 +132,21 @@
         copied = self._followers[topic].copy()
         if topic is not Topic.CONFIGURATION or copied is None:
             return copied
-        if self._in_force is None:
-            return copied
-        return replace(copied, records=(self._in_force,))
+        # Without a configuration in force, there is at most a malformed one.
+        records = self._evacuations.records(copied.era)
+        if self._in_force is not None:
+            records.append(self._in_force)
+        records.sort(key=lambda record: record.offset)
+        return replace(copied, records=tuple(records))
+
+    def apply_advertised(self, state: PeerState) -> None:
+        """Apply what a peer's state tells of the store's records.
+
+        Args:
+          state: The state.
+        """
+        if state.evacuations:
+            self._evacuations.apply_advertised(state.name, state.evacuations)
 
     def _pace_for_fleet(
         self, pace: Callable[[int], StoreRateLimit]
@@ -156,13 +178,21 @@
             fetched = self._peers.newest(Topic.CONFIGURATION)
             if isinstance(fetched, Records):
                 news = TopicUpdate(
-                    fetched.records, fetched.end, True, False, 'peer'
+                    fetched.records,
+                    fetched.end,
+                    whole=True,
+                    after_outage=False,
+                    source='peer',
+                    era=fetched.era,
+                    is_copy=True,
                 )
                 self._apply_tables(news)
         self._newer_advertised = advertised
         return _CONFIGURATION_CHECK_INTERVAL
 
     def _apply_tables(self, news: TopicUpdate) -> None:
+        # Callers are accepted as soon as there is a configuration.
+        self._evacuations.apply_update(news)
         for record in news.records:
             is_configuration = record.key == self._ports.configuration_key
             if is_configuration and record.content is not None:
@@ -198,6 +228,7 @@
             lambda known: self._merge(known, decoded, news)
         )
         self._log_changed_upstreams(before, news)
+        self._evacuations.check_names()
 
     def _decode_upstream(self, record: KeyedRecord) -> UpstreamRecord:
         """Decode a record; a malformed one removes the upstream of its key.
--- a/linnetwind/peers/peer_table.py
+++ b/linnetwind/peers/peer_table.py
@@ -18,6 +18,7 @@
 from linnetwind.crash_history import AdvertisedCrash
 from linnetwind.fingerprint import Fingerprint
 from linnetwind.upstream_incarnation import UpstreamIncarnation
+from linnetwind.upstreams.evacuation import Evacuation
 from linnetwind.upstreams.upstream_limits import AdvertisedLimit, ServiceDemand
 
 # The longest time between two states that a daemon sends, and the shortest
@@ -102,6 +103,7 @@
     of upstreams while they ran a request, `answered` the requests that were
     answered after such a crash. `limits` are the request rates that upstreams
     named to this daemon, `demands` its request rates for their services.
+    `evacuations` are the newest decisions on evacuated data centres.
     """
 
     name: str
@@ -123,6 +125,7 @@
     answered: tuple[Fingerprint, ...] = ()
     limits: tuple[AdvertisedLimit, ...] = ()
     demands: tuple[ServiceDemand, ...] = ()
+    evacuations: tuple[Evacuation, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/linnetwind/platform/entry.py
+++ b/linnetwind/platform/entry.py
@@ -12,7 +12,11 @@
 from linnetwind.platform.rank_client import REMOTE_TIMEOUT, RankClient
 from linnetwind.platform.settings import HostSettings, read_settings
 from linnetwind.platform.store_client import StoreClient
-from linnetwind.platform.table_format import CONFIGURATION_KEY, decode_table
+from linnetwind.platform.table_format import (
+    CONFIGURATION_KEY,
+    EVACUATION_PREFIX,
+    decode_table,
+)
 from linnetwind.platform.upstream_format import decode_upstream
 
 
@@ -33,6 +37,8 @@
             configuration_key=CONFIGURATION_KEY,
             decode_table=decode_table,
             decode_upstream=decode_upstream,
+            evacuation_prefix=EVACUATION_PREFIX,
+            site=settings.site,
         ),
         open_rank=lambda upstream: RankClient(
             upstream.address, REMOTE_TIMEOUT, log
--- a/linnetwind/platform/gateway_feeds_test.py
+++ b/linnetwind/platform/gateway_feeds_test.py
@@ -16,7 +16,11 @@
 from linnetwind.gateway_events import BadRecord, ConfigurationApplied
 from linnetwind.gateway_feeds import FeedPorts, GatewayFeeds
 from linnetwind.gateway_state import GatewayState
-from linnetwind.platform.table_format import CONFIGURATION_KEY, decode_table
+from linnetwind.platform.table_format import (
+    CONFIGURATION_KEY,
+    EVACUATION_PREFIX,
+    decode_table,
+)
 from linnetwind.platform.upstream_format import decode_upstream
 from linnetwind.record_store import (
     KeyedRecord,
@@ -116,7 +120,12 @@
         self.log = ListLog()
         self.state = GatewayState(clock, Address('127.0.0.1', 1), terms)
         ports = FeedPorts(
-            lambda: store, CONFIGURATION_KEY, decode_table, decode_upstream
+            lambda: store,
+            CONFIGURATION_KEY,
+            decode_table,
+            decode_upstream,
+            EVACUATION_PREFIX,
+            'z',
         )
         self._feeds = GatewayFeeds(
             ports, self.state, _Peers(peer_store), clock, self.log
--- a/linnetwind/platform/table_format.py
+++ b/linnetwind/platform/table_format.py
@@ -31,6 +31,8 @@
 
 # The key of the configuration in the operator's topic.
 CONFIGURATION_KEY = 'config'
+# The key of an evacuation is this prefix and the name of the data centre.
+EVACUATION_PREFIX = 'evacuate/'
 
 _KINDS = MappingProxyType(
     {
--- a/linnetwind/rank_crashes.py
+++ b/linnetwind/rank_crashes.py
@@ -34,7 +34,7 @@
         return False
     if state.stream_admission.record_crash(service.name, upstream.life, at):
         state.stream_admission.wake()
-    not_leaving = state.upstreams.usable(service.name, at)
+    not_leaving = state.upstreams.active(service.name, at)
     return any(other.life == upstream.life for other in not_leaving)
 
 
--- a/linnetwind/record_follower.py
+++ b/linnetwind/record_follower.py
@@ -38,6 +38,8 @@
     is true if these are the newest records of all keys. `after_outage` is
     true if the store was unavailable before or was restored from an older
     copy. `source` says for the log whether a peer or the store sent them.
+    `is_copy` is true if a peer did, whose copy may lack keys: an older daemon
+    copies only the configuration.
     """
 
     records: tuple[KeyedRecord, ...]
@@ -46,6 +48,7 @@
     after_outage: bool
     source: str
     era: int = 0
+    is_copy: bool = False
 
 
 class PeerRecords(Protocol):
@@ -162,7 +165,7 @@
         *,
         whole: bool,
         after_outage: bool,
-        source: str = 'store',
+        is_copy: bool = False,
     ) -> None:
         self._on_update(
             TopicUpdate(
@@ -170,8 +173,9 @@
                 batch.end,
                 whole,
                 after_outage,
-                source,
+                'peer' if is_copy else 'store',
                 batch.era,
+                is_copy,
             )
         )
 
@@ -193,4 +197,4 @@
             return
         if self._position is None or batch.position > self._position:
             self._remember(batch, whole=True)
-            self._notify(batch, whole=True, after_outage=True, source='peer')
+            self._notify(batch, whole=True, after_outage=True, is_copy=True)
--- a/linnetwind/upstreams/upstream_list.py
+++ b/linnetwind/upstreams/upstream_list.py
@@ -12,14 +12,20 @@
 from functools import cached_property
 from typing import Self, TypeVar
 
-from linnetwind.address import Address
 from linnetwind.record_store import Position
 from linnetwind.upstream_incarnation import (
     IncarnationTag,
     UpstreamIncarnation,
-    name_incarnation,
     tag_incarnation,
 )
+from linnetwind.upstreams.evacuation import Evacuations
+from linnetwind.upstreams.registration import (
+    Predecessor,
+    Upstream,
+    UpstreamRecord,
+    is_late,
+    is_restart,
+)
 
 # A live upstream registers again within about two seconds after the store is
 # back from an outage in which its entry expired (the platform's figure).
@@ -33,54 +39,6 @@
 _Entry = TypeVar('_Entry')
 
 
-@dataclass(frozen=True, slots=True)
-class Upstream:
-    """A registered upstream.
-
-    `instance` is the name under which the process registers, also after a
-    restart. `born_ms` is the Unix time in ms of its start, None if the entry
-    lacks it. `slots` is the number of requests that it runs at once, `cold` the
-    time that it still needs to warm up. `life` identifies the incarnation,
-    computed once: each event of each stream reads it for a group's members.
-    """
-
-    instance: str
-    service: str
-    address: Address
-    site: str
-    slots: int
-    draining: bool
-    cold: timedelta
-    born_ms: int | None = None
-    life: UpstreamIncarnation = field(init=False, compare=False, repr=False)
-
-    def __post_init__(self) -> None:
-        """Compute the identifier of the incarnation."""
-        life = name_incarnation(self.instance, self.born_ms)
-        object.__setattr__(self, 'life', life)
-
-
-@dataclass(frozen=True, slots=True)
-class UpstreamRecord:
-    """The newest record of a key; `upstream` is None if the key was deleted."""
-
-    instance: str
-    offset: int
-    upstream: Upstream | None
-
-
-@dataclass(frozen=True, slots=True)
-class _Predecessor:
-    """The incarnation before the one that is registered now.
-
-    `late_offset` is the offset of a record of it that was written after the
-    first record of its successor; None if there is no such record.
-    """
-
-    life: UpstreamIncarnation
-    late_offset: int | None = None
-
-
 @dataclass(frozen=True)
 class UpstreamList:
     """The known state of the registered upstreams; immutable.
@@ -97,6 +55,7 @@
       configured_services: Services in force; None before any configuration.
       era: The era of the store's offsets.
       leaving: Incarnations whose responses announced leaving, in that order.
+      evacuations: The data centres whose upstreams are sent no requests.
     """
 
     end: int = 0
@@ -105,10 +64,11 @@
         default_factory=dict
     )
     min_offsets: Mapping[str, int] = field(default_factory=dict)
-    previous: Mapping[str, _Predecessor] = field(default_factory=dict)
+    previous: Mapping[str, Predecessor] = field(default_factory=dict)
     configured_services: frozenset[str] | None = None
     era: int = 0
     leaving: tuple[UpstreamIncarnation, ...] = ()
+    evacuations: Evacuations = field(default_factory=Evacuations)
 
     def usable(self, service: str, now: timedelta) -> list[Upstream]:
         """Return the upstreams of a service that may be sent requests.
@@ -125,14 +85,57 @@
 
         Returns:
           The registered upstreams that neither drain nor leave, and those whose
-          entries lapsed in a store outage, for their grace period. The same
-          object on each call while the list is unchanged and no entry lapsed.
+          entries lapsed in a store outage, for their grace period, except those
+          in evacuated data centres. The same object on each call while the list
+          is unchanged and no entry lapsed.
         """
         if self.lapsed:
-            lapsed = [each for till, each in self.lapsed.values() if now < till]
-            return self._usable_with(lapsed).get(service, [])
+            return self._not_evacuated(self.active(service, now))
         return self._usable.get(service, [])
 
+    def active(self, service: str, now: timedelta) -> list[Upstream]:
+        """Return the usable upstreams of a service and the evacuated ones.
+
+        Args:
+          service: The service's name.
+          now: The monotonic time.
+
+        Returns:
+          The upstreams that may run requests, and would be sent new ones if no
+          data centre were evacuated.
+        """
+        if self.lapsed:
+            lapsed = [each for till, each in self.lapsed.values() if now < till]
+            return self._active_with(lapsed).get(service, [])
+        return self._active.get(service, [])
+
+    def is_evacuated(self, service: str, now: timedelta) -> bool:
+        """Return whether only evacuated data centres could run a service.
+
+        Args:
+          service: The service's name.
+          now: The monotonic time.
+
+        Returns:
+          Whether it has upstreams, all of them in evacuated data centres.
+        """
+        if not self.evacuations.sites or self.usable(service, now):
+            return False
+        return bool(self.active(service, now))
+
+    def replace_evacuations(self, evacuations: Evacuations) -> Self:
+        """Return the list after an evacuation was decided.
+
+        Args:
+          evacuations: The evacuated data centres.
+
+        Returns:
+          The list, unchanged if the evacuations are the same object.
+        """
+        if evacuations is self.evacuations:
+            return self
+        return replace(self, evacuations=evacuations)
+
     def bar_replaced_instance(self, expected: Upstream) -> Self:
         """Return the list after another instance responded at an address.
 
@@ -235,12 +238,12 @@
             before = known.get(record.instance)
             if before is not None and record.offset <= before.offset:
                 continue
-            if _is_late(record, before, previous.get(record.instance)):
-                late = _Predecessor(record.upstream.life, record.offset)
+            if is_late(record, before, previous.get(record.instance)):
+                late = Predecessor(record.upstream.life, record.offset)
                 previous[record.instance] = late
                 continue
-            if _is_restart(record, before):
-                previous[record.instance] = _Predecessor(before.upstream.life)
+            if is_restart(record, before):
+                previous[record.instance] = Predecessor(before.upstream.life)
             known[record.instance] = record
             lapsed.pop(record.instance, None)
         return replace(
@@ -320,7 +323,7 @@
         }
         # The copy may hold an entry of the incarnation before the known one.
         previous = {
-            instance: _Predecessor(each.life)
+            instance: Predecessor(each.life)
             for instance, each in self.previous.items()
         }
         return replace(
@@ -334,17 +337,30 @@
 
     @cached_property
     def _usable(self) -> dict[str, list[Upstream]]:
-        return self._usable_with([])
+        return {
+            service: self._not_evacuated(each)
+            for service, each in self._active.items()
+        }
+
+    @cached_property
+    def _active(self) -> dict[str, list[Upstream]]:
+        return self._active_with([])
+
+    def _not_evacuated(self, upstreams: list[Upstream]) -> list[Upstream]:
+        sites = self.evacuations.sites
+        if not sites:
+            return upstreams
+        return [each for each in upstreams if each.site not in sites]
 
-    def _usable_with(self, lapsed: list[Upstream]) -> dict[str, list[Upstream]]:
+    def _active_with(self, lapsed: list[Upstream]) -> dict[str, list[Upstream]]:
         newest = {each.address: (at, each) for at, each in self._sorted(lapsed)}
-        usable: dict[str, list[Upstream]] = {}
+        active: dict[str, list[Upstream]] = {}
         for at, each in newest.values():
             is_trusted = at >= self.min_offsets.get(each.instance, at)
             leaves = each.draining or each.life in self.leaving
             if is_trusted and not leaves:
-                usable.setdefault(each.service, []).append(each)
-        return usable
+                active.setdefault(each.service, []).append(each)
+        return active
 
     def _sorted(self, lapsed: list[Upstream]) -> list[tuple[int, Upstream]]:
         """Return upstreams with their offsets, from oldest to newest."""
@@ -369,32 +385,3 @@
 
 def _only(known: Mapping[str, _Entry], names: set[str]) -> dict[str, _Entry]:
     return {name: each for name, each in known.items() if name in names}
-
-
-def _is_restart(record: UpstreamRecord, before: UpstreamRecord | None) -> bool:
-    if record.upstream is None or before is None or before.upstream is None:
-        return False
-    return record.upstream.life != before.upstream.life
-
-
-def _is_late(
-    record: UpstreamRecord,
-    before: UpstreamRecord | None,
-    previous: _Predecessor | None,
-) -> bool:
-    """Return whether a record is a late write of the previous incarnation.
-
-    A write in flight when the upstream crashed may be applied seconds later,
-    after the first entry of the next incarnation. Without this check, calls
-    would be counted for the dead incarnation until the next heartbeat. Only one
-    such record is ignored: an incarnation that writes twice is alive, and the
-    host's clock went back. A record that says "draining" is
-    never ignored: a draining upstream must not be sent requests.
-    """
-    if previous is None or not _is_restart(record, before):
-        return False
-    born = (record.upstream.born_ms, before.upstream.born_ms)
-    if None in born or record.upstream.draining:
-        return False
-    first = previous.late_offset in {None, record.offset}
-    return first and record.upstream.life == previous.life and born[0] < born[1]
