Daemons tell their peers of evacuations

A daemon that is cut off from the store would have continued to send requests to an evacuated data centre until it was reached again.

States name the newest decisions with offset and era, cancellations included, and the receiver folds them like records of the store. They are part of full states only: a change makes the next states full and is sent at once.

The test that decodes states of a previous version cuts 1, 3 and 5 fields now, as the last fields are others than before.

--- a/linnetwind/gateway_daemon.py
+++ b/linnetwind/gateway_daemon.py
@@ -146,7 +146,9 @@
             Started('gateway', str(setup.front), setup.site, self._start_id)
         )
         self._feeds.start(self._threads)
-        self._mesh.start(self._threads, self._feeds.copy)
+        self._mesh.start(
+            self._threads, self._feeds.copy, self._feeds.apply_advertised
+        )
         self._threads.repeat_forever(self._quarantines.run_round, 'quarantines')
         self._threads.repeat_forever(self._planner.run_once, 'planner')
         self._threads.accept(
--- a/linnetwind/gateway_state.py
+++ b/linnetwind/gateway_state.py
@@ -146,6 +146,8 @@
                 self._stats.pop(life)
         self._books.limits.keep_only(living)
         self._room.wake()
+        if self._upstreams.evacuations is not before.evacuations:
+            self._on_change()
         return before
 
     def merge_advertised(self, state: PeerState) -> None:
--- a/linnetwind/peer_mesh.py
+++ b/linnetwind/peer_mesh.py
@@ -122,6 +122,7 @@
         self._leaving_at: timedelta | None = None
         self._can_plan = True
         self._copies: Callable[[Topic], Records | None] = _no_copy
+        self._on_state: Callable[[PeerState], None] = _ignore_state
         self._datagrams = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._datagrams.bind((settings.own.ip, settings.own.port))
         self._listener = socket.create_server(
@@ -132,14 +133,17 @@
         self,
         threads: DaemonThreads,
         copies: Callable[[Topic], Records | None],
+        on_state: Callable[[PeerState], None],
     ) -> None:
         """Start the threads that send and receive.
 
         Args:
           threads: Starts threads.
           copies: Returns the records that this daemon has read of a topic.
+          on_state: Called with each state of a peer, once it is merged.
         """
         self._copies = copies
+        self._on_state = on_state
         self._state.call_on_change(self._changed.set)
         threads.repeat_forever(self._send_next, 'mesh-send')
         threads.repeat_forever(self._receive_next, 'mesh-hear')
@@ -258,6 +262,7 @@
             self._state.request_history.crashes.answered_to_advertise(),
             self._state.request_history.limits.to_advertise(),
             self._demands(),
+            self._state.upstreams.evacuations.to_advertise,
         )
         full = self._full_states.next_is_full(
             self._full_state_key(message), self._clock.elapsed()
@@ -302,7 +307,7 @@
             start_ids,
             rosters,
             crashes,
-            message.answered,
+            (message.answered, message.evacuations),
         )
 
     def _stopping_ms(self) -> int:
@@ -321,6 +326,7 @@
             self._state.merge_advertised(received)
             now = self._clock.elapsed()
             merge_peer_rank_crashes(self._state, received.crashes, now)
+            self._on_state(received)
 
     def _serve(self, sock: socket.socket) -> None:
         sock.settimeout(_QUERY_TIMEOUT_S)
@@ -335,5 +341,9 @@
             send_frame(sock, _CODEC.encode(reply))
 
 
+def _ignore_state(state: PeerState) -> None:
+    """Do nothing, until the daemon's followers are set."""
+
+
 def _no_copy(topic: Topic) -> Records | None:
     """Return no records, until the daemon's followers are set."""
--- a/linnetwind/peers/peer_wire.py
+++ b/linnetwind/peers/peer_wire.py
@@ -8,9 +8,9 @@
 
 Therefore upstream incarnations are sent as numeric tags that both ends derive
 from the list of upstreams; a daemon that does not know an incarnation sends it
-no requests either. Daemon addresses, the ranks of a group and crashes are only
-part of full states, which are sent for some time after a change and now and
-then.
+no requests either. Daemon addresses, the ranks of a group, crashes and
+evacuations are only part of full states, which are sent for some time after a
+change and now and then.
 """
 
 import struct
@@ -32,6 +32,7 @@
     UpstreamIncarnation,
     tag_incarnation,
 )
+from linnetwind.upstreams.evacuation import Evacuation
 from linnetwind.upstreams.upstream_limits import AdvertisedLimit, ServiceDemand
 
 _TAG_BYTES = 4
@@ -90,11 +91,12 @@
     answered: tuple[Fingerprint, ...] = ()
     limits: tuple[AdvertisedLimit, ...] = ()
     demands: tuple[ServiceDemand, ...] = ()
+    evacuations: tuple[Evacuation, ...] = ()
 
 
 _CODEC = Codec((_WireState,))
 # The fields that are empty unless the state is full.
-_ONLY_IN_FULL = frozenset(('members', 'crashes', 'answered'))
+_ONLY_IN_FULL = frozenset(('members', 'crashes', 'answered', 'evacuations'))
 # The fields that are sent unchanged; the others are converted one by one.
 _SAME_IN_STATES = tuple(
     field.name
--- a/linnetwind/peers/peer_wire_test.py
+++ b/linnetwind/peers/peer_wire_test.py
@@ -27,6 +27,7 @@
     UpstreamIncarnation,
     tag_incarnation,
 )
+from linnetwind.upstreams.evacuation import Evacuation
 from linnetwind.upstreams.upstream_limits import AdvertisedLimit, ServiceDemand
 
 SECOND = timedelta(seconds=1)
@@ -82,13 +83,38 @@
     assert StateReader().read(content, KNOWN).crashes == ()
 
 
-def test_a_state_of_the_previous_version_is_decoded():
+@pytest.mark.parametrize('newer_fields', [1, 3, 5])
+def test_a_state_of_a_previous_version_is_decoded(newer_fields):
     # While a new version is rolled out, both run side by side.
     tag, *values = cbor2.loads(pack_state(_state(), full=True))
-    before = cbor2.dumps([tag, *values[:-4]])
+    before = cbor2.dumps([tag, *values[:-newer_fields]])
     assert StateReader().read(before, KNOWN) == _state()
 
 
+def test_a_state_of_the_next_version_is_decoded():
+    tag, *values = cbor2.loads(pack_state(_state(), full=True))
+    after = cbor2.dumps([tag, *values, [[1, 2]]])
+    assert StateReader().read(after, KNOWN) == _state()
+
+
+def test_evacuations_are_part_of_full_states():
+    evacuations = (
+        Evacuation('qro-centro', active=True, offset=12, era=1),
+        Evacuation('qro-norte', active=False, offset=-1),
+    )
+    state = _state(evacuations=evacuations)
+    full = pack_state(state, full=True)
+    assert StateReader().read(full, KNOWN) == state
+    assert len(pack_state(state, full=False)) < 1_200
+
+
+def test_a_state_without_evacuations_grows_by_a_few_bytes():
+    """Guards against a load on the links of fleets that never evacuate."""
+    content = pack_state(_state(), full=True)
+    tag, *values = cbor2.loads(content)
+    assert len(content) - len(cbor2.dumps([tag, *values[:-1]])) <= 3
+
+
 def test_limits_are_part_of_every_state():
     limit = AdvertisedLimit(IncarnationTag(7), 2.5, 40)
     removed_limit = AdvertisedLimit(IncarnationTag(8), None, 40)
