Requests on their way follow an evacuation

Requests that were chosen an upstream before an evacuation was read could still be sent there, and a service without any other data centre made its callers wait.

Requests that waited for a limit, a backoff or a permit are chosen an upstream anew. Running streams end where they are.

--- a/linnetwind/admission/admission_policy.py
+++ b/linnetwind/admission/admission_policy.py
@@ -43,7 +43,8 @@
     streams may run then to find out whether one can. `reserved` of the free
     permits are left to streams that can be in time. `is_backoff` says that the
     group is healthy but all its ranks have asked for a backoff until
-    `opens_in`, which is exact then and no estimate.
+    `opens_in`, which is exact then and no estimate. `is_evacuated` says that
+    all ranks are in evacuated data centres.
     """
 
     free: int
@@ -53,6 +54,7 @@
     reserved: int = 0
     probes: int = 0
     is_backoff: bool = False
+    is_evacuated: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,6 +97,9 @@
 # The decision on a queued stream when the daemon stops before the stream could
 # end. The shutdown, not this module, determines when its caller may retry.
 STOPPING = RejectStream(timedelta(), 'the daemon is stopping')
+# No one knows when an operator cancels an evacuation. The caller has one more
+# try, which comes as late as possible.
+EVACUATED = RejectStream(MAX_RETRY_AFTER, 'all data centres are evacuated')
 
 
 def decide_admission(
@@ -109,6 +114,8 @@
     Returns:
       The decision.
     """
+    if view.is_evacuated:
+        return EVACUATED
     if view.opens_in is not None:
         if view.probes > stream.ahead:
             return AdmitStream()
--- a/linnetwind/gateway_state.py
+++ b/linnetwind/gateway_state.py
@@ -7,6 +7,7 @@
 import random
 import threading
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 from datetime import timedelta
 
 from linnetwind.address import Address
@@ -214,13 +215,16 @@
             self._books.backoffs,
         )
         peer_table = self._peer_table
-        return self._room.view(
+        view = self._room.view(
             service,
             gap,
             counts,
             peer_table.live(now),
             peer_table.min_send_interval,
         )
+        return replace(
+            view, is_evacuated=self._upstreams.is_evacuated(service.name, now)
+        )
 
     def acquire_upstream(
         self, service: RoutedService, tried: frozenset[str]
--- a/linnetwind/gateway_state_test.py
+++ b/linnetwind/gateway_state_test.py
@@ -14,6 +14,7 @@
 from standins.gateway_fixtures import (
     MS,
     SECOND,
+    evacuate,
     make_engine,
     make_peer,
     make_upstream,
@@ -167,3 +168,21 @@
     assert state.requests_in_flight('plain') == 0
     state.merge_advertised(_peer({entry.life: 2}, counter=2))
     assert state.requests_in_flight('plain') == 2
+
+
+def test_ranks_of_an_evacuated_data_centre_get_no_streams(state):
+    # The group continues to pass through all its ranks.
+    ranks = [
+        make_upstream(name, port, 'model', site=name)
+        for port, name in enumerate('ab', 80)
+    ]
+    _register(state, 1, *ranks)
+    state.merge_advertised(_peer({}, _summary('g', *(r.life for r in ranks))))
+    evacuate(state, 'a')
+    acquired = [state.acquire_upstream(MODEL, frozenset()) for _call in 'abc']
+    assert acquired == [ranks[1]] * 3
+    assert not state.group_view(MODEL, 120 * MS).is_evacuated
+    evacuate(state, 'b')
+    assert state.group_view(MODEL, 120 * MS).is_evacuated
+    assert state.acquire_upstream(MODEL, frozenset()) is None
+    assert state.acquire_reservation(MODEL, frozenset(), SECOND) is None
--- a/linnetwind/group_wait.py
+++ b/linnetwind/group_wait.py
@@ -53,11 +53,15 @@
       context: The request.
 
     Returns:
-      The expected time; None if a group is open, and always for a plain
-      service.
+      The expected time; None if a group is open, or if all data centres of the
+      service are evacuated, and always for a plain service.
     """
     if context.service.engine is None:
         return None
+    now = tools.clock.elapsed()
+    if tools.state.upstreams.is_evacuated(context.service.name, now):
+        # No group that opens would be sent streams: the request is refused.
+        return None
     return tools.state.stream_admission.opens_in(context.service.name)
 
 
--- a/linnetwind/peer_mesh_test.py
+++ b/linnetwind/peer_mesh_test.py
@@ -12,7 +12,7 @@
 from linnetwind.peers.peer_wire import StateReader
 from linnetwind.shared_retry_budget import RetryBudgetTerms
 from linnetwind.upstreams.evacuation import Evacuation
-from standins.gateway_fixtures import make_peer
+from standins.gateway_fixtures import evacuate, make_peer
 
 ANY_PORT = Address('127.0.0.1', 0)
 SECOND = timedelta(seconds=1)
@@ -64,11 +64,7 @@
         changes = []
         state.call_on_change(lambda: changes.append(state.upstreams))
         decision = Evacuation('site', active=True, offset=5)
-        state.change_upstreams(
-            lambda known: known.replace_evacuations(
-                known.evacuations.fold_records([decision])
-            )
-        )
+        evacuate(state, 'site', offset=5)
         assert len(changes) == 1
         mesh.advertise_now()
         told = [
--- a/linnetwind/upstream_acquisition.py
+++ b/linnetwind/upstream_acquisition.py
@@ -3,6 +3,7 @@
 import threading
 from datetime import timedelta
 
+from linnetwind.admission.admission_policy import EVACUATED
 from linnetwind.request_context import GatewayContext, RequestContext
 from linnetwind.upstreams.upstream_list import Upstream
 
@@ -28,8 +29,8 @@
     upstream = journey.acquired or _acquire(tools, journey)
     journey.acquired = None
     while upstream is not None and not _accepts_requests(tools, upstream):
-        # It started to drain, or requested a backoff, while the request
-        # waited.
+        # It started to drain, requested a backoff, or was evacuated while the
+        # request waited.
         tools.state.release_upstream(upstream)
         upstream = _acquire(tools, journey)
     return upstream
@@ -47,6 +48,9 @@
     Returns:
       The time until an upstream should accept it.
     """
+    now = tools.clock.elapsed()
+    if tools.state.upstreams.is_evacuated(journey.service.name, now):
+        return EVACUATED.retry_after
     limits = tools.state.request_history.limits
     wait = _backoff_of_all(tools, journey)
     if not wait and limits.any_known:
--- a/linnetwind/upstream_acquisition_test.py
+++ b/linnetwind/upstream_acquisition_test.py
@@ -6,6 +6,7 @@
 import pytest
 
 from linnetwind.address import Address
+from linnetwind.admission.admission_policy import MAX_RETRY_AFTER
 from linnetwind.clock import ManualClock
 from linnetwind.gateway_state import GatewayState
 from linnetwind.routes import RoutedService
@@ -16,7 +17,13 @@
     time_until_accepted,
 )
 from linnetwind.upstreams.upstream_list import UpstreamRecord
-from standins.gateway_fixtures import MS, SECOND, make_route, make_upstream
+from standins.gateway_fixtures import (
+    MS,
+    SECOND,
+    evacuate,
+    make_route,
+    make_upstream,
+)
 
 PLAIN = RoutedService('plain', '/health', 96, None)
 PER_S = 4
@@ -129,6 +136,32 @@
     assert waits.claim() == other
 
 
+@pytest.mark.parametrize('waits_for', ['limit', 'backoff'])
+def test_a_request_that_waited_is_not_sent_to_an_evacuated_upstream(
+    waits, waits_for
+):
+    """Guards against an evacuation that starts between choice and sending."""
+    if waits_for == 'limit':
+        _use_up_limit(waits.state)
+    else:
+        backoffs = waits.state.request_history.backoffs
+        backoffs.record_backoff(FIRST.life, 300 * MS)
+    waits.change = lambda: evacuate(waits.state, FIRST.site)
+    assert waits.claim() is None
+    assert waits.waited == 1
+    assert time_until_accepted(waits, waits.journey) == MAX_RETRY_AFTER
+
+
+def test_a_request_that_was_admitted_leaves_an_evacuated_upstream(waits):
+    """Guards against streams that keep the rank they were admitted to."""
+    other = make_upstream('other', 81, site='other')
+    waits.journey.acquired = waits.state.acquire_upstream(PLAIN, frozenset())
+    _register(waits.state, 1, other)
+    evacuate(waits.state, FIRST.site)
+    assert waits.claim() == other
+    assert waits.state.running == {other.life: 1}
+
+
 def test_a_request_waits_for_a_backoff_that_ends_soon(waits):
     waits.state.request_history.backoffs.record_backoff(FIRST.life, 300 * MS)
     assert waits.claim() == FIRST
--- a/linnetwind/upstream_attempt.py
+++ b/linnetwind/upstream_attempt.py
@@ -70,6 +70,14 @@
             return FailedAttempt(
                 call.problem, may_have_run=False, reached=False
             )
+        if self._is_evacuated():
+            # The evacuation was requested while the connection was opened.
+            call.close()
+            return FailedAttempt(
+                'the data centre is evacuated',
+                may_have_run=False,
+                reached=False,
+            )
         self._context.sent_to.append(self._upstream.instance)
         self._context.current_upstream = self._upstream
         try:
@@ -79,6 +87,10 @@
         self._record_end(call, result, started_at)
         return result
 
+    def _is_evacuated(self) -> bool:
+        evacuations = self._tools.state.upstreams.evacuations
+        return self._upstream.site in evacuations.sites
+
     def _record_end(
         self,
         call: UpstreamCall,
--- a/standins/gateway_fixtures.py
+++ b/standins/gateway_fixtures.py
@@ -17,6 +17,7 @@
     WeightedService,
     order_routes,
 )
+from linnetwind.upstreams.evacuation import Evacuation
 from linnetwind.upstreams.upstream_list import Upstream
 
 SECOND = timedelta(seconds=1)
@@ -130,3 +131,13 @@
         'groups': (),
     }
     return PeerState(name=name, **{**fields, **changes})
+
+
+def evacuate(state, site, *, offset=0, active=True):
+    """Apply an evacuation, or its cancellation, to the state of a gateway."""
+    decision = Evacuation(site, active, offset)
+    state.change_upstreams(
+        lambda known: known.replace_evacuations(
+            known.evacuations.fold_records([decision])
+        )
+    )
--- a/standins/gateway_harness.py
+++ b/standins/gateway_harness.py
@@ -85,13 +85,15 @@
         self._upstreams: list[ScriptedUpstream] = []
         serve_in_threads(self._listener, self._serve)
 
-    def add(self, script, service='plain', port=None) -> ScriptedUpstream:
+    def add(
+        self, script, service='plain', port=None, site='site'
+    ) -> ScriptedUpstream:
         """Register an upstream that does as the script says."""
         upstream = ScriptedUpstream(script)
         offset = len(self._upstreams)
         self._upstreams.append(upstream)
         entry = make_upstream(
-            f'i-{offset}', port or upstream.port, service=service
+            f'i-{offset}', port or upstream.port, service=service, site=site
         )
         self.state.change_upstreams(
             lambda known: known.fold_records(
