--- a/linnetwind/cmd_status.py
+++ b/linnetwind/cmd_status.py
@@ -30,11 +30,12 @@
 EXIT_BAD_FILE = 2
 
 _TIMEOUT_SECONDS = 2
-_SHOWN_METRICS = (
+SHOWN_METRICS = (
     'linnetwind_config_revision',
     'linnetwind_config_version',
     'linnetwind_running',
     'linnetwind_dependency_away',
+    'linnetwind_evacuated',
     'linnetwind_bad_records_total',
     'linnetwind_bad_answers_total',
 )
@@ -71,8 +72,9 @@
 
     With --metrics, also show for each of these daemons the configuration in
     force, the requests running at its upstreams, the unavailable dependencies,
-    and the number of malformed records and responses received. Exit codes: 0
-    shown, 4 the log service or a daemon did not respond.
+    the evacuated data centres, and the number of malformed records and
+    responses received. Exit codes: 0 shown, 4 the log service or a daemon did
+    not respond.
     """
     if log_service is not None:
         _show_state(log_service)
@@ -167,7 +169,7 @@
     finally:
         connection.close()
     for line in text.splitlines():
-        if line.startswith(_SHOWN_METRICS):
+        if line.startswith(SHOWN_METRICS):
             yield f'{address}: {line}'
 
 
--- a/linnetwind/evacuation_feed_test.py
+++ b/linnetwind/evacuation_feed_test.py
@@ -7,12 +7,14 @@
 
 from linnetwind.address import Address
 from linnetwind.clock import ManualClock
+from linnetwind.cmd_status import SHOWN_METRICS
 from linnetwind.gateway_events import (
     BadRecord,
     EvacuationChanged,
     EvacuationUnknown,
 )
 from linnetwind.gateway_feeds import FeedPorts, GatewayFeeds
+from linnetwind.gateway_metrics import GatewayMetrics
 from linnetwind.gateway_state import GatewayState
 from linnetwind.record_store import (
     KeyedRecord,
@@ -142,6 +144,18 @@
     ]
 
 
+def test_a_metric_says_which_data_centres_are_evacuated(store):
+    daemon, metrics = Daemon(store), GatewayMetrics()
+    for write in (EVACUATE, CANCEL):
+        store.writes.append(write)
+        daemon.read()
+        metrics.observe(daemon.log.of(EvacuationChanged)[-1])
+        evacuated = float(write == EVACUATE)
+        line = f'linnetwind_evacuated{{site="b"}} {evacuated}'
+        assert line in metrics.render().decode()
+        assert line.startswith(SHOWN_METRICS)
+
+
 def test_a_daemon_that_restarts_follows_an_evacuation_at_once(store):
     """Guards against requests there after all hosts have lost power."""
     store.writes.insert(0, EVACUATE)
--- a/linnetwind/gateway_metrics.py
+++ b/linnetwind/gateway_metrics.py
@@ -24,6 +24,7 @@
     ConfigurationApplied,
     DependencyBack,
     DependencyLost,
+    EvacuationChanged,
     MapPlanned,
     MapStep,
     OrderFailed,
@@ -57,6 +58,7 @@
         self._dropped = self._counter('log_lines_dropped', 'Lines.')
         self._lost = self._counter('dependency_lost', 'Outages.', 'dependency')
         self._away = self._gauge('dependency_away', 'Away now.', 'dependency')
+        self._evacuated = self._gauge('evacuated', 'In force.', 'site')
         self._version = self._gauge('config_version', 'In force.')
         self._first = self._histogram('first_byte_seconds', _LATENCIES)
         self._whole = self._histogram('request_seconds', _LATENCIES)
@@ -79,6 +81,8 @@
                 self._stage.observe(event.took.total_seconds())
             case ConfigurationApplied():
                 self._version.set(event.version)
+            case EvacuationChanged():
+                self._evacuated.labels(event.site).set(event.evacuated)
             case DependencyLost():
                 self._lost.labels(event.dependency).inc()
                 self._away.labels(event.dependency).set(1)
