`linnetwind evacuate` in the own interface

Operators of the project's own interface had to name each upstream of a data centre under `drained`, and publish again to bring them back.

`linnetwind evacuate NAME` and `--cancel` publish a part of their own with the operator and the time, like other changes. Publishing the files doesn't touch it. The upstreams of an evacuated site count as drained at all sites. A name that the configuration lacks is refused with those that exist, and the files can't remove an evacuated site. `status` shows the evacuations.

Daemons of an older version reject this part, so a fleet is upgraded first.

--- a/linnetwind/cli.py
+++ b/linnetwind/cli.py
@@ -4,6 +4,7 @@
 
 from linnetwind.cmd_config import check, publish
 from linnetwind.cmd_daemons import entry, side
+from linnetwind.cmd_evacuate import evacuate
 from linnetwind.cmd_status import explain, status
 
 app = typer.Typer(
@@ -15,5 +16,6 @@
 app.command()(side)
 app.command()(check)
 app.command()(publish)
+app.command()(evacuate)
 app.command()(status)
 app.command()(explain)
--- a/linnetwind/cmd_config.py
+++ b/linnetwind/cmd_config.py
@@ -28,7 +28,7 @@
 EXIT_CONFLICT = 3
 EXIT_UNAVAILABLE = 4
 
-_RETRY_SECONDS = 0.2
+RETRY_SECONDS = 0.2
 
 Folder = Annotated[
     Path,
@@ -96,8 +96,8 @@
         revision = state.unwrap().revision
         typer.echo(f'revision {revision}: nothing to change')
         return
-    delays = repeat(_RETRY_SECONDS, ceil(wait / _RETRY_SECONDS))
-    _report_verdict(
+    delays = repeat(RETRY_SECONDS, ceil(wait / RETRY_SECONDS))
+    report_verdict(
         publish_once(log, state.unwrap(), change, delays, time.sleep)
     )
 
@@ -120,9 +120,17 @@
     return Address(ip, int(port))
 
 
-def _report_verdict(
+def report_verdict(
     verdict: Accepted | Conflict | Invalid | Unresolved,
 ) -> None:
+    """Show the verdict on a publish, and exit unless it was accepted.
+
+    Args:
+      verdict: The verdict.
+
+    Raises:
+      Exit: The publish was refused, or its verdict is not known.
+    """
     match verdict:
         case Accepted(revision=revision):
             typer.echo(f'accepted as revision {revision}')
--- a/linnetwind/cmd_status.py
+++ b/linnetwind/cmd_status.py
@@ -126,6 +126,11 @@
         yield f'  {part.name}: changed by revision {part.revision}'
     if state.deployment is None:
         return
+    for each in state.deployment.evacuated:
+        yield (
+            f'site {each.site}: evacuated by {each.operator} '
+            f'at {each.requested_at}'
+        )
     base = state.deployment.base
     drained = set(base.drained)
     for overlay in state.deployment.overlays:
--- a/linnetwind/config.py
+++ b/linnetwind/config.py
@@ -178,9 +178,25 @@
     drained: tuple[Name, ...] = ()
 
 
+@dataclass(frozen=True)
+class EvacuatedSite:
+    """A site that is sent no requests, and who requested that when.
+
+    `requested_at` is a time in ISO format by the clock of the operator's host.
+    """
+
+    site: Name
+    operator: str
+    requested_at: str
+
+
 @dataclass(frozen=True)
 class Deployment:
-    """A base with the overlays of all sites, as one revision."""
+    """A base with the overlays of all sites, as one revision.
+
+    `evacuated` is published apart from the operators' files.
+    """
 
     base: Base
     overlays: tuple[Overlay, ...] = ()
+    evacuated: tuple[EvacuatedSite, ...] = ()
--- a/linnetwind/config_fold.py
+++ b/linnetwind/config_fold.py
@@ -30,6 +30,7 @@
 CONFIG_STREAM = 'config'
 BASE_PART = 'base'
 OVERLAY_PREFIX = 'overlay/'
+EVACUATED_PART = 'evacuated'
 
 
 @dataclass(frozen=True, slots=True)
@@ -168,7 +169,8 @@
       deployment: The base and the overlays.
 
     Returns:
-      A document for the base and one for each overlay.
+      A document for the base and one for each overlay; none for the
+      evacuations, which are not changed with the operators' files.
     """
     plain = msgspec.to_builtins(deployment)
     documents = {BASE_PART: pack_part(plain['base'])}
@@ -368,6 +370,8 @@
             plain = None
         if part.name == BASE_PART:
             deployment['base'] = plain
+        elif part.name == EVACUATED_PART:
+            deployment['evacuated'] = plain
         else:
             deployment['overlays'].append(plain)
     return deployment_from_plain(deployment)
--- a/linnetwind/config_loader.py
+++ b/linnetwind/config_loader.py
@@ -21,6 +21,7 @@
 OVERLAY_FOLDER = 'overlays'
 
 _BASE = 'base'
+_EVACUATED = 'evacuated'
 
 Loaded = TypeVar('Loaded')
 
@@ -104,6 +105,9 @@
         errors.extend(_overlay_errors(deployment.base, overlay))
     sites = (part.site for part in deployment.overlays)
     errors.extend(_duplicates('overlays', 'site', sites))
+    known = [site.name for site in deployment.base.sites]
+    evacuated = [each.site for each in deployment.evacuated]
+    errors.extend(_dangling(_EVACUATED, 'site', evacuated, known, 'site'))
     return errors
 
 
--- a/linnetwind/config_merge.py
+++ b/linnetwind/config_merge.py
@@ -17,7 +17,8 @@
     Customer limits and routing settings of an overlay apply at its own site
     only. Drained upstreams and placement settings of every overlay apply at
     all sites: requests from other sites must not be routed to a drained
-    upstream either, and a placement names exactly one group.
+    upstream either, and a placement names exactly one group. The upstreams of
+    an evacuated site count as drained.
 
     Args:
       deployment: The base and all overlays.
@@ -26,7 +27,7 @@
     Returns:
       The base, with the values of the overlays replacing its own.
     """
-    base = deployment.base
+    base = _drain_evacuated(deployment)
     for overlay in deployment.overlays:
         base = _apply_global(base, overlay)
         if overlay.site == site:
@@ -34,6 +35,18 @@
     return base
 
 
+def _drain_evacuated(deployment: Deployment) -> Base:
+    base = deployment.base
+    sites = {each.site for each in deployment.evacuated}
+    evacuated = (
+        upstream.name
+        for service in base.services
+        for upstream in service.upstreams
+        if upstream.site in sites
+    )
+    return replace(base, drained=(*base.drained, *evacuated))
+
+
 def _apply_global(base: Base, overlay: Overlay) -> Base:
     settings = {
         override.group: override.placement for override in overlay.placements
