--- a/linnetwind/admission/admission_policy.py
+++ b/linnetwind/admission/admission_policy.py
@@ -66,7 +66,8 @@
     `free_by_class` counts the permits for each of `rates`. `late_free` counts
     the permits in groups with a slow rank, for streams that cannot be in time.
     A rejected caller should not retry before `recovers_in`, when such a group
-    should be well again.
+    should be well again. `is_evacuated` says that all ranks are in evacuated
+    data centres.
     """
 
     free: int
@@ -76,6 +77,7 @@
     reserved: int = 0
     probes: int = 0
     is_backoff: bool = False
+    is_evacuated: bool = False
     rates: tuple[ClassRate, ...] = ()
     free_by_class: tuple[int, ...] = ()
     late_free: int = 0
@@ -137,6 +139,9 @@
 # The decision on a queued stream when the daemon stops before the stream could
 # end. The shutdown, not this module, determines when its caller may retry.
 STOPPING = RejectStream(timedelta(), 'the daemon is stopping')
+# No one knows when an operator cancels an evacuation. The caller has one more
+# try, which comes as late as possible.
+EVACUATED = RejectStream(MAX_RETRY_AFTER, 'all data centres are evacuated')
 
 
 def decide_admission(
@@ -151,6 +156,8 @@
     Returns:
       The decision.
     """
+    if view.is_evacuated:
+        return EVACUATED
     if view.opens_in is not None:
         if view.probes > stream.ahead:
             return AdmitStream()
