Decode the cold time of services and the bound for cold upstreams

Nothing read how many requests an upstream handles while it is cold. A service of the configuration now has its cold time and the requests a second in that time, and the settings of a daemon hold the bound that all daemons together keep to. Missing fields mean no limit; a bound of which only one number is stated holds, and the other one adds nothing.

linnetwind/platform/table_format_test.py and settings_test.py pass.

--- a/linnetwind/gateway_setup.py
+++ b/linnetwind/gateway_setup.py
@@ -10,6 +10,7 @@
 from linnetwind.gateway_feeds import FeedPorts
 from linnetwind.rank_types import RankPort
 from linnetwind.shared_retry_budget import RetryBudgetTerms
+from linnetwind.upstreams.cold_allowance import ColdTolerance
 from linnetwind.upstreams.upstream_list import Upstream
 
 
@@ -20,7 +21,8 @@
     `front` is the address for callers, `mesh` the address for peers, and
     `seeds` are the addresses of the first peers. `stop_within` is the grace
     period: the time from SIGTERM until the process is killed. `power` is the
-    capacity of the host relative to other hosts, in any unit.
+    capacity of the host relative to other hosts, in any unit. `cold_tolerance`
+    is None if requests to cold upstreams are not limited.
     """
 
     name: str
@@ -33,6 +35,7 @@
     stop_within: timedelta
     retry_terms: RetryBudgetTerms
     power: int = 0
+    cold_tolerance: ColdTolerance | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/linnetwind/platform/entry.py
+++ b/linnetwind/platform/entry.py
@@ -55,4 +55,5 @@
         stop_within=settings.stop_within,
         retry_terms=settings.retry_terms,
         power=settings.power,
+        cold_tolerance=settings.cold_tolerance,
     )
--- a/linnetwind/platform/settings.py
+++ b/linnetwind/platform/settings.py
@@ -8,6 +8,7 @@
 
 from linnetwind.address import Address, parse_address
 from linnetwind.shared_retry_budget import RetryBudgetTerms
+from linnetwind.upstreams.cold_allowance import ColdTolerance
 
 _SETTINGS_VARIABLE = 'LINNETWIND_CONFIG'
 
@@ -22,6 +23,7 @@
     is the first port for messages between daemons; these ports are the same on
     all hosts. `repeats` limits retries. `power` is the host's link in Mbit/s
     times the number of cores that the daemon may use, 0 if not stated.
+    `cold_tolerance` is None if requests to cold upstreams are not limited.
     """
 
     name: str
@@ -38,6 +40,7 @@
     drain_within: timedelta
     retry_terms: RetryBudgetTerms
     power: int
+    cold_tolerance: ColdTolerance | None = None
 
 
 def read_settings() -> HostSettings:
@@ -88,6 +91,7 @@
             float(bounds['retryAllowance']),
         ),
         power=_host_power(fields.get('limits') or {}),
+        cold_tolerance=_cold_tolerance(bounds),
     )
 
 
@@ -97,5 +101,20 @@
     return int(cores * limits.get('linkMbps', 0))
 
 
+def _cold_tolerance(bounds: dict[str, Any]) -> ColdTolerance | None:
+    """Return the bound on requests to cold upstreams, None if none is stated.
+
+    If only one of the two numbers is stated, the other one adds nothing.
+    """
+    overage = bounds.get('coldOverage')
+    slack = bounds.get('coldSlack')
+    if overage is None and slack is None:
+        return None
+    return ColdTolerance(
+        1 if overage is None else float(overage),
+        0 if slack is None else float(slack),
+    )
+
+
 def _optional_address(text: str | None) -> Address | None:
     return parse_address(text) if text else None
--- a/linnetwind/platform/table_format.py
+++ b/linnetwind/platform/table_format.py
@@ -43,6 +43,10 @@
 _BITS_PER_MEGABIT_MS = 1_000
 _THOUSAND = 1_000
 _DEFAULT_TARGET_GAP_MS = 1_000
+# One day. A service that needs longer to warm up has other problems, and
+# larger numbers overflow `timedelta`.
+_MAX_COLD_S = 86_400
+_ColdSeconds = Annotated[float, Meta(ge=0, le=_MAX_COLD_S)]
 
 
 class _WeightedShare(Struct):
@@ -117,6 +121,8 @@
     health_check: str | None = None
     max_connections: NonNegativeInteger | None = None
     engine: _Engine | None = None
+    cold_s: _ColdSeconds | None = None
+    cold_per_s: NonNegativeFloat | None = None
 
 
 class _Table(Struct):
@@ -214,6 +220,8 @@
         health_path=service.health_check or '',
         max_connections=service.max_connections or 0,
         engine=None if engine is None else _to_engine(engine),
+        cold_time=timedelta(seconds=service.cold_s or 0),
+        cold_per_s=service.cold_per_s or 0,
     )
 
 
--- a/linnetwind/platform/table_format_test.py
+++ b/linnetwind/platform/table_format_test.py
@@ -1,6 +1,7 @@
 """Tests of decoding valid, malformed and almost valid configurations."""
 
 import json
+from datetime import timedelta
 
 import pytest
 from hypothesis import given, settings
@@ -53,6 +54,14 @@
     assert engine.copy_ms == pytest.approx(111.1, abs=0.1)
 
 
+def test_the_cold_time_of_a_service_is_decoded():
+    cold = {'name': 'plain', 'coldS': 2.5, 'coldPerS': 12}
+    table = _table({**TABLE, 'services': [cold, {'name': 'model'}]})
+    plain, model = table.services['plain'], table.services['model']
+    assert (plain.cold_time, plain.cold_per_s) == (timedelta(seconds=2.5), 12)
+    assert (model.cold_time, model.cold_per_s) == (timedelta(), 0)
+
+
 def _changed_route(**changes):
     route = {**TABLE['routes'][0], **changes}
     return {key: found for key, found in route.items() if found is not MISSING}
@@ -67,6 +76,18 @@
         ('tenants', {**TABLE, 'tenants': {}}),
         ('limits.headerBytes', {**TABLE, 'limits': {}}),
         ('tenants[0].apiKeys', {**TABLE, 'tenants': [{'name': 'c'}]}),
+        *(
+            (
+                f'services[0].{field}',
+                {**TABLE, 'services': [{'name': 'plain', field: bad}]},
+            )
+            for field, bad in (
+                ('coldS', -1),
+                ('coldS', 1e300),
+                ('coldPerS', -1),
+                ('coldPerS', '4'),
+            )
+        ),
         *(
             (
                 f'routes[0].{field}',
--- a/linnetwind/routes.py
+++ b/linnetwind/routes.py
@@ -87,12 +87,18 @@
 
 @dataclass(frozen=True, slots=True)
 class RoutedService:
-    """A service that routes refer to; `engine` is None for a plain service."""
+    """A service that routes refer to; `engine` is None for a plain service.
+
+    An upstream is cold for `cold_time` after its start. While it is cold, it
+    handles `cold_per_s` requests a second. Zero means no such limit.
+    """
 
     name: str
     health_path: str
     max_connections: int
     engine: EngineProfile | None
+    cold_time: timedelta = timedelta()
+    cold_per_s: float = 0
 
 
 @dataclass(frozen=True, slots=True)
