Limit the requests to cold upstreams

Nothing limited what a cold upstream is sent. A daemon now knows how long each incarnation stays cold, by its registration, its start time, its first record during traffic and its peers, and sends it at most its quota within any 1.3 s; connecting takes up to 0.25 s of that. A limit that the upstream names holds as well.

The quotas are whole numbers that add up to the bound less a reserve. They depend only on the names of the daemons, not on their demand: two halves that do not hear each other would both claim the part of the other by old figures. A silent daemon counts for 10 minutes unless it said that it leaves. A daemon that has just started sends nothing to cold upstreams until no further peers become known, and one that hears none sends one at a time.

The check and the count of a request are now under one lock; two requests at once could both use the last one that a limit allows.

--- a/linnetwind/gateway_daemon.py
+++ b/linnetwind/gateway_daemon.py
@@ -34,6 +34,7 @@
 from linnetwind.routes import CallerLimits
 from linnetwind.stop_signals import StopSignals
 from linnetwind.upstream_call import open_call
+from linnetwind.upstreams.cold_allowance import ColdBound
 from linnetwind.upstreams.upstream_list import Upstream
 
 # The caller connections that are served at once, with a thread for each.
@@ -97,7 +98,14 @@
         self._metrics = GatewayMetrics()
         log.observe_with(self._metrics.observe)
         self._threads = DaemonThreads(log)
-        self._state = GatewayState(clock, setup.mesh, setup.retry_terms)
+        self._state = GatewayState(
+            clock,
+            setup.mesh,
+            setup.retry_terms,
+            ColdBound(
+                setup.cold_tolerance, bool(set(setup.seeds) - {setup.mesh})
+            ),
+        )
         mesh = MeshSettings(
             setup.name,
             setup.site,
--- a/linnetwind/gateway_state.py
+++ b/linnetwind/gateway_state.py
@@ -21,6 +21,7 @@
 from linnetwind.shared_retry_budget import RetryBudgetTerms
 from linnetwind.upstream_backoff import UpstreamBackoffs
 from linnetwind.upstream_incarnation import UpstreamIncarnation
+from linnetwind.upstreams.cold_allowance import NO_COLD_BOUND, ColdBound
 from linnetwind.upstreams.upstream_choice import (
     UpstreamStats,
     choose_group,
@@ -44,7 +45,11 @@
     """The shared state; every method may be called from any thread."""
 
     def __init__(
-        self, clock: Clock, own: Address, terms: RetryBudgetTerms
+        self,
+        clock: Clock,
+        own: Address,
+        terms: RetryBudgetTerms,
+        bound: ColdBound = NO_COLD_BOUND,
     ) -> None:
         """Start without configuration, upstreams and peers.
 
@@ -52,6 +57,7 @@
           clock: The daemon's clock.
           own: The address at which peers reach this daemon.
           terms: The terms of the shared retry budget.
+          bound: The bound for cold upstreams.
         """
         self._clock = clock
         self._lock = threading.Lock()
@@ -62,7 +68,7 @@
         self._timeouts_checked_at = timedelta()
         self._stats: dict[UpstreamIncarnation, UpstreamStats] = {}
         self._books = make_request_history(
-            terms, clock, lambda: self._peer_table
+            terms, clock, lambda: self._peer_table, bound
         )
         self._room = StreamAdmission(clock)
         self._expiry_checked_at = timedelta()
@@ -123,7 +129,8 @@
             if self._table is not None and table.version <= self._table.version:
                 return False
             self._table = table
-            return True
+        self._books.cold.apply_services(table.services)
+        return True
 
     def change_upstreams(
         self, change: Callable[[UpstreamList], UpstreamList]
@@ -144,6 +151,8 @@
             living = self._upstreams.incarnations()
             for life in self._stats.keys() - living:
                 self._stats.pop(life)
+            self._books.cold.observe_list(before, self._upstreams)
+            self._books.cold.keep_only(living)
         self._books.limits.keep_only(living)
         self._room.wake()
         return before
@@ -233,12 +242,13 @@
           The upstream, or None if none accepts a request at once. The caller
           ends the count with `release_upstream`.
         """
-        usable = self._books.limits.within_limit(
-            self.candidates(service, tried)
-        )
+        candidates = self.candidates(service, tried)
         counts = self._counts()
         slow = self._room.slow(service.name)
         with self._lock:
+            # Checked and counted under one lock; otherwise two requests at once
+            # would both use the last one that a limit allows.
+            usable = self._books.limits.within_limit(candidates)
             if service.engine is None:
                 now = self._clock.elapsed()
                 chosen = choose_plain(usable, counts, self._stats, now)
--- a/linnetwind/request_history.py
+++ b/linnetwind/request_history.py
@@ -5,10 +5,18 @@
 
 from linnetwind.clock import Clock
 from linnetwind.crash_tracker import CrashTracker
-from linnetwind.peers.peer_table import PeerState, PeerTable, demands_of
+from linnetwind.peers.peer_table import (
+    PEER_EXPIRY,
+    PeerState,
+    PeerTable,
+    demands_of,
+)
 from linnetwind.refusal_history import RefusalTracker
 from linnetwind.shared_retry_budget import RetryBudgetTerms, SharedRetryBudget
 from linnetwind.upstream_backoff import UpstreamBackoffs
+from linnetwind.upstreams.cold_allowance import ColdBound
+from linnetwind.upstreams.cold_quotas import ColdQuotas, ColdSettings
+from linnetwind.upstreams.cold_upstreams import ColdUpstreams
 from linnetwind.upstreams.upstream_limits import ServiceDemand, UpstreamLimits
 
 
@@ -19,7 +27,8 @@
     `retry_budgets` limits the retries to each service. `refusals` holds the
     requests that were refused with a time to retry, `crashes` the requests
     during which upstreams crashed, `limits` the upstreams' limits on requests
-    per second, and `backoffs` the upstreams that currently accept no requests.
+    per second, `backoffs` the upstreams that currently accept no requests, and
+    `cold` those that have just started.
     """
 
     retry_budgets: SharedRetryBudget
@@ -27,6 +36,7 @@
     crashes: CrashTracker
     limits: UpstreamLimits
     backoffs: UpstreamBackoffs
+    cold: ColdUpstreams
 
     def merge_advertised(self, state: PeerState, daemons: int) -> None:
         """Merge the state that a peer sent.
@@ -39,10 +49,16 @@
         self.crashes.merge_advertised(state.crashes, state.answered)
         self.retry_budgets.set_daemon_count(daemons)
         self.limits.merge_advertised(state.limits)
+        self.cold.quotas.hear_peer(
+            state.address, state.members, leaving=state.leaving
+        )
 
 
 def make_request_history(
-    terms: RetryBudgetTerms, clock: Clock, peers: Callable[[], PeerTable]
+    terms: RetryBudgetTerms,
+    clock: Clock,
+    peers: Callable[[], PeerTable],
+    bound: ColdBound,
 ) -> RequestHistory:
     """Return an empty request history.
 
@@ -50,6 +66,7 @@
       terms: The terms of the shared retry budget.
       clock: The clock for expiring records.
       peers: Returns the current states of the peers.
+      bound: The bound for cold upstreams.
 
     Returns:
       The request history.
@@ -60,10 +77,15 @@
         own_demand = ServiceDemand(service, retry_budgets.demand(service))
         return demands_of(peers(), own_demand, clock.elapsed())
 
+    cold_settings = ColdSettings(
+        bound, peers().own, lambda: peers().peer_timeout, PEER_EXPIRY
+    )
+    cold = ColdUpstreams(ColdQuotas(cold_settings, clock), clock)
     return RequestHistory(
         retry_budgets,
         RefusalTracker(clock),
         CrashTracker(clock),
-        UpstreamLimits(clock, str(peers().own), demands),
+        UpstreamLimits(clock, str(peers().own), demands, cold),
         UpstreamBackoffs(clock),
+        cold,
     )
--- a/linnetwind/upstreams/limit_share.py
+++ b/linnetwind/upstreams/limit_share.py
@@ -7,11 +7,16 @@
 the number of daemons, only some of them send at all: an idle daemon may send
 one request at once, and hundreds of such requests would be far too many. The
 senders are as few as have enough requests to use the limit.
+
+The bound for a cold upstream holds in each second and whatever the daemons
+know of each other's requests. Two halves of the daemons that do not hear each
+other would both take the same part by figures of demand. So its division
+depends on nothing but the names of the daemons.
 """
 
 import math
 import zlib
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -191,3 +196,75 @@
         # spaced by a far smaller share would block the daemon for long after
         # its share has grown.
         return now + (self.due - now) * (share.spacing / self.spacing)
+
+
+def window_quota(
+    life: UpstreamIncarnation, most: int, own: str, daemons: Collection[str]
+) -> int:
+    """Return the requests that this daemon may send within any window.
+
+    Args:
+      life: The upstream's incarnation. Which daemons get one request more than
+        others differs from one incarnation to the next.
+      most: The requests of all daemons together within any window.
+      own: The name of this daemon.
+      daemons: The names of all daemons, this one included.
+
+    Returns:
+      The number; the numbers of all daemons add up to `most`.
+    """
+    quota, rest = divmod(most, len(daemons))
+
+    def order(name: str) -> tuple[int, str]:  # noqa: WPS430
+        return zlib.crc32(f'{life} {name}'.encode()), name
+
+    own_order = order(own)
+    before = sum(1 for name in daemons if order(name) < own_order)
+    return quota + (before < rest)
+
+
+@dataclass(frozen=True, slots=True)
+class SendWindow:
+    """The requests of a daemon to one upstream within a sliding window.
+
+    `sent` are the monotonic times of the last requests in ascending order,
+    those of reserved requests included.
+    """
+
+    sent: tuple[timedelta, ...] = ()
+
+    def wait(
+        self, quota: int, length: timedelta, now: timedelta
+    ) -> timedelta | None:
+        """Return how long the next request has to wait.
+
+        Args:
+          quota: The most requests within any window.
+          length: The length of the window.
+          now: The monotonic time.
+
+        Returns:
+          The time, zero if it may be sent now; None if this daemon may not
+          send at all.
+        """
+        if not quota:
+            return None
+        if len(self.sent) < quota:
+            return timedelta()
+        return max(self.sent[-quota] + length - now, timedelta())
+
+    def send(
+        self, length: timedelta, now: timedelta, wait: timedelta
+    ) -> 'SendWindow':
+        """Return the state after one more request.
+
+        Args:
+          length: The length of the window.
+          now: The monotonic time.
+          wait: The time after which the request is sent.
+
+        Returns:
+          The state.
+        """
+        recent = [sent for sent in self.sent if now - sent < length]
+        return SendWindow(tuple(sorted((*recent, now + wait))))
--- a/linnetwind/upstreams/upstream_limits.py
+++ b/linnetwind/upstreams/upstream_limits.py
@@ -2,7 +2,8 @@
 
 An overloaded upstream states in its responses how many requests a second it
 accepts from all daemons together. Daemons advertise these limits to each
-other, and each sends at most its share.
+other, and each sends at most its share. Requests to a cold upstream are limited
+as well, and one that is cold and states a limit gets what both allow.
 """
 
 import threading
@@ -20,6 +21,7 @@
     UpstreamIncarnation,
     tag_incarnation,
 )
+from linnetwind.upstreams.cold_upstreams import ColdUpstreams
 from linnetwind.upstreams.limit_share import (
     RateShare,
     SendSchedule,
@@ -83,15 +85,23 @@
     May be used from any thread.
     """
 
-    def __init__(self, clock: Clock, own: str, demands: Demands) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        own: str,
+        demands: Demands,
+        cold: ColdUpstreams | None = None,
+    ) -> None:
         """Start without limits.
 
         Args:
           clock: For send schedules and the ages of limits.
           own: The name of this daemon among `demands`.
           demands: Returns the requests a second of each daemon for a service.
+          cold: The cold upstreams, None if requests to them are not limited.
         """
         self._clock = clock
+        self._cold = cold
         self._own = own
         self._demands = demands
         self._lock = threading.Lock()
@@ -101,8 +111,10 @@
 
     @property
     def any_known(self) -> bool:
-        """Return whether any upstream has stated a limit."""
-        return bool(self._stated or self._advertised)
+        """Return whether any upstream has stated a limit, or is cold."""
+        if self._stated or self._advertised:
+            return True
+        return self._cold is not None and self._cold.any_recent
 
     def record_limit(self, upstream: Upstream, per_s: float | None) -> bool:
         """Record the limit that an upstream states in a response.
@@ -208,7 +220,7 @@
           upstream: The upstream.
         """
         if self.any_known:
-            self._send(upstream, self._clock.elapsed())
+            self._send(upstream, self._clock.elapsed(), timedelta())
 
     def reserve(
         self, upstreams: list[Upstream], longest: timedelta
@@ -232,7 +244,7 @@
         if not reservations:
             return None
         earliest = min(reservations, key=lambda reservation: reservation.wait)
-        self._send(earliest.upstream, now)
+        self._send(earliest.upstream, now, earliest.wait)
         return earliest
 
     def time_until_accepted(
@@ -251,15 +263,27 @@
         return min((wait for wait in waits if wait is not None), default=None)
 
     def _wait(self, upstream: Upstream, now: timedelta) -> timedelta | None:
+        cold = (
+            timedelta()
+            if self._cold is None
+            else self._cold.wait(upstream, now)
+        )
         share = self._share(upstream)
         if share is None:
-            return timedelta()
+            return cold
         schedule = self._schedules.get(
             tag_incarnation(upstream.life), SendSchedule()
         )
-        return schedule.wait(share, now)
+        limited = schedule.wait(share, now)
+        if cold is None or limited is None:
+            return None
+        return max(cold, limited)
 
-    def _send(self, upstream: Upstream, now: timedelta) -> None:
+    def _send(
+        self, upstream: Upstream, now: timedelta, wait: timedelta
+    ) -> None:
+        if self._cold is not None:
+            self._cold.send(upstream, now, wait)
         share = self._share(upstream)
         if share is None or not share.burst:
             return
