Streams go to a group whose ranks accept requests

All requests are acquired in one place, where ranks at their limit or cold allowance are left out. But the group of a stream was chosen before that, by its free permits: with all ranks of that group at their allowance the stream waited although another group had warm ranks.

linnetwind/gateway_state_test.py passes.

--- a/linnetwind/gateway_state.py
+++ b/linnetwind/gateway_state.py
@@ -302,7 +302,7 @@
           The upstreams of a plain service, or the ranks of the group that is
           chosen for a stream.
         """
-        groups = self._groups(service.name)
+        groups = self._books.limits.open_groups(self._groups(service.name))
         name = UNNAMED_GROUP
         if service.engine is not None:
             counts = _count_by_group(
--- a/linnetwind/gateway_state_test.py
+++ b/linnetwind/gateway_state_test.py
@@ -1,5 +1,8 @@
 """Tests of the shared state of a gateway when an upstream restarts."""
 
+from collections import Counter
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import replace
 from datetime import UTC, datetime, timedelta
 
 import pytest
@@ -10,12 +13,14 @@
 from linnetwind.peers.peer_table import GroupSummary
 from linnetwind.routes import RoutedService
 from linnetwind.shared_retry_budget import RetryBudgetTerms
+from linnetwind.upstreams.cold_allowance import ColdBound, ColdTolerance
 from linnetwind.upstreams.upstream_list import UpstreamRecord
 from standins.gateway_fixtures import (
     MS,
     SECOND,
     make_engine,
     make_peer,
+    make_table,
     make_upstream,
 )
 
@@ -145,6 +150,59 @@
         assert acquired.instance in {'r2', 'r3'}
 
 
+def _cold_state(service, bound=ColdBound(ColdTolerance(1, 0))):
+    terms = RetryBudgetTerms(timedelta(seconds=10), 0.2, 88)
+    state = GatewayState(SystemClock(), Address('127.0.0.1', 1), terms, bound)
+    table = make_table()
+    services = {service.name: service}
+    state.apply_table(replace(table, services=services))
+    return state
+
+
+@pytest.mark.parametrize('service', [PLAIN, MODEL])
+def test_requests_beyond_a_cold_upstreams_allowance_go_to_others(service):
+    # Streams of a model service are acquired by another way than requests.
+    service = replace(service, cold_per_s=4)
+    state = _cold_state(service)
+    cold = make_upstream('a', 80, service.name, cold=SECOND * 9, slots=90)
+    _register(state, 1, cold, make_upstream('b', 81, service.name, slots=1))
+    chosen = Counter(
+        state.acquire_upstream(service, frozenset()).instance
+        for _request in range(40)
+    )
+    assert chosen == {'a': 3, 'b': 37}
+    assert state.acquire_upstream(service, frozenset({'b'})) is None
+
+
+def test_streams_go_to_another_group_if_all_ranks_of_one_are_cold():
+    service = replace(MODEL, cold_per_s=2)
+    state = _cold_state(service)
+    ranks = [
+        make_upstream(f'r{n}', 80 + n, 'model', cold=(n < 2) * SECOND * 9)
+        for n in range(4)
+    ]
+    _register(state, 1, *ranks)
+    state.merge_advertised(
+        _peer({}, _summary('a', 'r0', 'r1'), _summary('b', 'r2', 'r3'))
+    )
+    for _stream in range(40):
+        assert state.acquire_upstream(service, frozenset()) is not None
+
+
+def test_two_requests_at_once_do_not_share_the_last_of_an_allowance():
+    service = replace(PLAIN, cold_per_s=3)
+    state = _cold_state(service)
+    _register(state, 1, make_upstream('a', cold=SECOND * 9))
+    with ThreadPoolExecutor(8) as pool:
+        acquired = list(
+            pool.map(
+                lambda _request: state.acquire_upstream(service, frozenset()),
+                range(200),
+            )
+        )
+    assert len([each for each in acquired if each]) == 2
+
+
 def test_statistics_of_ended_incarnations_are_dropped(state):
     # An upstream that crashes every few seconds must not use up the memory.
     for born_ms in range(50):
--- a/linnetwind/upstreams/upstream_limits.py
+++ b/linnetwind/upstreams/upstream_limits.py
@@ -213,6 +213,26 @@
             each for each in upstreams if self._wait(each, now) == timedelta()
         ]
 
+    def open_groups(
+        self, groups: Mapping[str, list[Upstream]]
+    ) -> Mapping[str, list[Upstream]]:
+        """Return the groups with an upstream that may be sent a request now.
+
+        Args:
+          groups: Upstreams of one service by group.
+
+        Returns:
+          The groups; all of them if there is no such upstream.
+        """
+        if not self.any_known:
+            return groups
+        accepting = {
+            name: members
+            for name, members in groups.items()
+            if self.within_limit(members)
+        }
+        return accepting or groups
+
     def count_sent(self, upstream: Upstream) -> None:
         """Count a request that is sent to an upstream against its limit.
 
