Slow start after the cold time of an upstream

An upstream whose cold time ends runs no requests, so the choice sends it most of those that arrive. For as long as it was cold its weight now grows in steps: a fifth, two, three and four fifths. Its limit is not changed, and the cost of a plain upstream still counts its latency. Services without a cold time are chosen as before.

--- a/linnetwind/gateway_state.py
+++ b/linnetwind/gateway_state.py
@@ -249,11 +249,13 @@
             # Checked and counted under one lock; otherwise two requests at once
             # would both use the last one that a limit allows.
             usable = self._books.limits.within_limit(candidates)
+            now = self._clock.elapsed()
+            weights = self._books.cold.weights(now)
             if service.engine is None:
-                now = self._clock.elapsed()
-                chosen = choose_plain(usable, counts, self._stats, now)
+                stats = self._stats
+                chosen = choose_plain(usable, counts, stats, now, weights)
             else:
-                chosen = choose_rank(usable, counts, slow)
+                chosen = choose_rank(usable, counts, slow, weights)
             if chosen is not None:
                 self._books.limits.count_sent(chosen)
                 self._streams.begin(chosen.life)
--- a/linnetwind/upstreams/cold_upstreams_test.py
+++ b/linnetwind/upstreams/cold_upstreams_test.py
@@ -136,6 +136,19 @@
     assert cold.to_advertise() == (advertised,)
 
 
+def test_after_the_cold_time_the_weight_grows_in_steps(clock):
+    cold, upstream = _cold(clock), make_upstream('a')
+    _register(cold, upstream)
+    weights = []
+    for _step in range(7):
+        now = clock.elapsed()
+        weights.append(cold.weights(now).get(upstream.life, 1))
+        clock.advance(COLD_TIME / 3)
+    # Cold for the first three, then a slow start of the same length.
+    assert weights == [1, 1, 1, 0.2, 0.4, 0.6, 1]
+    assert not cold.any_recent
+
+
 def test_a_daemon_alone_sends_up_to_the_bound_and_then_waits(clock):
     cold, upstream = _cold(clock), make_upstream('a', cold=COLD_TIME)
     _register(cold, upstream)
--- a/linnetwind/upstreams/upstream_choice.py
+++ b/linnetwind/upstreams/upstream_choice.py
@@ -5,13 +5,16 @@
 differ in speed and may fail while their health check succeeds, so the choice
 among them depends on what was observed: the requests that run there, the
 latency of responses and the share of failures. An unreachable upstream is
-ejected for a short time, but at most half of a service's upstreams are.
+ejected for a short time, but at most half of a service's upstreams are. An
+upstream that was cold until now gets less than its part for a time (slow start,
+as described for Envoy's load balancers).
 """
 
 import random
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass, replace
 from datetime import timedelta
+from types import MappingProxyType
 
 from linnetwind.upstream_incarnation import UpstreamIncarnation
 from linnetwind.upstreams.upstream_list import Upstream
@@ -35,6 +38,7 @@
 FREE_SLOTS_EXPONENT = 3
 # Averages older than this are ignored, so that a slow upstream is tried again.
 MAX_RECORD_AGE = timedelta(seconds=5)
+_FULL_WEIGHTS: Mapping[UpstreamIncarnation, float] = MappingProxyType({})
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,6 +138,7 @@
     upstreams: Collection[Upstream],
     running: Mapping[UpstreamIncarnation, int],
     slow: frozenset[UpstreamIncarnation],
+    weights: Mapping[UpstreamIncarnation, float] = _FULL_WEIGHTS,
 ) -> Upstream | None:
     """Return a random rank, with more weight on ranks with more free slots.
 
@@ -149,6 +154,7 @@
       running: The streams of all daemons at each incarnation.
       slow: The incarnations that run slowly. Each stream there would delay the
         passes of all, so they get none while there are others.
+      weights: The weights of the incarnations in their slow start, below 1.
 
     Returns:
       The rank; the one with the fewest streams if no slot is free. None if
@@ -159,9 +165,11 @@
     quick = [each for each in upstreams if each.life not in slow]
     upstreams = quick or upstreams
     ranks = list(upstreams)
-    weights = [_weight(each, running) for each in ranks]
-    if any(weights):
-        return random.choices(ranks, weights)[0]
+    chances = [
+        _weight(each, running) * weights.get(each.life, 1) for each in ranks
+    ]
+    if any(chances):
+        return random.choices(ranks, chances)[0]
     return min(ranks, key=lambda each: running.get(each.life, 0))
 
 
@@ -177,6 +185,7 @@
     running: Mapping[UpstreamIncarnation, int],
     records: Mapping[UpstreamIncarnation, UpstreamStats],
     now: timedelta,
+    weights: Mapping[UpstreamIncarnation, float] = _FULL_WEIGHTS,
 ) -> Upstream | None:
     """Return the plain upstream that should respond soonest.
 
@@ -185,6 +194,7 @@
       running: The requests of all daemons at each incarnation.
       records: The statistics of each incarnation.
       now: The monotonic time.
+      weights: The weights of the incarnations in their slow start, below 1.
 
     Returns:
       The upstream, or None if there is none.
@@ -203,7 +213,8 @@
     return min(
         usable,
         key=lambda each: (
-            _cost(each, running, records.get(each.life), median, now),
+            _cost(each, running, records.get(each.life), median, now)
+            / weights.get(each.life, 1),
             random.random(),
         ),
     )
--- a/linnetwind/upstreams/upstream_choice_test.py
+++ b/linnetwind/upstreams/upstream_choice_test.py
@@ -72,6 +72,20 @@
     assert choose_rank(ranks[2:], running, slow).instance == 'r2'
 
 
+def test_upstreams_in_slow_start_get_less():
+    # Guards against an upstream that gets most requests once it is warm, since
+    # none run there yet.
+    ranks = _ranks(2, 4)
+    weights = {'r0': 0.25}
+    chosen = [choose_rank(ranks, {}, frozenset(), weights) for _ in range(500)]
+    share = sum(each.instance == 'r0' for each in chosen) / len(chosen)
+    assert 0.15 < share < 0.25
+    plain = choose_plain(ranks, {'r1': 2}, {}, SECOND, weights)
+    assert plain.instance == 'r1'
+    plain = choose_plain(ranks, {'r1': 4}, {}, SECOND, weights)
+    assert plain.instance == 'r0'
+
+
 def test_an_upstream_that_fails_often_gets_less_work():
     # Its health check succeeds, and its failures come quickly.
     upstreams = _ranks(3, 6)
