Peers learn of cold upstreams and of daemons that are silent

A daemon that starts reads a new upstream's entry as any other one, and in one half of a partition it does not learn of the daemons in the other half once its peers no longer list them. Full states now hold the cold times that the sender found other than by entries, and the daemons that it still counts for the bound although it has not heard them for 30 s. Older daemons ignore the two fields at the end, and newer ones take empty fields from them.

--- a/linnetwind/gateway_state_test.py
+++ b/linnetwind/gateway_state_test.py
@@ -13,7 +13,9 @@
 from linnetwind.peers.peer_table import GroupSummary
 from linnetwind.routes import RoutedService
 from linnetwind.shared_retry_budget import RetryBudgetTerms
+from linnetwind.upstream_incarnation import tag_incarnation
 from linnetwind.upstreams.cold_allowance import ColdBound, ColdTolerance
+from linnetwind.upstreams.cold_upstreams import AdvertisedCold
 from linnetwind.upstreams.upstream_list import UpstreamRecord
 from standins.gateway_fixtures import (
     MS,
@@ -203,6 +205,17 @@
     assert len([each for each in acquired if each]) == 2
 
 
+def test_a_daemon_learns_of_a_cold_upstream_from_its_peers():
+    # It started after the upstream did. The entry has no start time.
+    service = replace(PLAIN, cold_per_s=3)
+    state = _cold_state(service)
+    entry = make_upstream('a')
+    cold = AdvertisedCold(tag_incarnation(entry.life), 5_000)
+    state.merge_advertised(replace(_peer({}), cold=(cold,)))
+    _register(state, 1, entry)
+    assert state.request_history.cold.count == 1
+
+
 def test_statistics_of_ended_incarnations_are_dropped(state):
     # An upstream that crashes every few seconds must not use up the memory.
     for born_ms in range(50):
--- a/linnetwind/peer_mesh.py
+++ b/linnetwind/peer_mesh.py
@@ -258,6 +258,8 @@
             self._state.request_history.crashes.answered_to_advertise(),
             self._state.request_history.limits.to_advertise(),
             self._demands(),
+            self._state.request_history.cold.to_advertise(),
+            self._state.request_history.cold.quotas.unheard(),
         )
         full = self._full_states.next_is_full(
             self._full_state_key(message), self._clock.elapsed()
@@ -294,11 +296,12 @@
         rosters = tuple(
             (each.service, each.group, each.members) for each in message.groups
         )
+        cold = [each.life for each in message.cold]
         crashes = tuple(
             (each.fingerprint, each.life) for each in message.crashes
         )
         return (
-            frozenset(message.members),
+            frozenset((*message.members, *cold)),
             start_ids,
             rosters,
             crashes,
--- a/linnetwind/peers/peer_table.py
+++ b/linnetwind/peers/peer_table.py
@@ -18,6 +18,7 @@
 from linnetwind.crash_history import AdvertisedCrash
 from linnetwind.fingerprint import Fingerprint
 from linnetwind.upstream_incarnation import UpstreamIncarnation
+from linnetwind.upstreams.cold_upstreams import AdvertisedCold
 from linnetwind.upstreams.upstream_limits import AdvertisedLimit, ServiceDemand
 
 # The longest time between two states that a daemon sends, and the shortest
@@ -101,7 +102,9 @@
     capacity of its host, for the choice of the planner. `crashes` are crashes
     of upstreams while they ran a request, `answered` the requests that were
     answered after such a crash. `limits` are the request rates that upstreams
-    named to this daemon, `demands` its request rates for their services.
+    named to this daemon, `demands` its request rates for their services. `cold`
+    are the upstreams that it found to be cold, other than by their entries, and
+    `unheard` the daemons that it counts but has not heard for long.
     """
 
     name: str
@@ -123,6 +126,8 @@
     answered: tuple[Fingerprint, ...] = ()
     limits: tuple[AdvertisedLimit, ...] = ()
     demands: tuple[ServiceDemand, ...] = ()
+    cold: tuple[AdvertisedCold, ...] = ()
+    unheard: tuple[Address, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/linnetwind/peers/peer_wire.py
+++ b/linnetwind/peers/peer_wire.py
@@ -32,6 +32,7 @@
     UpstreamIncarnation,
     tag_incarnation,
 )
+from linnetwind.upstreams.cold_upstreams import AdvertisedCold
 from linnetwind.upstreams.upstream_limits import AdvertisedLimit, ServiceDemand
 
 _TAG_BYTES = 4
@@ -90,11 +91,13 @@
     answered: tuple[Fingerprint, ...] = ()
     limits: tuple[AdvertisedLimit, ...] = ()
     demands: tuple[ServiceDemand, ...] = ()
+    cold: tuple[AdvertisedCold, ...] = ()
+    unheard: tuple[Address, ...] = ()
 
 
 _CODEC = Codec((_WireState,))
 # The fields that are empty unless the state is full.
-_ONLY_IN_FULL = frozenset(('members', 'crashes', 'answered'))
+_ONLY_IN_FULL = frozenset(('members', 'crashes', 'answered', 'cold', 'unheard'))
 # The fields that are sent unchanged; the others are converted one by one.
 _SAME_IN_STATES = tuple(
     field.name
--- a/linnetwind/peers/peer_wire_test.py
+++ b/linnetwind/peers/peer_wire_test.py
@@ -27,6 +27,7 @@
     UpstreamIncarnation,
     tag_incarnation,
 )
+from linnetwind.upstreams.cold_upstreams import AdvertisedCold
 from linnetwind.upstreams.upstream_limits import AdvertisedLimit, ServiceDemand
 
 SECOND = timedelta(seconds=1)
@@ -100,6 +101,25 @@
     assert decoded.demands == (demand,)
 
 
+def test_cold_upstreams_are_part_of_full_states_only():
+    # They are for daemons that start later, to which full states are sent. Such
+    # a daemon in one half of a partition has to count the other half.
+    cold = AdvertisedCold(IncarnationTag(7), 4_000)
+    state = _state(cold=(cold,), unheard=(Address('10.1.0.99', 7340),))
+    full = pack_state(state, full=True)
+    assert StateReader().read(full, KNOWN) == state
+    content = pack_state(replace(state, groups=()), full=False)
+    decoded = StateReader().read(content, KNOWN)
+    assert (decoded.cold, decoded.unheard) == ((), ())
+
+
+def test_a_state_without_cold_upstreams_is_decoded():
+    # While a new version is rolled out, both run side by side.
+    tag, *values = cbor2.loads(pack_state(_state(), full=True))
+    before = cbor2.dumps([tag, *values[:-2]])
+    assert StateReader().read(before, KNOWN) == _state()
+
+
 @pytest.mark.parametrize('per_s', [-1.0, float('nan'), 1e300])
 def test_limits_out_of_range_are_no_state(per_s):
     state = _state(limits=(AdvertisedLimit(IncarnationTag(7), per_s, 40),))
--- a/linnetwind/request_history.py
+++ b/linnetwind/request_history.py
@@ -50,8 +50,11 @@
         self.retry_budgets.set_daemon_count(daemons)
         self.limits.merge_advertised(state.limits)
         self.cold.quotas.hear_peer(
-            state.address, state.members, leaving=state.leaving
+            state.address,
+            (*state.members, *state.unheard),
+            leaving=state.leaving,
         )
+        self.cold.merge_advertised(state.cold)
 
 
 def make_request_history(
