Log and count cold upstreams

The event UpstreamCold says which upstream has become cold, the requests a second that it handles, for how long, and how this daemon learned of it. The metric linnetwind_upstreams_cold is the number of upstreams that are cold.

--- a/linnetwind/gateway_daemon.py
+++ b/linnetwind/gateway_daemon.py
@@ -21,7 +21,7 @@
 from linnetwind.drain_order import FleetDaemon
 from linnetwind.event_log import EventLog
 from linnetwind.experts.map_planner import MapPlanner
-from linnetwind.gateway_events import SettingsReloaded
+from linnetwind.gateway_events import SettingsReloaded, UpstreamCold
 from linnetwind.gateway_feeds import GatewayFeeds
 from linnetwind.gateway_metrics import GatewayMetrics
 from linnetwind.gateway_setup import GatewayPorts, GatewaySetup
@@ -34,7 +34,8 @@
 from linnetwind.routes import CallerLimits
 from linnetwind.stop_signals import StopSignals
 from linnetwind.upstream_call import open_call
-from linnetwind.upstreams.cold_allowance import ColdBound
+from linnetwind.upstream_incarnation import UpstreamIncarnation
+from linnetwind.upstreams.cold_allowance import ColdBound, ColdSource
 from linnetwind.upstreams.upstream_list import Upstream
 
 # The caller connections that are served at once, with a thread for each.
@@ -106,6 +107,9 @@
                 setup.cold_tolerance, bool(set(setup.seeds) - {setup.mesh})
             ),
         )
+        cold = self._state.request_history.cold
+        cold.report_to(self._log_cold)
+        self._metrics.watch_cold(lambda: cold.count)
         mesh = MeshSettings(
             setup.name,
             setup.site,
@@ -180,6 +184,15 @@
         agent = Address(upstream.address.ip, self._setup.mesh.port)
         return RankLink(agent, self._ports.open_rank(upstream), self._clock)
 
+    def _log_cold(
+        self,
+        upstream: UpstreamIncarnation,
+        per_s: float,
+        left: timedelta,
+        source: ColdSource,
+    ) -> None:
+        self._log.event(UpstreamCold(upstream, per_s, left, source.value))
+
     def _limits(self) -> CallerLimits:
         table = self._state.table
         return table.limits if table else _FIRST_LIMITS
--- a/linnetwind/gateway_events.py
+++ b/linnetwind/gateway_events.py
@@ -160,6 +160,20 @@
     left_before: timedelta | None
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamCold:
+    """An upstream has become cold, and is sent few requests for a time.
+
+    `per_s` is the number of requests a second that it handles while cold,
+    `left` the remaining cold time, and `source` how this daemon learned of it.
+    """
+
+    upstream: str
+    per_s: float
+    left: timedelta
+    source: str
+
+
 @dataclass(frozen=True, slots=True)
 class UpstreamLeaves:
     """An upstream has announced in a response that it is leaving."""
--- a/linnetwind/gateway_metrics.py
+++ b/linnetwind/gateway_metrics.py
@@ -4,6 +4,7 @@
 have few values: none holds a request, a customer or an instance.
 """
 
+from collections.abc import Callable
 from typing import Any
 
 from prometheus_client import (
@@ -58,6 +59,7 @@
         self._lost = self._counter('dependency_lost', 'Outages.', 'dependency')
         self._away = self._gauge('dependency_away', 'Away now.', 'dependency')
         self._version = self._gauge('config_version', 'In force.')
+        self._cold = self._gauge('upstreams_cold', 'Cold now.')
         self._first = self._histogram('first_byte_seconds', _LATENCIES)
         self._whole = self._histogram('request_seconds', _LATENCIES)
         self._queued = self._histogram('queued_seconds', _LATENCIES)
@@ -91,6 +93,14 @@
             case _:
                 self._count_failure(event)
 
+    def watch_cold(self, count: Callable[[], int]) -> None:
+        """Set the source of the number of cold upstreams.
+
+        Args:
+          count: Returns how many upstreams are cold now.
+        """
+        self._cold.set_function(count)
+
     def render(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
         return generate_latest(self._registry)
--- a/linnetwind/upstreams/cold_upstreams_test.py
+++ b/linnetwind/upstreams/cold_upstreams_test.py
@@ -6,6 +6,7 @@
 
 from linnetwind.address import Address
 from linnetwind.clock import ManualClock
+from linnetwind.gateway_metrics import GatewayMetrics
 from linnetwind.routes import RoutedService
 from linnetwind.upstream_incarnation import tag_incarnation
 from linnetwind.upstreams.cold_allowance import (
@@ -128,6 +129,15 @@
     assert cold.to_advertise() == ()
 
 
+def test_cold_upstreams_are_counted_in_the_metrics(clock):
+    cold, metrics = _cold(clock), GatewayMetrics()
+    metrics.watch_cold(lambda: cold.count)
+    _register(cold, make_upstream('a'), make_upstream('b', cold=99 * SECOND))
+    assert b'linnetwind_upstreams_cold 2.0' in metrics.render()
+    clock.advance(COLD_TIME)
+    assert b'linnetwind_upstreams_cold 1.0' in metrics.render()
+
+
 def test_what_a_registration_does_not_say_is_advertised(clock):
     cold = _cold(clock)
     first, stated = make_upstream('a'), make_upstream('b', cold=9 * SECOND)
