--- a/linnetwind/crash_guard.py
+++ b/linnetwind/crash_guard.py
@@ -74,7 +74,7 @@
     tools.advertise_to_peers()
     if crashes.is_proven(request):
         tools.persist_quarantine(request)
-    tools.state.record_connect_failure(upstream)
+    tools.state.upstream_records.record_connect_failure(upstream)
     tools.log.event(
         UpstreamCrashed(
             context.facts.call_id,
--- a/linnetwind/gateway_daemon.py
+++ b/linnetwind/gateway_daemon.py
@@ -21,7 +21,7 @@
 from linnetwind.drain_order import FleetDaemon
 from linnetwind.event_log import EventLog
 from linnetwind.experts.map_planner import MapPlanner
-from linnetwind.gateway_events import SettingsReloaded
+from linnetwind.gateway_events import SettingsReloaded, UpstreamCold
 from linnetwind.gateway_feeds import GatewayFeeds
 from linnetwind.gateway_metrics import GatewayMetrics
 from linnetwind.gateway_setup import GatewayPorts, GatewaySetup
@@ -34,6 +34,8 @@
 from linnetwind.routes import CallerLimits
 from linnetwind.stop_signals import StopSignals
 from linnetwind.upstream_call import open_call
+from linnetwind.upstream_incarnation import UpstreamIncarnation
+from linnetwind.upstreams.cold_allowance import ColdBound, ColdSource
 from linnetwind.upstreams.upstream_list import Upstream
 
 # The caller connections that are served at once, with a thread for each.
@@ -97,7 +99,17 @@
         self._metrics = GatewayMetrics()
         log.observe_with(self._metrics.observe)
         self._threads = DaemonThreads(log)
-        self._state = GatewayState(clock, setup.mesh, setup.retry_terms)
+        self._state = GatewayState(
+            clock,
+            setup.mesh,
+            setup.retry_terms,
+            ColdBound(
+                setup.cold_tolerance, bool(set(setup.seeds) - {setup.mesh})
+            ),
+        )
+        cold = self._state.request_history.cold
+        cold.report_to(self._log_cold)
+        self._metrics.watch_cold(lambda: cold.count)
         mesh = MeshSettings(
             setup.name,
             setup.site,
@@ -174,6 +186,15 @@
         agent = Address(upstream.address.ip, self._setup.mesh.port)
         return RankLink(agent, self._ports.open_rank(upstream), self._clock)
 
+    def _log_cold(
+        self,
+        upstream: UpstreamIncarnation,
+        per_s: float,
+        left: timedelta,
+        source: ColdSource,
+    ) -> None:
+        self._log.event(UpstreamCold(upstream, per_s, left, source.value))
+
     def _limits(self) -> CallerLimits:
         table = self._state.table
         return table.limits if table else _FIRST_LIMITS
--- a/linnetwind/gateway_state.py
+++ b/linnetwind/gateway_state.py
@@ -22,16 +22,15 @@
 from linnetwind.shared_retry_budget import RetryBudgetTerms
 from linnetwind.upstream_backoff import UpstreamBackoffs
 from linnetwind.upstream_incarnation import UpstreamIncarnation
+from linnetwind.upstreams.cold_allowance import NO_COLD_BOUND, ColdBound
 from linnetwind.upstreams.upstream_choice import (
-    UpstreamStats,
     choose_group,
     choose_plain,
     choose_rank,
-    record_answer,
-    record_connect_failure,
 )
 from linnetwind.upstreams.upstream_limits import Reservation
 from linnetwind.upstreams.upstream_list import Upstream, UpstreamList
+from linnetwind.upstreams.upstream_records import UpstreamRecords
 
 # How often the table of peers is checked for peers to expire.
 _EXPIRY_CHECK_INTERVAL = timedelta(seconds=1)
@@ -45,7 +44,11 @@
     """The shared state; every method may be called from any thread."""
 
     def __init__(
-        self, clock: Clock, own: Address, terms: RetryBudgetTerms
+        self,
+        clock: Clock,
+        own: Address,
+        terms: RetryBudgetTerms,
+        bound: ColdBound = NO_COLD_BOUND,
     ) -> None:
         """Start without configuration, upstreams and peers.
 
@@ -53,6 +56,7 @@
           clock: The daemon's clock.
           own: The address at which peers reach this daemon.
           terms: The terms of the shared retry budget.
+          bound: The bound for cold upstreams.
         """
         self._clock = clock
         self._lock = threading.Lock()
@@ -61,9 +65,9 @@
         self._peer_table = PeerTable(own)
         self._streams = RequestCounts()
         self._timeouts_checked_at = timedelta()
-        self._stats: dict[UpstreamIncarnation, UpstreamStats] = {}
+        self._records = UpstreamRecords(clock)
         self._books = make_request_history(
-            terms, clock, lambda: self._peer_table
+            terms, clock, lambda: self._peer_table, bound
         )
         self._room = StreamAdmission(clock)
         self._expiry_checked_at = timedelta()
@@ -94,6 +98,11 @@
         """Return the history of callers' requests, for retries and limits."""
         return self._books
 
+    @property
+    def upstream_records(self) -> UpstreamRecords:
+        """Return the recent statistics of the upstreams."""
+        return self._records
+
     @property
     def running(self) -> dict[UpstreamIncarnation, int]:
         """Return this daemon's own requests in flight, by incarnation."""
@@ -125,6 +134,7 @@
                 return False
             self._table = table
         self._room.apply_table(table)
+        self._books.cold.apply_services(table.services)
         return True
 
     def change_upstreams(
@@ -141,11 +151,10 @@
         with self._lock:
             before = self._upstreams
             self._upstreams = change(before)
-            # Statistics are dropped with their incarnation. Otherwise an
-            # upstream that crashes again and again would use up the memory.
             living = self._upstreams.incarnations()
-            for life in self._stats.keys() - living:
-                self._stats.pop(life)
+            self._records.keep_only(living)
+            self._books.cold.observe_list(before, self._upstreams)
+            self._books.cold.keep_only(living)
         self._books.limits.keep_only(living)
         self._room.wake()
         if self._upstreams.evacuations is not before.evacuations:
@@ -244,17 +253,20 @@
           The upstream, or None if none accepts a request at once. The caller
           ends the count with `release_upstream`.
         """
-        usable = self._books.limits.within_limit(
-            self.candidates(service, tried, priority)
-        )
+        candidates = self.candidates(service, tried, priority)
         counts = self._counts()
         slow = self._room.slow(service.name)
         with self._lock:
+            # Checked and counted under one lock; otherwise two requests at once
+            # would both use the last one that a limit allows.
+            usable = self._books.limits.within_limit(candidates)
+            now = self._clock.elapsed()
+            weights = self._books.cold.weights(now)
             if service.engine is None:
-                now = self._clock.elapsed()
-                chosen = choose_plain(usable, counts, self._stats, now)
+                stats = self._records.stats
+                chosen = choose_plain(usable, counts, stats, now, weights)
             else:
-                chosen = choose_rank(usable, counts, slow)
+                chosen = choose_rank(usable, counts, slow, weights)
             if chosen is not None:
                 self._books.limits.count_sent(chosen)
                 self._streams.begin(chosen.life)
@@ -307,7 +319,7 @@
           The upstreams of a plain service, or the ranks of the group that is
           chosen for a stream.
         """
-        groups = self._groups(service.name)
+        groups = self._books.limits.open_groups(self._groups(service.name))
         name = UNNAMED_GROUP
         if service.engine is not None:
             counts = _count_by_group(
@@ -340,34 +352,6 @@
         self._on_change()
         self._room.record_end(upstream)
 
-    def record_answer(
-        self, upstream: Upstream, took: timedelta, *, failed: bool
-    ) -> None:
-        """Record the duration and outcome of an upstream's response.
-
-        Args:
-          upstream: The upstream.
-          took: The time until the response.
-          failed: Whether the response counts as a failure.
-        """
-        now = self._clock.elapsed()
-        with self._lock:
-            stats = self._stats.get(upstream.life, UpstreamStats(now))
-            self._stats[upstream.life] = record_answer(
-                stats, now, took, failed=failed
-            )
-
-    def record_connect_failure(self, upstream: Upstream) -> None:
-        """Record that a connection to an upstream failed.
-
-        Args:
-          upstream: The upstream.
-        """
-        now = self._clock.elapsed()
-        with self._lock:
-            stats = self._stats.get(upstream.life, UpstreamStats(now))
-            self._stats[upstream.life] = record_connect_failure(stats, now)
-
     def _counts(self) -> Mapping[UpstreamIncarnation, int]:
         """Return the requests in flight of all daemons that are not timed out.
 
--- a/linnetwind/peers/peer_table.py
+++ b/linnetwind/peers/peer_table.py
@@ -20,6 +20,7 @@
 from linnetwind.crash_history import AdvertisedCrash
 from linnetwind.fingerprint import Fingerprint
 from linnetwind.upstream_incarnation import UpstreamIncarnation
+from linnetwind.upstreams.cold_upstreams import AdvertisedCold
 from linnetwind.upstreams.evacuation import Evacuation
 from linnetwind.upstreams.upstream_limits import AdvertisedLimit, ServiceDemand
 
@@ -126,7 +127,9 @@
     of upstreams while they ran a request, `answered` the requests that were
     answered after such a crash. `limits` are the request rates that upstreams
     named to this daemon, `demands` its request rates for their services.
-    `evacuations` are the newest decisions on evacuated data centres.
+    `evacuations` are the newest decisions on evacuated data centres. `cold` are
+    the upstreams that it found to be cold, other than by their entries, and
+    `unheard` the daemons that it counts but has not heard for long.
     """
 
     name: str
@@ -149,6 +152,8 @@
     limits: tuple[AdvertisedLimit, ...] = ()
     demands: tuple[ServiceDemand, ...] = ()
     evacuations: tuple[Evacuation, ...] = ()
+    cold: tuple[AdvertisedCold, ...] = ()
+    unheard: tuple[Address, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/linnetwind/peers/peer_wire.py
+++ b/linnetwind/peers/peer_wire.py
@@ -37,6 +37,7 @@
     UpstreamIncarnation,
     tag_incarnation,
 )
+from linnetwind.upstreams.cold_upstreams import AdvertisedCold
 from linnetwind.upstreams.evacuation import Evacuation
 from linnetwind.upstreams.upstream_limits import AdvertisedLimit, ServiceDemand
 
@@ -98,11 +99,15 @@
     limits: tuple[AdvertisedLimit, ...] = ()
     demands: tuple[ServiceDemand, ...] = ()
     evacuations: tuple[Evacuation, ...] = ()
+    cold: tuple[AdvertisedCold, ...] = ()
+    unheard: tuple[Address, ...] = ()
 
 
 _CODEC = Codec((_WireState,))
 # The fields that are empty unless the state is full.
-_ONLY_IN_FULL = frozenset(('members', 'crashes', 'answered', 'evacuations'))
+_ONLY_IN_FULL = frozenset(
+    ('members', 'crashes', 'answered', 'evacuations', 'cold', 'unheard')
+)
 # The fields that are sent unchanged; the others are converted one by one.
 _SAME_IN_STATES = tuple(
     field.name
--- a/linnetwind/upstream_attempt.py
+++ b/linnetwind/upstream_attempt.py
@@ -66,7 +66,9 @@
             self._context.until - started_at,
         )
         if isinstance(call, ConnectFailed):
-            self._tools.state.record_connect_failure(self._upstream)
+            self._tools.state.upstream_records.record_connect_failure(
+                self._upstream
+            )
             return FailedAttempt(
                 call.problem, may_have_run=False, reached=False
             )
@@ -98,7 +100,7 @@
         started_at: timedelta,
     ) -> None:
         took = self._tools.clock.elapsed() - started_at
-        self._tools.state.record_answer(
+        self._tools.state.upstream_records.record_answer(
             self._upstream, took, failed=_is_failure(result)
         )
         if call.broken is not None:
