Customers get max-min fair shares of their class

Each daemon counts the work that customers ask for and are served, in relation to the mean stream of the route, and advertises the eight largest customers of each class as 4-byte tags. The level of the max-min fair share is computed over all daemons, and customers above it wait behind the others of their class and kind.

A customer is never put behind while it is served less than a quarter as often as all. Retries do not count as asking.

--- a/linnetwind/admission/queue_order.py
+++ b/linnetwind/admission/queue_order.py
@@ -9,15 +9,26 @@
 More urgent streams come before less urgent ones: the retry of an urgent caller
 comes before the newcomers of a less urgent class. Only a class that is served
 far less often than the others has its first stream put in front.
+
+Of the newcomers of a class, those of customers above their fair share come
+last, and likewise of its retries. If the retries of other customers preceded
+newcomers, the overload would sustain itself.
 """
 
 from collections import Counter
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from datetime import timedelta
 from operator import attrgetter
 from typing import Generic, TypeVar
 
 from linnetwind.admission.admission_policy import MAX_RETRY_WAIT, PendingStream
+from linnetwind.admission.customer_shares import (
+    CustomerTag,
+    CustomerWork,
+    add_work,
+    customer_tag,
+)
 from linnetwind.admission.urgency import ClassTally, starved_classes
 
 # The priority in force for the first stream of a starved class.
@@ -66,20 +77,22 @@
     """A queued stream; `number` counts the streams in order of arrival.
 
     `spread` spreads the retry times of rejected streams. `boosted` says that
-    the stream precedes all others, as its class is starved.
+    the stream precedes all others, as its class is starved, and `above_share`
+    that its customer was served more than its fair share.
     """
 
     number: int
     request: PermitRequest
     spread: float
     boosted: bool = False
+    above_share: bool = False
 
     @property
-    def order(self) -> tuple[int, bool, timedelta, int]:
+    def order(self) -> tuple[int, bool, bool, timedelta, int]:
         """Return the key by which entries are sorted."""
         priority = _BOOSTED if self.boosted else self.request.priority
-        key = queue_position_key(self.request)
-        return (priority, *key, self.number)
+        returning, wait_end = queue_position_key(self.request)
+        return (priority, returning, self.above_share, wait_end, self.number)
 
     def pending(self, ahead: int, now: timedelta) -> PendingStream:
         """Return what the decision on the stream depends on.
@@ -112,11 +125,19 @@
 class QueueOrder(Generic[Queued]):
     """The queued streams in their order, and what their classes were served.
 
-    Not thread-safe.
+    `customers` holds this daemon's work of each customer by priority, and
+    `above_share` the customers of each priority that were served more than
+    their fair share. Not thread-safe.
     """
 
     entries: list[Queued] = field(default_factory=list)
     tallies: dict[int, ClassTally] = field(default_factory=dict)
+    customers: dict[int, dict[CustomerTag, CustomerWork]] = field(
+        default_factory=dict
+    )
+    above_share: Mapping[int, frozenset[CustomerTag]] = field(
+        default_factory=dict
+    )
 
     def waiting_by_priority(self) -> Counter[int]:
         """Return the number of queued streams of each priority."""
@@ -161,6 +182,8 @@
         starved = starved_classes(self.tallies, now)
         for queued in self.entries:
             queued.boosted = False
+            above = self.above_share.get(queued.request.priority, ())
+            queued.above_share = customer_tag(queued.request.customer) in above
         self.entries.sort(key=_queue_order)
         for priority in starved:
             self._boost_first(priority)
@@ -175,6 +198,12 @@
         self.tallies[priority] = ClassTally(
             tally.asked + asked, tally.served + served, now
         )
+        work = entry.request.work
+        self.customers[priority] = add_work(
+            self.customers.get(priority, {}),
+            customer_tag(entry.request.customer),
+            CustomerWork(asked * work, served * work, now),
+        )
 
     def _boost_first(self, priority: int) -> None:
         for entry in self.entries:
--- a/linnetwind/admission/service_capacity.py
+++ b/linnetwind/admission/service_capacity.py
@@ -17,10 +17,18 @@
     class_demands,
     class_rates,
 )
+from linnetwind.admission.customer_shares import (
+    CustomerTag,
+    customers_above_share,
+    merge_packed,
+    pack_customers,
+    remembered,
+)
 from linnetwind.admission.group_capacity import (
     GROUP_EXPIRY,
     GroupCapacity,
     GroupCount,
+    apply_summary,
     estimate_part,
     expire_times,
     rate,
@@ -34,7 +42,12 @@
 )
 from linnetwind.admission.queue_order import PermitRequest
 from linnetwind.admission.wait_queue import WaitQueue
-from linnetwind.peers.peer_table import ClassLoad, PassTimePerStream, StreamLoad
+from linnetwind.peers.peer_table import (
+    ClassLoad,
+    GroupSummary,
+    PassTimePerStream,
+    StreamLoad,
+)
 from linnetwind.ranks_by_group import SortedRanks
 from linnetwind.routes import EngineProfile
 from linnetwind.upstream_incarnation import UpstreamIncarnation
@@ -139,6 +152,7 @@
       loads: What the other daemons have advertised of the service's streams.
       now: The monotonic time.
     """
+    service.queue.put_behind(_above_share(service, loads, now))
     rounding = random.random()
     own = own_demands(service, now)
     others = [advertised_demands(each) for each in loads]
@@ -159,6 +173,30 @@
     )
 
 
+def merge_summary(
+    service: ServiceCapacity, summary: GroupSummary, now: timedelta
+) -> None:
+    """Apply the planner's summary of a group.
+
+    Args:
+      service: The service.
+      summary: The summary.
+      now: The monotonic time.
+    """
+    group = service.groups.setdefault(summary.group, GroupCapacity())
+    apply_summary(group, summary, now)
+    expire_groups(service, now)
+    others = {
+        life: name
+        for life, name in service.group_of.items()
+        if name in service.groups and name != summary.group
+    }
+    members = dict.fromkeys(summary.members, summary.group)
+    group_of = {**others, **members}
+    if group_of != service.group_of:
+        service.group_of = group_of
+
+
 def expire_groups(service: ServiceCapacity, now: timedelta) -> None:
     """Remove the groups of which no planner has sent a summary for long.
 
@@ -252,7 +290,12 @@
         demand.arrivals_per_s,
         tuple(each for each in parts if each.pauses),
         tuple(
-            ClassLoad(priority, each.waiting, each.arrivals_per_s)
+            ClassLoad(
+                priority,
+                each.waiting,
+                each.arrivals_per_s,
+                pack_customers(service.queue.customers.get(priority, {}), now),
+            )
             for priority, each in own_demands(service, now).items()
         ),
     )
@@ -283,6 +326,27 @@
     return Demand(service.queue.length, rate(service.arrivals, now))
 
 
+def _above_share(
+    service: ServiceCapacity, loads: Sequence[StreamLoad], now: timedelta
+) -> dict[int, frozenset[CustomerTag]]:
+    """Return the customers above their share in the classes that wait."""
+    customers = service.queue.customers
+    return {
+        priority: customers_above_share(
+            merge_packed(
+                remembered(customers.get(priority, {}), now),
+                (
+                    each.customers
+                    for load in loads
+                    for each in load.classes
+                    if each.priority == priority
+                ),
+            )
+        )
+        for priority in service.queue.waiting_by_priority()
+    }
+
+
 def _free_for(
     priority: int,
     groups: Sequence[GroupCapacity],
--- a/linnetwind/admission/stream_admission_control.py
+++ b/linnetwind/admission/stream_admission_control.py
@@ -14,7 +14,6 @@
     UNNAMED_GROUP,
     GroupCapacity,
     GroupCount,
-    apply_summary,
     expire_times,
     group_stream_limit,
     opens_in,
@@ -26,12 +25,13 @@
 from linnetwind.admission.service_capacity import (
     ServiceCapacity,
     capacity_view,
-    expire_groups,
+    merge_summary,
     permit_share,
     record_arrival,
     renew_allowance,
     stream_load,
 )
+from linnetwind.admission.stream_work import StreamWork
 from linnetwind.admission.wait_queue import WaitQueue
 from linnetwind.clock import Clock
 from linnetwind.group_outages import record_crash
@@ -61,6 +61,12 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._services: dict[str, ServiceCapacity] = {}
+        self._work = StreamWork()
+
+    @property
+    def work(self) -> StreamWork:
+        """Return the estimates of the work of streams."""
+        return self._work
 
     def acquire_permit(
         self,
@@ -149,18 +155,7 @@
         now = self._clock.elapsed()
         with self._lock:
             state = self._service(summary.service)
-            group = state.groups.setdefault(summary.group, GroupCapacity())
-            apply_summary(group, summary, now)
-            expire_groups(state, now)
-            others = {
-                life: name
-                for life, name in state.group_of.items()
-                if name in state.groups and name != summary.group
-            }
-            members = dict.fromkeys(summary.members, summary.group)
-            group_of = {**others, **members}
-            if group_of != state.group_of:
-                state.group_of = group_of
+            merge_summary(state, summary, now)
 
     def record_crash(
         self, service: str, life: UpstreamIncarnation, at: timedelta
--- a/linnetwind/admission/wait_queue.py
+++ b/linnetwind/admission/wait_queue.py
@@ -4,7 +4,7 @@
 import random
 import threading
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field, replace
 from datetime import timedelta
 
@@ -16,6 +16,7 @@
     RejectStream,
     decide_admission,
 )
+from linnetwind.admission.customer_shares import CustomerTag, CustomerWork
 from linnetwind.admission.queue_order import (
     PermitRequest,
     QueuedStream,
@@ -77,6 +78,24 @@
         """Return the number of queued streams of each priority."""
         return self._order.waiting_by_priority()
 
+    @property
+    def customers(self) -> Mapping[int, Mapping[CustomerTag, CustomerWork]]:
+        """Return this daemon's work of each customer by priority."""
+        return dict(self._order.customers)
+
+    def put_behind(
+        self, above_share: Mapping[int, frozenset[CustomerTag]]
+    ) -> None:
+        """Set the customers whose streams wait behind others of their class.
+
+        It is called while a view is made, and takes no lock. The queue is
+        sorted when the next stream comes or leaves.
+
+        Args:
+          above_share: The customers by priority.
+        """
+        self._order.above_share = above_share
+
     def wake(self) -> None:
         """Make the first stream check the capacity, which may have changed.
 
--- a/linnetwind/peers/peer_table.py
+++ b/linnetwind/peers/peer_table.py
@@ -78,12 +78,14 @@
     """The streams of one priority on one daemon.
 
     `waiting` streams wait for a permit, `arrivals_per_s` arrived in the last
-    second.
+    second. `customers` holds the work of the largest customers, packed by
+    `customer_shares.py`.
     """
 
     priority: int
     waiting: int
     arrivals_per_s: float
+    customers: bytes = b''
 
 
 @dataclass(frozen=True, slots=True)
