Rejected streams are logged and counted by priority

A rejected stream showed only as a refused request without its priority and customer. RequestEnded has the priority of a stream, from which linnetwind_streams counts outcomes. The waiting streams and the room of each priority are gauges.

--- a/linnetwind/admission/permit_shares.py
+++ b/linnetwind/admission/permit_shares.py
@@ -45,8 +45,15 @@
     max_streams: int
     by_class: tuple[tuple[int, int], ...] = ()
 
-    def max_of(self, priority: int) -> int:
-        """Return up to how many streams one of a priority may start."""
+    def max_of(self, priority: int | None) -> int:
+        """Return up to how many streams one of a priority may start.
+
+        Args:
+          priority: The priority, None for the most urgent.
+
+        Returns:
+          The number of this daemon's streams in the group.
+        """
         return dict(self.by_class).get(priority, self.max_streams)
 
 
--- a/linnetwind/admission/service_capacity.py
+++ b/linnetwind/admission/service_capacity.py
@@ -25,10 +25,8 @@
     remembered,
 )
 from linnetwind.admission.group_capacity import (
-    GROUP_EXPIRY,
     GroupCapacity,
     GroupCount,
-    apply_summary,
     estimate_part,
     expire_times,
     rate,
@@ -44,7 +42,6 @@
 from linnetwind.admission.wait_queue import WaitQueue
 from linnetwind.peers.peer_table import (
     ClassLoad,
-    GroupSummary,
     PassTimePerStream,
     StreamLoad,
 )
@@ -85,7 +82,8 @@
 
     `arrivals` are the monotonic times at which streams arrived, `newcomers`
     those of streams that are no retries of rejected callers, and `classes`
-    both by priority. `peer_priorities` are those of other daemons' streams.
+    both by priority. `peer_priorities` are those of other daemons' streams,
+    and `rooms` the permits for each priority in the last view.
     `starts` are the durations from a stream's start to its first event.
     `group_of`, the group of each incarnation of a rank, comes from the
     summaries of the planner. `first_asked_at` is the monotonic time at which a
@@ -98,6 +96,7 @@
     newcomers: deque[timedelta] = field(default_factory=deque)
     classes: dict[int, ClassArrivals] = field(default_factory=dict)
     peer_priorities: frozenset[int] = frozenset()
+    rooms: dict[int, int] = field(default_factory=dict)
     starts: deque[timedelta] = field(default_factory=_no_starts)
     engine: EngineProfile | None = None
     groups: dict[str, GroupCapacity] = field(default_factory=dict)
@@ -173,42 +172,6 @@
     )
 
 
-def merge_summary(
-    service: ServiceCapacity, summary: GroupSummary, now: timedelta
-) -> None:
-    """Apply the planner's summary of a group.
-
-    Args:
-      service: The service.
-      summary: The summary.
-      now: The monotonic time.
-    """
-    group = service.groups.setdefault(summary.group, GroupCapacity())
-    apply_summary(group, summary, now)
-    expire_groups(service, now)
-    others = {
-        life: name
-        for life, name in service.group_of.items()
-        if name in service.groups and name != summary.group
-    }
-    members = dict.fromkeys(summary.members, summary.group)
-    group_of = {**others, **members}
-    if group_of != service.group_of:
-        service.group_of = group_of
-
-
-def expire_groups(service: ServiceCapacity, now: timedelta) -> None:
-    """Remove the groups of which no planner has sent a summary for long.
-
-    Args:
-      service: The service.
-      now: The monotonic time.
-    """
-    for name, group in tuple(service.groups.items()):
-        if group.summary is not None and now - group.summary_at > GROUP_EXPIRY:
-            service.groups.pop(name)
-
-
 def capacity_view(
     service: ServiceCapacity, counts: Mapping[str, GroupCount], now: timedelta
 ) -> CapacityView:
@@ -225,29 +188,27 @@
     """
     if _awaits_first_summary(service, now):
         return _view_without_summary(service, counts, now)
-    groups = {name: service.groups[name] for name in counts}
     waits = {
-        name: unavailable_for(each, counts[name], now)
-        for name, each in groups.items()
+        name: unavailable_for(service.groups[name], count, now)
+        for name, count in counts.items()
     }
-    open_groups = [name for name, wait in waits.items() if wait is None]
-    free = sum(
-        max(0, groups[name].allowance.max_streams - counts[name].own_running)
-        for name in open_groups
-    )
+    open_counts = {
+        name: counts[name] for name, wait in waits.items() if wait is None
+    }
+    free = _free_for(None, service, open_counts)
     rates = class_rates(
         service.classes,
         service.peer_priorities | own_demands(service, now).keys(),
         now,
     )
-    ends = sum(rate(groups[name].ends, now) for name in open_groups)
+    ends = sum(rate(service.groups[name].ends, now) for name in open_counts)
     closed = [(wait, name) for name, wait in waits.items() if wait is not None]
-    soonest, first = (None, None) if open_groups or not closed else min(closed)
+    soonest, first = (None, None) if open_counts or not closed else min(closed)
     reserved = max(
         reserve_for_arrivals(free, rate(service.arrivals, now), ends),
         reserve_for_newcomers(rate(service.newcomers, now)),
     )
-    return CapacityView(
+    view = CapacityView(
         free,
         ends,
         _start_time(service),
@@ -256,14 +217,11 @@
         is_backoff=first is not None and soonest == counts[first].backoff,
         rates=rates,
         free_by_class=tuple(
-            _free_for(
-                each.priority,
-                [groups[name] for name in open_groups],
-                [counts[name] for name in open_groups],
-            )
-            for each in rates
+            _free_for(each.priority, service, open_counts) for each in rates
         ),
     )
+    service.rooms = {each: view.free_for(each) for each in service.classes}
+    return view
 
 
 def stream_load(
@@ -348,13 +306,15 @@
 
 
 def _free_for(
-    priority: int,
-    groups: Sequence[GroupCapacity],
-    counts: Sequence[GroupCount],
+    priority: int | None,
+    service: ServiceCapacity,
+    counts: Mapping[str, GroupCount],
 ) -> int:
+    """Return the permits in some groups, of all priorities if it is None."""
+    allowances = {name: service.groups[name].allowance for name in counts}
     return sum(
-        max(0, group.allowance.max_of(priority) - count.own_running)
-        for group, count in zip(groups, counts, strict=True)
+        max(0, allowances[name].max_of(priority) - count.own_running)
+        for name, count in counts.items()
     )
 
 
--- a/linnetwind/admission/stream_admission_control.py
+++ b/linnetwind/admission/stream_admission_control.py
@@ -16,7 +16,6 @@
     GroupCount,
     expire_times,
     group_stream_limit,
-    opens_in,
     recent_summary,
     unavailable_for,
 )
@@ -25,12 +24,18 @@
 from linnetwind.admission.service_capacity import (
     ServiceCapacity,
     capacity_view,
-    merge_summary,
     permit_share,
     record_arrival,
     renew_allowance,
     stream_load,
 )
+from linnetwind.admission.service_groups import (
+    ClassState,
+    class_states,
+    merge_summary,
+    ranks_by_group,
+    time_until_open,
+)
 from linnetwind.admission.stream_work import StreamWork
 from linnetwind.admission.wait_queue import WaitQueue
 from linnetwind.clock import Clock
@@ -40,7 +45,6 @@
     PeerState,
     StreamLoad,
 )
-from linnetwind.ranks_by_group import sort_ranks
 from linnetwind.routes import RoutedService
 from linnetwind.upstream_incarnation import UpstreamIncarnation
 from linnetwind.upstreams.upstream_list import Upstream
@@ -209,10 +213,7 @@
         """
         now = self._clock.elapsed()
         with self._lock:
-            groups = self._service(service).groups.values()
-            named = [each for each in groups if each.summary is not None]
-            waits = [opens_in(each, now) for each in named or groups]
-        return None if None in waits else min(waits, default=None)
+            return time_until_open(self._service(service), now)
 
     def group_of(self, upstream: Upstream) -> str:
         """Return the name of the group that a rank belongs to."""
@@ -235,20 +236,7 @@
         """
         now = self._clock.elapsed()
         with self._lock:
-            state = self._service(service)
-            has_summary = any(
-                recent_summary(each, now) for each in state.groups.values()
-            )
-            cached = state.sorted_ranks
-            group_of = state.group_of
-            if not cached or not cached.is_valid_for(
-                upstreams, group_of, has_summary=has_summary
-            ):
-                cached = sort_ranks(
-                    upstreams, group_of, has_summary=has_summary
-                )
-                state.sorted_ranks = cached
-        return cached.by_group
+            return ranks_by_group(self._service(service), upstreams, now)
 
     def view(
         self,
@@ -347,6 +335,24 @@
                 if state.engine is not None
             )
 
+    def class_states(self) -> list[ClassState]:
+        """Return the waiting streams and the room of each priority."""
+        with self._lock:
+            services = tuple(self._services.values())
+        return class_states(services)
+
+    def room(self, service: str, priority: int) -> int:
+        """Return the permits for a priority when a stream last asked.
+
+        Args:
+          service: The service's name.
+          priority: The priority.
+
+        Returns:
+          The number of permits.
+        """
+        return self._service(service).rooms.get(priority, 0)
+
     def utilization(self, service: str, group: str) -> float:
         """Return the share of a group's limit that is in use.
 
--- a/linnetwind/gateway_daemon.py
+++ b/linnetwind/gateway_daemon.py
@@ -98,6 +98,7 @@
         log.observe_with(self._metrics.observe)
         self._threads = DaemonThreads(log)
         self._state = GatewayState(clock, setup.mesh, setup.retry_terms)
+        self._metrics.watch_streams(self._state.stream_admission.class_states)
         mesh = MeshSettings(
             setup.name,
             setup.site,
--- a/linnetwind/gateway_events.py
+++ b/linnetwind/gateway_events.py
@@ -71,7 +71,8 @@
     """A caller's request has ended; `reason` says why with this outcome.
 
     All retries of a request share its `fingerprint`. `retry_after` is the retry
-    delay in the response, or None if there was none.
+    delay in the response, or None if there was none. `priority` is that of a
+    stream, None for other requests.
     """
 
     request: str
@@ -89,6 +90,25 @@
     longest_pause: timedelta
     running: int
     retry_after: timedelta | None = None
+    priority: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class StreamRejected:
+    """A stream got no permit, and its caller may retry later.
+
+    `room` is the number of permits that streams of its priority could use when
+    it was rejected, `returning` whether it was the retry of a rejected caller.
+    """
+
+    request: str
+    service: str
+    priority: int
+    customer: str
+    room: int
+    reason: str
+    retry_after: timedelta
+    returning: bool
 
 
 @dataclass(frozen=True, slots=True)
--- a/linnetwind/gateway_metrics.py
+++ b/linnetwind/gateway_metrics.py
@@ -4,6 +4,7 @@
 have few values: none holds a request, a customer or an instance.
 """
 
+from collections.abc import Callable, Sequence
 from typing import Any
 
 from prometheus_client import (
@@ -14,6 +15,7 @@
     generate_latest,
 )
 
+from linnetwind.admission.service_groups import ClassState
 from linnetwind.daemon_events import BadAnswer
 from linnetwind.daemon_threads import RoundFailed
 from linnetwind.event_log import LinesDropped
@@ -30,6 +32,7 @@
     RequestEnded,
     UpstreamCrashed,
 )
+from linnetwind.stream_gauges import StreamGauges
 
 # Histogram buckets in seconds; the targets for the first event of a stream are
 # around half a second.
@@ -46,6 +49,9 @@
         """Start at zero."""
         self._registry = CollectorRegistry()
         self._requests = self._counter('requests', 'Ended.', 'outcome')
+        self._streams = self._counter(
+            'streams', 'Ended.', 'priority', 'outcome'
+        )
         self._attempts = self._counter('attempts_failed', 'Lost.', 'failure')
         self._crashes = self._counter('upstreams_crashed', 'Under requests.')
         self._backoffs = self._counter('backoffs_asked', 'Asked.', 'during')
@@ -91,6 +97,14 @@
             case _:
                 self._count_failure(event)
 
+    def watch_streams(self, read: Callable[[], Sequence[ClassState]]) -> None:
+        """Serve the waiting streams and the room of each priority.
+
+        Args:
+          read: Returns the present state of each priority.
+        """
+        self._registry.register(StreamGauges(read))
+
     def render(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
         return generate_latest(self._registry)
@@ -113,6 +127,8 @@
 
     def _observe_request(self, event: RequestEnded) -> None:
         self._requests.labels(event.outcome).inc()
+        if event.priority is not None:
+            self._streams.labels(str(event.priority), event.outcome).inc()
         self._whole.observe(event.took.total_seconds())
         if event.first_byte is not None:
             self._first.observe(event.first_byte.total_seconds())
--- a/linnetwind/platform/gateway_test.py
+++ b/linnetwind/platform/gateway_test.py
@@ -1,10 +1,11 @@
 """Tests of the gateway in the platform's dialect, over real sockets."""
 
 import socket
+from dataclasses import replace
 
 import pytest
 
-from linnetwind.gateway_events import RequestEnded
+from linnetwind.gateway_events import RequestEnded, StreamRejected
 from linnetwind.platform.headers import PlatformDialect
 from standins.gateway_fixtures import make_table
 from standins.gateway_harness import GatewayHarness
@@ -97,6 +98,22 @@
     harness.close()
 
 
+def test_a_rejected_stream_is_logged_with_the_priority_of_its_customer(gateway):
+    # A customer's own priority takes the place of the route's. If it did not,
+    # the streams of an urgent customer would wait behind batch streams.
+    table = replace(gateway.state.table, version=2, priorities={'customer': 3})
+    gateway.state.apply_table(table)
+    status, headers, _body = gateway.ask(GET.replace('/x/', '/stream/'))
+    assert status == 503
+    rejected = gateway.log.first(StreamRejected)
+    assert (rejected.priority, rejected.customer) == (3, 'customer')
+    assert rejected.service == 'model'
+    assert (rejected.room, rejected.reason) == (0, 'no room in time')
+    told = float(headers['Retry-After'])
+    assert told == pytest.approx(rejected.retry_after.total_seconds(), abs=0.01)
+    assert gateway.log.first(RequestEnded).priority == 3
+
+
 def _cut_body(connection, request):
     connection.answer(request, 'half', Content_Length='8')
 
--- a/linnetwind/platform/table_format_test.py
+++ b/linnetwind/platform/table_format_test.py
@@ -66,6 +66,16 @@
         ('routes', {**TABLE, 'routes': {}}),
         ('tenants', {**TABLE, 'tenants': {}}),
         ('limits.headerBytes', {**TABLE, 'limits': {}}),
+        *(
+            (
+                'tenants[0].priority',
+                {
+                    **TABLE,
+                    'tenants': [{**TABLE['tenants'][0], 'priority': bad}],
+                },
+            )
+            for bad in (-1, 0.5, '0')
+        ),
         ('tenants[0].apiKeys', {**TABLE, 'tenants': [{'name': 'c'}]}),
         *(
             (
@@ -82,6 +92,9 @@
                 ('trafficSplit', {'service': 'plain'}),
                 ('anonymous', 'no'),
                 ('maxAttempts', 2.5),
+                ('priority', -1),
+                ('priority', 1.5),
+                ('priority', '1'),
             )
         ),
     ],
--- a/linnetwind/relay.py
+++ b/linnetwind/relay.py
@@ -30,7 +30,7 @@
     record_complete_answer,
     remaining_quarantine,
 )
-from linnetwind.gateway_events import AttemptFailed
+from linnetwind.gateway_events import AttemptFailed, StreamRejected
 from linnetwind.gateway_stop import EndEstimate
 from linnetwind.group_wait import await_open_group, group_opens_in
 from linnetwind.request_context import (
@@ -196,11 +196,33 @@
                 context, self._tools.stop.retry_after()
             )
         state.request_history.refusals.record_rejection(context.facts.subject)
+        self._log_rejection(context, claim, admission)
         self._respond(_REFUSED, _retry_after(admission.retry_after))
         return RequestResult(
             'refused', _REFUSED, admission.reason, admission.retry_after
         )
 
+    def _log_rejection(
+        self,
+        context: RequestContext,
+        claim: PermitRequest,
+        rejection: RejectStream,
+    ) -> None:
+        service = context.service.name
+        admission = self._tools.state.stream_admission
+        self._tools.log.event(
+            StreamRejected(
+                context.facts.call_id,
+                service,
+                claim.priority,
+                claim.customer,
+                admission.room(service, claim.priority),
+                rejection.reason,
+                rejection.retry_after,
+                claim.returning,
+            )
+        )
+
     def _run_attempts(self, context: RequestContext) -> RequestResult:
         result: RequestResult | None = None
         while result is None:
--- a/linnetwind/request_end_log.py
+++ b/linnetwind/request_end_log.py
@@ -6,6 +6,7 @@
     RequestContext,
     RequestResult,
 )
+from linnetwind.routes import request_priority
 
 
 def log_request_end(
@@ -39,5 +40,12 @@
             context.longest_pause,
             tools.state.requests_in_flight(service),
             done.retry_after,
+            _stream_priority(context),
         )
     )
+
+
+def _stream_priority(context: RequestContext) -> int | None:
+    if context.service is None or context.service.engine is None:
+        return None
+    return request_priority(context.table, context.route, context.customer)
