--- a/linnetwind/admission/service_capacity.py
+++ b/linnetwind/admission/service_capacity.py
@@ -18,15 +18,19 @@
     class_demands,
     class_rates,
 )
+from linnetwind.admission.customer_shares import (
+    CustomerTag,
+    customers_above_share,
+    merge_packed,
+    pack_customers,
+    remembered,
+)
 from linnetwind.admission.group_capacity import (
-    GROUP_EXPIRY,
     GroupCapacity,
     GroupCount,
-    apply_summary,
     estimate_part,
     expire_times,
     rate,
-    recent_summary,
     serves_late,
     unavailable_for,
 )
@@ -46,14 +50,12 @@
 from linnetwind.admission.wait_queue import WaitQueue
 from linnetwind.peers.peer_table import (
     ClassLoad,
-    GroupSummary,
     PassTimePerStream,
     StreamLoad,
 )
-from linnetwind.ranks_by_group import SortedRanks, sort_ranks
+from linnetwind.ranks_by_group import SortedRanks
 from linnetwind.routes import EngineProfile
 from linnetwind.upstream_incarnation import UpstreamIncarnation
-from linnetwind.upstreams.upstream_list import Upstream
 
 # The number of recent starts from which the time of the next one is estimated,
 # and the quantile of their times that is the estimate.
@@ -88,7 +90,8 @@
 
     `arrivals` are the monotonic times at which streams arrived, `newcomers`
     those of streams that are no retries of rejected callers, and `classes`
-    both by priority. `peer_priorities` are those of other daemons' streams.
+    both by priority. `peer_priorities` are those of other daemons' streams,
+    and `rooms` the permits for each priority in the last view.
     `starts` are the durations from a stream's start to its first event.
     `group_of`, the group of each incarnation of a rank, comes from the
     summaries of the planner. `first_asked_at` is the monotonic time at which a
@@ -102,6 +105,7 @@
     newcomers: deque[timedelta] = field(default_factory=deque)
     classes: dict[int, ClassArrivals] = field(default_factory=dict)
     peer_priorities: frozenset[int] = frozenset()
+    rooms: dict[int, int] = field(default_factory=dict)
     starts: deque[timedelta] = field(default_factory=_no_starts)
     engine: EngineProfile | None = None
     groups: dict[str, GroupCapacity] = field(default_factory=dict)
@@ -158,6 +162,7 @@
       loads: What the other daemons have advertised of the service's streams.
       now: The monotonic time.
     """
+    service.queue.put_behind(_above_share(service, loads, now))
     rounding = random.random()
     own = own_demands(service, now)
     others = [advertised_demands(each) for each in loads]
@@ -178,68 +183,6 @@
     )
 
 
-def expire_groups(service: ServiceCapacity, now: timedelta) -> None:
-    """Remove the groups of which no planner has sent a summary for long.
-
-    Args:
-      service: The service.
-      now: The monotonic time.
-    """
-    for name, group in tuple(service.groups.items()):
-        if group.summary is not None and now - group.summary_at > GROUP_EXPIRY:
-            service.groups.pop(name)
-
-
-def apply_group_summary(
-    service: ServiceCapacity, summary: GroupSummary, now: timedelta
-) -> None:
-    """Apply the planner's summary of a group of a service.
-
-    Args:
-      service: The service.
-      summary: The summary.
-      now: The monotonic time.
-    """
-    group = service.groups.setdefault(summary.group, GroupCapacity())
-    apply_summary(group, summary, now)
-    expire_groups(service, now)
-    others = {
-        life: name
-        for life, name in service.group_of.items()
-        if name in service.groups and name != summary.group
-    }
-    members = dict.fromkeys(summary.members, summary.group)
-    group_of = {**others, **members}
-    if group_of != service.group_of:
-        service.group_of = group_of
-
-
-def ranks_by_group(
-    service: ServiceCapacity, upstreams: Sequence[Upstream], now: timedelta
-) -> SortedRanks:
-    """Return a service's upstreams sorted by their rank groups.
-
-    Args:
-      service: The service, which keeps the result until it changes.
-      upstreams: Upstreams of the service.
-      now: The monotonic time.
-
-    Returns:
-      The sorted upstreams.
-    """
-    has_summary = any(
-        recent_summary(each, now) for each in service.groups.values()
-    )
-    cached = service.sorted_ranks
-    group_of = service.group_of
-    if not cached or not cached.is_valid_for(
-        upstreams, group_of, has_summary=has_summary
-    ):
-        cached = sort_ranks(upstreams, group_of, has_summary=has_summary)
-        service.sorted_ranks = cached
-    return cached
-
-
 def capacity_view(
     service: ServiceCapacity,
     counts: Mapping[str, GroupCount],
@@ -287,7 +230,7 @@
         reserve_for_arrivals(free, rate(service.arrivals, now), ends),
         reserve_for_newcomers(rate(service.newcomers, now)),
     )
-    return CapacityView(
+    view = CapacityView(
         free,
         ends,
         _start_time(service),
@@ -299,6 +242,8 @@
         late_free=_count_free(open_groups, counts) - free,
         recovers_in=_recovers_in(open_groups, chance),
     )
+    service.rooms = {each: view.free_for(each) for each in service.classes}
+    return view
 
 
 def prefer_groups_in_time(
@@ -346,7 +291,12 @@
         demand.arrivals_per_s,
         tuple(each for each in parts if each.pauses),
         tuple(
-            ClassLoad(priority, each.waiting, each.arrivals_per_s)
+            ClassLoad(
+                priority,
+                each.waiting,
+                each.arrivals_per_s,
+                pack_customers(service.queue.customers.get(priority, {}), now),
+            )
             for priority, each in own_demands(service, now).items()
         ),
     )
@@ -376,9 +326,9 @@
 def _count_free(
     groups: Mapping[str, GroupCapacity],
     counts: Mapping[str, GroupCount],
-    priority: int = 0,
+    priority: int | None = None,
 ) -> int:
-    """Return the permits that streams of a priority may use in some groups."""
+    """Return the permits in some groups, of all priorities if it is None."""
     return sum(
         max(0, group.allowance.max_of(priority) - counts[name].own_running)
         for name, group in groups.items()
@@ -430,6 +380,27 @@
     return Demand(service.queue.length, rate(service.arrivals, now))
 
 
+def _above_share(
+    service: ServiceCapacity, loads: Sequence[StreamLoad], now: timedelta
+) -> dict[int, frozenset[CustomerTag]]:
+    """Return the customers above their share in the classes that wait."""
+    customers = service.queue.customers
+    return {
+        priority: customers_above_share(
+            merge_packed(
+                remembered(customers.get(priority, {}), now),
+                (
+                    each.customers
+                    for load in loads
+                    for each in load.classes
+                    if each.priority == priority
+                ),
+            )
+        )
+        for priority in service.queue.waiting_by_priority()
+    }
+
+
 def _view_without_summary(
     service: ServiceCapacity, counts: Mapping[str, GroupCount], now: timedelta
 ) -> CapacityView:
--- a/linnetwind/admission/stream_admission_control.py
+++ b/linnetwind/admission/stream_admission_control.py
@@ -17,7 +17,6 @@
     GroupCount,
     expire_times,
     group_stream_limit,
-    opens_in,
     recent_summary,
     record_pause,
     serves_late,
@@ -26,19 +25,25 @@
 from linnetwind.admission.queue_order import PermitRequest
 from linnetwind.admission.service_capacity import (
     ServiceCapacity,
-    apply_group_summary,
     capacity_view,
     permit_share,
     prefer_groups_in_time,
-    ranks_by_group,
     record_arrival,
     renew_allowance,
     stream_load,
 )
+from linnetwind.admission.service_groups import (
+    ClassState,
+    class_states,
+    merge_summary,
+    ranks_by_group,
+    time_until_open,
+)
 from linnetwind.admission.slow_group import (
     callers_patience,
     longest_bearable_ms,
 )
+from linnetwind.admission.stream_work import StreamWork
 from linnetwind.admission.wait_queue import WaitQueue
 from linnetwind.clock import Clock
 from linnetwind.group_outages import record_crash
@@ -63,6 +68,12 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._services: dict[str, ServiceCapacity] = {}
+        self._work = StreamWork()
+
+    @property
+    def work(self) -> StreamWork:
+        """Return the estimates of the work of streams."""
+        return self._work
 
     def acquire_permit(
         self,
@@ -170,7 +181,7 @@
         now = self._clock.elapsed()
         with self._lock:
             state = self._service(summary.service)
-            apply_group_summary(state, summary, now)
+            merge_summary(state, summary, now)
 
     def record_crash(
         self, service: str, life: UpstreamIncarnation, at: timedelta
@@ -224,10 +235,7 @@
         """
         now = self._clock.elapsed()
         with self._lock:
-            groups = self._service(service).groups.values()
-            named = [each for each in groups if each.summary is not None]
-            waits = [opens_in(each, now) for each in named or groups]
-        return None if None in waits else min(waits, default=None)
+            return time_until_open(self._service(service), now)
 
     def group_of(self, upstream: Upstream) -> str:
         """Return the name of the group that a rank belongs to."""
@@ -250,8 +258,7 @@
         """
         now = self._clock.elapsed()
         with self._lock:
-            cached = ranks_by_group(self._service(service), upstreams, now)
-        return cached.by_group
+            return ranks_by_group(self._service(service), upstreams, now)
 
     def view(
         self,
@@ -323,7 +330,7 @@
         self,
         service: str,
         counts: Mapping[str, GroupCount],
-        priority: int = 0,
+        priority: int | None = None,
     ) -> dict[str, int]:
         """Return the permits that this daemon may use in each open group.
 
@@ -359,6 +366,24 @@
                 if state.engine is not None
             )
 
+    def class_states(self) -> list[ClassState]:
+        """Return the waiting streams and the room of each priority."""
+        with self._lock:
+            services = tuple(self._services.values())
+        return class_states(services)
+
+    def room(self, service: str, priority: int) -> int:
+        """Return the permits for a priority when a stream last asked.
+
+        Args:
+          service: The service's name.
+          priority: The priority.
+
+        Returns:
+          The number of permits.
+        """
+        return self._service(service).rooms.get(priority, 0)
+
     def utilization(self, service: str, group: str) -> float:
         """Return the share of a group's limit that is in use.
 
--- a/linnetwind/gateway_daemon.py
+++ b/linnetwind/gateway_daemon.py
@@ -110,6 +110,7 @@
         cold = self._state.request_history.cold
         cold.report_to(self._log_cold)
         self._metrics.watch_cold(lambda: cold.count)
+        self._metrics.watch_streams(self._state.stream_admission.class_states)
         mesh = MeshSettings(
             setup.name,
             setup.site,
--- a/linnetwind/gateway_state.py
+++ b/linnetwind/gateway_state.py
@@ -240,7 +240,7 @@
         self,
         service: RoutedService,
         tried: frozenset[str],
-        priority: int = 0,
+        priority: int | None = None,
     ) -> Upstream | None:
         """Choose an upstream for a request and count the request there.
 
@@ -306,7 +306,7 @@
         self,
         service: RoutedService,
         tried: frozenset[str],
-        priority: int = 0,
+        priority: int | None = None,
     ) -> list[Upstream]:
         """Return the upstreams that are eligible for a request now.
 
