Views and copies as before where nothing is evacuated

The capacity view is copied only if a service is evacuated. The copy for peers keeps a configuration that this daemon can't read, as it did. The names of data centres are collected only while one is evacuated.

--- a/linnetwind/evacuation_feed.py
+++ b/linnetwind/evacuation_feed.py
@@ -96,10 +96,12 @@
     def check_names(self) -> None:
         """Log evacuations of data centres that nobody has heard of, once."""
         upstreams = self._state.upstreams
-        if not upstreams.end:
-            # The names of the data centres have not been read yet.
+        unknown = upstreams.evacuations.sites
+        # Before the upstreams are read, no data centre is known.
+        if unknown and not upstreams.end:
             return
-        unknown = upstreams.evacuations.sites - self._known_sites(upstreams)
+        if unknown:
+            unknown -= self._known_sites(upstreams)
         for site in sorted(unknown - self._unknown):
             decision = upstreams.evacuations.decided[site]
             self._log.event(EvacuationUnknown(site, decision.offset))
--- a/linnetwind/gateway_feeds.py
+++ b/linnetwind/gateway_feeds.py
@@ -132,10 +132,9 @@
         copied = self._followers[topic].copy()
         if topic is not Topic.CONFIGURATION or copied is None:
             return copied
-        # Without a configuration in force, there is at most a malformed one.
+        read = [each for each in copied.records if self._is_table(each)]
         records = self._evacuations.records(copied.era)
-        if self._in_force is not None:
-            records.append(self._in_force)
+        records.extend(read if self._in_force is None else [self._in_force])
         records.sort(key=lambda record: record.offset)
         return replace(copied, records=tuple(records))
 
@@ -194,10 +193,12 @@
         # Callers are accepted as soon as there is a configuration.
         self._evacuations.apply_update(news)
         for record in news.records:
-            is_configuration = record.key == self._ports.configuration_key
-            if is_configuration and record.content is not None:
+            if self._is_table(record) and record.content is not None:
                 self._apply_table(record, news.source)
 
+    def _is_table(self, record: KeyedRecord) -> bool:
+        return record.key == self._ports.configuration_key
+
     def _apply_table(self, record: KeyedRecord, source: str) -> None:
         table = self._ports.decode_table(record.content)
         if isinstance(table, BadFormat):
--- a/linnetwind/gateway_state.py
+++ b/linnetwind/gateway_state.py
@@ -222,9 +222,9 @@
             peer_table.live(now),
             peer_table.min_send_interval,
         )
-        return replace(
-            view, is_evacuated=self._upstreams.is_evacuated(service.name, now)
-        )
+        if self._upstreams.is_evacuated(service.name, now):
+            return replace(view, is_evacuated=True)
+        return view
 
     def acquire_upstream(
         self, service: RoutedService, tried: frozenset[str]
