--- /dev/null
+++ b/linnetwind/admission/group_limits.py
@@ -0,0 +1,68 @@
+"""Renews the stream limits of a service's groups, and the allowances."""
+
+from collections.abc import Mapping, Sequence
+from datetime import timedelta
+
+from linnetwind.admission.group_capacity import (
+    GroupCapacity,
+    GroupCount,
+    group_stream_limit,
+)
+from linnetwind.admission.service_demand import permit_share, renew_allowance
+from linnetwind.admission.service_state import ServiceCapacity
+from linnetwind.admission.slow_group import longest_bearable_ms
+from linnetwind.peers.peer_table import StreamLoad
+
+
+def renew_limits(
+    service: ServiceCapacity,
+    gap: timedelta,
+    counts: Mapping[str, GroupCount],
+    loads: Sequence[StreamLoad],
+    send_interval: timedelta,
+    now: timedelta,
+) -> None:
+    """Compute the limit of each group anew.
+
+    A daemon's allowance of permits is computed anew once for each interval at
+    which the peers send their states.
+
+    Args:
+      service: The service, which has engines.
+      gap: The longest pause that is in time.
+      counts: The streams that run in each group, and its ranks.
+      loads: What the other daemons have advertised of the service's streams.
+      send_interval: How often each of them sends its state.
+      now: The monotonic time.
+    """
+    share = permit_share(service, now, loads, send_interval)
+    bearable_ms = longest_bearable_ms(
+        service.patience, service.lengths.mean_events
+    )
+    for name, count in counts.items():
+        group = service.groups.setdefault(name, GroupCapacity())
+        limit = group_stream_limit(
+            group,
+            now,
+            service.engine,
+            gap,
+            count.ranks,
+            _peer_estimates(name, loads),
+            bearable_ms,
+        )
+        group.utilization = count.running / limit
+        if now - group.allowance.at >= send_interval:
+            free = limit - count.running
+            renew_allowance(service, group, count, free, share, loads, now)
+
+
+def _peer_estimates(
+    group: str, loads: Sequence[StreamLoad]
+) -> list[tuple[float, int]]:
+    """Return what each stream adds to a pass, as the other daemons estimate."""
+    return [
+        (part.part_ms, part.pauses)
+        for load in loads
+        for part in load.parts
+        if part.group == group
+    ]
--- a/linnetwind/admission/service_capacity.py
+++ b/linnetwind/admission/service_capacity.py
@@ -1,9 +1,6 @@
 """The capacity of one service for streams, as one daemon knows it."""
 
-import random
-from collections import deque
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass, field
 from datetime import timedelta
 
 from linnetwind.admission.admission_policy import (
@@ -13,53 +10,23 @@
     spread_retry,
 )
 from linnetwind.admission.class_arrivals import (
-    ClassArrivals,
-    advertised_demands,
-    class_demands,
     class_rates,
 )
-from linnetwind.admission.customer_shares import (
-    CustomerTag,
-    customers_above_share,
-    merge_packed,
-    pack_customers,
-    remembered,
-)
 from linnetwind.admission.group_capacity import (
     GroupCapacity,
     GroupCount,
-    estimate_part,
-    expire_times,
     rate,
     serves_late,
     unavailable_for,
 )
-from linnetwind.admission.permit_shares import (
-    Demand,
-    compute_allowance,
-    compute_class_allowance,
-    own_share,
-)
-from linnetwind.admission.queue_order import PermitRequest
+from linnetwind.admission.service_demand import own_demands
+from linnetwind.admission.service_state import ServiceCapacity
 from linnetwind.admission.slow_group import (
     AwaitRecovery,
-    CallerPatience,
-    StreamLengths,
 )
 from linnetwind.admission.urgency import ClassRate
-from linnetwind.admission.wait_queue import WaitQueue
-from linnetwind.peers.peer_table import (
-    ClassLoad,
-    PassTimePerStream,
-    StreamLoad,
-)
-from linnetwind.ranks_by_group import SortedRanks
-from linnetwind.routes import EngineProfile
-from linnetwind.upstream_incarnation import UpstreamIncarnation
 
-# The number of recent starts from which the time of the next one is estimated,
-# and the quantile of their times that is the estimate.
-_STARTS = 24
+# The quantile of the times of recent starts that is the estimate of the next.
 _START_QUANTILE = 0.9
 # The estimate before any start: the rest of a pass that is in progress, and
 # one that reads the prompt and generates the first output.
@@ -80,109 +47,6 @@
 _PROBE_INTERVAL = timedelta(milliseconds=_PROBE_INTERVAL_MS)
 
 
-def _no_starts() -> deque[timedelta]:
-    return deque(maxlen=_STARTS)
-
-
-@dataclass
-class ServiceCapacity:
-    """The state of a service from which its free permits are computed.
-
-    `arrivals` are the monotonic times at which streams arrived, `newcomers`
-    those of streams that are no retries of rejected callers, and `classes`
-    both by priority. `peer_priorities` are those of other daemons' streams,
-    and `rooms` the permits for each priority in the last view.
-    `starts` are the durations from a stream's start to its first event.
-    `group_of`, the group of each incarnation of a rank, comes from the
-    summaries of the planner. `first_asked_at` is the monotonic time at which a
-    stream first asked for a permit, `probed_at` that at which a stream was last
-    running before the first summary of a planner. `patience` is what its
-    callers bear, `lengths` counts the events of its streams.
-    """
-
-    queue: WaitQueue
-    arrivals: deque[timedelta] = field(default_factory=deque)
-    newcomers: deque[timedelta] = field(default_factory=deque)
-    classes: dict[int, ClassArrivals] = field(default_factory=dict)
-    peer_priorities: frozenset[int] = frozenset()
-    rooms: dict[int, int] = field(default_factory=dict)
-    starts: deque[timedelta] = field(default_factory=_no_starts)
-    engine: EngineProfile | None = None
-    groups: dict[str, GroupCapacity] = field(default_factory=dict)
-    group_of: dict[UpstreamIncarnation, str] = field(default_factory=dict)
-    sorted_ranks: SortedRanks | None = None
-    first_asked_at: timedelta | None = None
-    probed_at: timedelta | None = None
-    patience: CallerPatience = CallerPatience()
-    lengths: StreamLengths = StreamLengths()
-
-
-def record_arrival(
-    service: ServiceCapacity, request: PermitRequest, now: timedelta
-) -> None:
-    """Record a stream that asks for a permit.
-
-    Args:
-      service: The service.
-      request: The stream's request for a permit.
-      now: The monotonic time.
-    """
-    by_class = service.classes.setdefault(request.priority, ClassArrivals())
-    recorded = [service.arrivals, by_class.arrivals]
-    if not request.returning:
-        recorded.extend((service.newcomers, by_class.newcomers))
-    for times in recorded:
-        times.append(now)
-        expire_times(times, now)
-
-
-def own_demands(service: ServiceCapacity, now: timedelta) -> dict[int, Demand]:
-    """Return this daemon's demand by priority."""
-    waiting = service.queue.waiting_by_priority()
-    return class_demands(service.classes, waiting, now)
-
-
-def renew_allowance(
-    service: ServiceCapacity,
-    group: GroupCapacity,
-    count: GroupCount,
-    free: int,
-    share: float,
-    loads: Sequence[StreamLoad],
-    now: timedelta,
-) -> None:
-    """Compute anew how many streams this daemon may run in a group.
-
-    Args:
-      service: The service.
-      group: The group.
-      count: Its streams.
-      free: Its free permits.
-      share: This daemon's share of them while all priorities are equal.
-      loads: What the other daemons have advertised of the service's streams.
-      now: The monotonic time.
-    """
-    service.queue.put_behind(_above_share(service, loads, now))
-    rounding = random.random()
-    own = own_demands(service, now)
-    others = [advertised_demands(each) for each in loads]
-    service.peer_priorities = frozenset(key for each in others for key in each)
-    if len(service.peer_priorities | own.keys()) < 2:
-        group.allowance = compute_allowance(
-            now, count.own_running, free, share, rounding
-        )
-        return
-    group.allowance = compute_class_allowance(
-        now,
-        count.own_running,
-        free,
-        own,
-        others,
-        rounding,
-        1 / max(1, len(service.groups)),
-    )
-
-
 def capacity_view(
     service: ServiceCapacity,
     counts: Mapping[str, GroupCount],
@@ -226,16 +90,15 @@
     # Streams that end in a slow group free no permit for one in time.
     ends = _ends_per_s(in_time or open_groups, now)
     soonest, is_backoff = _next_opening(waits, counts)
-    reserved = max(
-        reserve_for_arrivals(free, rate(service.arrivals, now), ends),
-        reserve_for_newcomers(rate(service.newcomers, now)),
-    )
     view = CapacityView(
         free,
         ends,
         _start_time(service),
         soonest,
-        reserved,
+        max(
+            reserve_for_arrivals(free, rate(service.arrivals, now), ends),
+            reserve_for_newcomers(rate(service.newcomers, now)),
+        ),
         is_backoff=is_backoff,
         rates=rates,
         free_by_class=_free_by_class(rates, in_time, counts),
@@ -267,62 +130,6 @@
     }
 
 
-def stream_load(
-    name: str, service: ServiceCapacity, now: timedelta
-) -> StreamLoad:
-    """Return what this daemon advertises to its peers of a service's streams.
-
-    Args:
-      name: The service's name.
-      service: The service.
-      now: The monotonic time.
-
-    Returns:
-      The demand at this daemon, and its estimates of each group's pass time.
-    """
-    demand = _demand(service, now)
-    parts = [
-        PassTimePerStream(group, *estimate_part(each, now, service.engine))
-        for group, each in service.groups.items()
-    ]
-    return StreamLoad(
-        name,
-        demand.waiting,
-        demand.arrivals_per_s,
-        tuple(each for each in parts if each.pauses),
-        tuple(
-            ClassLoad(
-                priority,
-                each.waiting,
-                each.arrivals_per_s,
-                pack_customers(service.queue.customers.get(priority, {}), now),
-            )
-            for priority, each in own_demands(service, now).items()
-        ),
-    )
-
-
-def permit_share(
-    service: ServiceCapacity,
-    now: timedelta,
-    loads: Sequence[StreamLoad],
-    window: timedelta,
-) -> float:
-    """Return this daemon's share of the permits that become free.
-
-    Args:
-      service: The service.
-      now: The monotonic time.
-      loads: What the other daemons have advertised of the service's streams.
-      window: How long the share is used.
-
-    Returns:
-      A share from 0 to 1.
-    """
-    others = [Demand(each.waiting, each.arrivals_per_s) for each in loads]
-    return own_share(_demand(service, now), others, window)
-
-
 def _count_free(
     groups: Mapping[str, GroupCapacity],
     counts: Mapping[str, GroupCount],
@@ -376,31 +183,6 @@
     return spread_retry(earliest, chance) if earliest else earliest
 
 
-def _demand(service: ServiceCapacity, now: timedelta) -> Demand:
-    return Demand(service.queue.length, rate(service.arrivals, now))
-
-
-def _above_share(
-    service: ServiceCapacity, loads: Sequence[StreamLoad], now: timedelta
-) -> dict[int, frozenset[CustomerTag]]:
-    """Return the customers above their share in the classes that wait."""
-    customers = service.queue.customers
-    return {
-        priority: customers_above_share(
-            merge_packed(
-                remembered(customers.get(priority, {}), now),
-                (
-                    each.customers
-                    for load in loads
-                    for each in load.classes
-                    if each.priority == priority
-                ),
-            )
-        )
-        for priority in service.queue.waiting_by_priority()
-    }
-
-
 def _view_without_summary(
     service: ServiceCapacity, counts: Mapping[str, GroupCount], now: timedelta
 ) -> CapacityView:
--- a/linnetwind/admission/service_groups.py
+++ b/linnetwind/admission/service_groups.py
@@ -6,12 +6,13 @@
 
 from linnetwind.admission.group_capacity import (
     GROUP_EXPIRY,
+    UNNAMED_GROUP,
     GroupCapacity,
     apply_summary,
     opens_in,
     recent_summary,
 )
-from linnetwind.admission.service_capacity import ServiceCapacity
+from linnetwind.admission.service_state import ServiceCapacity
 from linnetwind.peers.peer_table import GroupSummary
 from linnetwind.ranks_by_group import sort_ranks
 from linnetwind.upstreams.upstream_list import Upstream
@@ -51,6 +52,22 @@
     ]
 
 
+def group_capacity_of(
+    service: ServiceCapacity, upstream: Upstream
+) -> GroupCapacity:
+    """Return the state of the group that a rank belongs to.
+
+    Args:
+      service: The rank's service.
+      upstream: The rank.
+
+    Returns:
+      The state of its group, a new one if the group is not known yet.
+    """
+    name = service.group_of.get(upstream.life, UNNAMED_GROUP)
+    return service.groups.setdefault(name, GroupCapacity())
+
+
 def merge_summary(
     service: ServiceCapacity, summary: GroupSummary, now: timedelta
 ) -> None:
--- a/linnetwind/admission/stream_admission_control.py
+++ b/linnetwind/admission/stream_admission_control.py
@@ -16,32 +16,32 @@
     GroupCapacity,
     GroupCount,
     expire_times,
-    group_stream_limit,
     recent_summary,
     record_pause,
     serves_late,
     unavailable_for,
 )
+from linnetwind.admission.group_limits import renew_limits
 from linnetwind.admission.queue_order import PermitRequest
 from linnetwind.admission.service_capacity import (
-    ServiceCapacity,
     capacity_view,
-    permit_share,
     prefer_groups_in_time,
+)
+from linnetwind.admission.service_demand import (
     record_arrival,
-    renew_allowance,
     stream_load,
 )
 from linnetwind.admission.service_groups import (
     ClassState,
     class_states,
+    group_capacity_of,
     merge_summary,
     ranks_by_group,
     time_until_open,
 )
+from linnetwind.admission.service_state import ServiceCapacity
 from linnetwind.admission.slow_group import (
     callers_patience,
-    longest_bearable_ms,
 )
 from linnetwind.admission.stream_work import StreamWork
 from linnetwind.admission.wait_queue import WaitQueue
@@ -135,7 +135,7 @@
         """
         now = self._clock.elapsed()
         with self._lock:
-            group = self._group(upstream)
+            group = group_capacity_of(self._service(upstream.service), upstream)
             record_pause(group, length, running, now)
             state = self._service(upstream.service)
             state.lengths = state.lengths.add_pause()
@@ -149,7 +149,9 @@
             used to estimate what can be in time elsewhere.
         """
         with self._lock:
-            if serves_late(self._group(upstream)):
+            if serves_late(
+                group_capacity_of(self._service(upstream.service), upstream)
+            ):
                 return
             state = self._service(upstream.service)
             is_first = not state.starts
@@ -166,7 +168,9 @@
         now = self._clock.elapsed()
         with self._lock:
             state = self._service(upstream.service)
-            ends = self._group(upstream).ends
+            ends = group_capacity_of(
+                self._service(upstream.service), upstream
+            ).ends
             ends.append(now)
             expire_times(ends, now)
             state.lengths = state.lengths.add_end()
@@ -293,37 +297,7 @@
             state.first_asked_at = (
                 now if state.first_asked_at is None else state.first_asked_at
             )
-            share = permit_share(state, now, loads, send_interval)
-            for name, count in counts.items():
-                group = state.groups.setdefault(name, GroupCapacity())
-                parts = [
-                    (part.part_ms, part.pauses)
-                    for load in loads
-                    for part in load.parts
-                    if part.group == name
-                ]
-                limit = group_stream_limit(
-                    group,
-                    now,
-                    service.engine,
-                    gap,
-                    count.ranks,
-                    parts,
-                    longest_bearable_ms(
-                        state.patience, state.lengths.mean_events
-                    ),
-                )
-                group.utilization = count.running / limit
-                if now - group.allowance.at >= send_interval:
-                    renew_allowance(
-                        state,
-                        group,
-                        count,
-                        limit - count.running,
-                        share,
-                        loads,
-                        now,
-                    )
+            renew_limits(state, gap, counts, loads, send_interval, now)
             return capacity_view(state, counts, now, random.random())
 
     def free_permits(
@@ -422,7 +396,3 @@
             state = ServiceCapacity(WaitQueue(self._clock))
             self._services[service] = state
         return state
-
-    def _group(self, upstream: Upstream) -> GroupCapacity:
-        groups = self._service(upstream.service).groups
-        return groups.setdefault(self.group_of(upstream), GroupCapacity())
--- a/linnetwind/admission/urgency_test.py
+++ b/linnetwind/admission/urgency_test.py
@@ -22,11 +22,8 @@
 )
 from linnetwind.admission.class_arrivals import class_rates
 from linnetwind.admission.queue_order import PermitRequest, queue_position_key
-from linnetwind.admission.service_capacity import (
-    ServiceCapacity,
-    own_demands,
-    record_arrival,
-)
+from linnetwind.admission.service_demand import own_demands, record_arrival
+from linnetwind.admission.service_state import ServiceCapacity
 from linnetwind.admission.urgency import (
     ClassRate,
     ClassTally,
--- a/standins/admission_replay.py
+++ b/standins/admission_replay.py
@@ -22,14 +22,14 @@
     QueuedStream,
     QueueOrder,
 )
-from linnetwind.admission.service_capacity import (
-    ServiceCapacity,
-    capacity_view,
+from linnetwind.admission.service_capacity import capacity_view
+from linnetwind.admission.service_demand import (
     permit_share,
     record_arrival,
     renew_allowance,
     stream_load,
 )
+from linnetwind.admission.service_state import ServiceCapacity
 from linnetwind.admission.urgency import caller_patience
 from standins.admission_scene import (
     IN_TIME,
