Plan expert maps for the demand that lasts, and by its expected life

The present demand (half-life 150 ms) follows shifts of the popular experts, but also the few prompts read since the last poll, and each plan for it copies experts that the next plan does not need.

`lasting_demand` averages all counts since the last shift and blends this with the present demand by a least-squares fit of the last counts; the fit also shows the shifts. `copy_payback` derives the expected life of a gain from the time between them: a short life counts less gain per copy, a long one lets a smaller gain start a plan. `plan_map` takes life and pause as PlanTerms.

--- a/linnetwind/experts/expert_demand.py
+++ b/linnetwind/experts/expert_demand.py
@@ -24,12 +24,14 @@
 
     `last_counts` holds the last counts of each rank, `recent` the decayed
     demand of each expert, layer after layer in one row, and `updated_at` the
-    monotonic time of the last update.
+    monotonic time of the last update. `added` is what that update added to
+    `recent`.
     """
 
     last_counts: Mapping[int, LaneCounts] = field(default_factory=dict)
     recent: tuple[float, ...] = ()
     updated_at: timedelta = timedelta()
+    added: tuple[float, ...] = ()
 
     def apply_counts(
         self, counts: Mapping[int, LaneCounts], now: timedelta
@@ -59,7 +61,7 @@
         recent = tuple(
             old * decay + new for old, new in zip(recent, added, strict=True)
         )
-        return ExpertDemand({**self.last_counts, **counts}, recent, now)
+        return ExpertDemand({**self.last_counts, **counts}, recent, now, added)
 
     def by_layer(self, layers: int) -> tuple[tuple[float, ...], ...]:
         """Return the demand divided into layers.
--- a/linnetwind/experts/map_planner.py
+++ b/linnetwind/experts/map_planner.py
@@ -12,6 +12,7 @@
 from linnetwind.clock import Clock
 from linnetwind.event_log import EventLog
 from linnetwind.experts.target_map import (
+    PlanTerms,
     can_gain,
     even_demand,
     map_skew,
@@ -39,6 +40,7 @@
     Reports,
     discard_maps,
     needs_experts,
+    update_demand,
     update_groups,
     update_ranks,
 )
@@ -211,9 +213,7 @@
         for group in planned.groups.values():
             update_ranks(group, observed.get(group.name, {}), now)
             if with_counts:
-                group.demand = group.demand.apply_counts(
-                    counts_of(group.ranks), now
-                )
+                update_demand(group, counts_of(group.ranks), now)
 
     def _poll_group(self, group: PlannedGroup) -> Reports:
         """Poll the ranks of a group between two rounds."""
@@ -309,7 +309,7 @@
         *,
         force: bool,
     ) -> TargetMap | None:
-        tokens = group.demand.by_layer(service.engine.layers)
+        tokens = group.lasting.by_layer(service.engine.layers)
         if not sum(map(sum, tokens)):
             # A held group runs no passes to count, but needs a new version.
             tokens = even_demand(service.engine) if force else ()
@@ -321,7 +321,8 @@
         utilization = self._state.stream_admission.utilization(
             service.name, group.name
         )
-        if not force and not can_gain(group.skew, utilization, settled):
+        life = group.shifts.expected_life(now)
+        if not force and not can_gain(group.skew, utilization, settled, life):
             return None
         planned = plan_map(
             group.maps,
@@ -330,7 +331,7 @@
             service.engine,
             utilization=utilization,
             force=force,
-            pause=self._yield_to_streams,
+            terms=PlanTerms(life, self._yield_to_streams),
         )
         if planned.target is None:
             group.settled = group.skew
--- a/linnetwind/experts/target_map.py
+++ b/linnetwind/experts/target_map.py
@@ -8,7 +8,9 @@
 import random
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from datetime import timedelta
 
+from linnetwind.experts.copy_payback import USUAL_LIFE
 from linnetwind.placement import no_pause, plan_moves, skew
 from linnetwind.placement_level_plan import (
     net_benefit,
@@ -39,9 +41,6 @@
 # shifts before long plans pay off.
 MIN_COPIES_PER_RANK = 3
 _COPY_TIME_MS = 150
-# The time over which the gain of a better map is counted. It is short because
-# the popular experts change every few seconds.
-_HORIZON_S = 2.0
 # The fraction by which passes take longer while any rank copies.
 _COPY_SLOWDOWN = 0.15
 # The cost of moving one gigabyte, in seconds of the group's service. Under
@@ -78,6 +77,22 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class PlanTerms:
+    """Terms of a plan.
+
+    `life` is the expected life of the gain of a better map. `pause` is called
+    repeatedly while the plan is made, so that other threads of the process can
+    run.
+    """
+
+    life: timedelta = USUAL_LIFE
+    pause: Callable[[], None] = no_pause
+
+
+DEFAULT_TERMS = PlanTerms()
+
+
 def plan_map(
     maps: RankMaps,
     tokens: tuple[tuple[float, ...], ...],
@@ -86,7 +101,7 @@
     *,
     utilization: float,
     force: bool,
-    pause: Callable[[], None] = no_pause,
+    terms: PlanTerms = DEFAULT_TERMS,
 ) -> PlannedMap:
     """Plan the next map.
 
@@ -99,8 +114,7 @@
       utilization: Running streams over the group's capacity, from 0 to
         1.
       force: Whether a new version is needed even without a gain.
-      pause: Called repeatedly while the plan is made, so that other threads of
-        the process can run.
+      terms: The expected life of the gain, and the pause in between.
 
     Returns:
       The planned map, or the reason why the map in use stays.
@@ -108,13 +122,13 @@
     plan = _better_plan(
         _expert_map(maps, engine),
         _group_load(tokens, reports),
-        _prices(engine, len(reports)),
-        pause,
+        _prices(engine, len(reports), terms.life),
+        terms.pause,
     )
     gain = 1 - plan.skew_after / plan.skew_before
     reason = plan.reason
     next_target = None
-    if force or gain >= _min_gain(utilization):
+    if force or gain >= _min_gain(utilization, terms.life):
         target = _rank_maps(plan.target, engine)
         next_target = TargetMap(_new_version(reports), target)
     else:
@@ -145,7 +159,10 @@
 
 
 def can_gain(
-    current_skew: float, utilization: float, futile_skew: float
+    current_skew: float,
+    utilization: float,
+    futile_skew: float,
+    life: timedelta = USUAL_LIFE,
 ) -> bool:
     """Return whether a plan could gain enough to be worth a rollout.
 
@@ -159,13 +176,14 @@
         1.
       futile_skew: The skew at which a recent plan gained too little; 0 if there
         is none.
+      life: The expected life of the gain of a better map.
 
     Returns:
       Whether perfect balance would gain enough, and the skew has grown since a
       plan gained too little.
     """
     grown = current_skew >= futile_skew * _SKEW_GROWTH
-    return grown and 1 - 1 / current_skew >= _min_gain(utilization)
+    return grown and 1 - 1 / current_skew >= _min_gain(utilization, life)
 
 
 def even_demand(engine: EngineProfile) -> tuple[tuple[float, ...], ...]:
@@ -204,12 +222,14 @@
     )
 
 
-def _prices(engine: EngineProfile, ranks: int) -> PlacementPrices:
+def _prices(
+    engine: EngineProfile, ranks: int, life: timedelta
+) -> PlacementPrices:
     copies = MIN_COPIES_PER_RANK
     if engine.copy_ms:
         copies = max(copies, int(_COPY_TIME_MS / engine.copy_ms))
     return PlacementPrices(
-        horizon=_HORIZON_S,
+        horizon=min(life, USUAL_LIFE).total_seconds(),
         skew_weight=1,
         cost_weight=1,
         seconds_per_move=_copy_cost(engine, ranks),
@@ -218,8 +238,14 @@
     )
 
 
-def _min_gain(utilization: float) -> float:
-    return MIN_GAIN + (MIN_GAIN_IDLE - MIN_GAIN) * (1 - min(1, utilization))
+def _min_gain(utilization: float, life: timedelta) -> float:
+    """Return the smallest gain in skew that is worth a rollout.
+
+    A gain that lasts longer than usual is worth a rollout when it is smaller.
+    In an idle group it is worth none however long it lasts.
+    """
+    full = MIN_GAIN * min(1, USUAL_LIFE / life)
+    return full + (MIN_GAIN_IDLE - full) * (1 - min(1, utilization))
 
 
 def _copy_cost(engine: EngineProfile, ranks: int) -> float:
--- a/linnetwind/planned_group.py
+++ b/linnetwind/planned_group.py
@@ -5,11 +5,13 @@
 from datetime import timedelta
 
 from linnetwind.admission.pass_time_estimator import DEFAULT_SKEW
+from linnetwind.experts.copy_payback import ShiftHistory
 from linnetwind.experts.expert_demand import ExpertDemand
+from linnetwind.experts.lasting_demand import LastingDemand
 from linnetwind.group_observations import ObservedRank, held_maps
 from linnetwind.planner_backoff import PlannerBackoff
 from linnetwind.rank_link import GroupLinks
-from linnetwind.rank_types import RankMaps, RankReport
+from linnetwind.rank_types import LaneCounts, RankMaps, RankReport
 from linnetwind.rollout import TargetMap, is_whole
 from linnetwind.upstream_incarnation import UpstreamIncarnation
 
@@ -31,6 +33,9 @@
     of the open group last replied. `step` is the newest epoch and step that a
     rank has reported, and `progressed_at` the time at which it last increased.
 
+    `demand` is the present demand for experts, `lasting` the demand to plan
+    for, and `shifts` tells how often it has shifted.
+
     `maps` is the expert map in use, if known, and `maps_version` its epoch and
     version. `target` is the map that is being rolled out, and `backoff` delays
     the next one after another planner's map superseded it. At `settled_at` a
@@ -47,6 +52,8 @@
     ranks: dict[int, ObservedRank] = field(default_factory=dict)
     incarnations: dict[int, UpstreamIncarnation] = field(default_factory=dict)
     demand: ExpertDemand = field(default_factory=ExpertDemand)
+    lasting: LastingDemand = LastingDemand()
+    shifts: ShiftHistory = ShiftHistory()
     target: TargetMap | None = None
     reports: Reports = field(default_factory=dict)
     maps: RankMaps | None = None
@@ -133,6 +140,25 @@
         update_maps(group, group.reports)
 
 
+def update_demand(
+    group: PlannedGroup, counts: Mapping[int, LaneCounts], now: timedelta
+) -> None:
+    """Update the demand of a group with newer counts.
+
+    Args:
+      group: The group.
+      counts: The counts of each rank that has replied.
+      now: The monotonic time.
+    """
+    group.demand = group.demand.apply_counts(counts, now)
+    group.lasting = group.lasting.apply_counts(
+        group.demand.added, group.demand.recent, now
+    )
+    group.shifts = group.shifts.begin(now)
+    if group.lasting.has_shifted:
+        group.shifts = group.shifts.record_shift(now)
+
+
 def discard_maps_after_restart(group: PlannedGroup) -> None:
     """Discard the maps of a group if one of its ranks has restarted.
 
--- a/standins/expert_replay.py
+++ b/standins/expert_replay.py
@@ -13,9 +13,12 @@
 from datetime import timedelta
 from typing import Protocol
 
+from linnetwind.experts.copy_payback import USUAL_LIFE, ShiftHistory
 from linnetwind.experts.expert_demand import ExpertDemand
+from linnetwind.experts.lasting_demand import LastingDemand
 from linnetwind.experts.target_map import (
     PlannedMap,
+    PlanTerms,
     can_gain,
     map_skew,
     plan_map,
@@ -113,14 +116,20 @@
 
     def plan(self, view: View) -> PlannedMap | None:
         """Plan if the skew promises a gain."""
-        tokens = self._demand.by_layer(view.engine.layers)
+        return self._plan(
+            view, self._demand.by_layer(view.engine.layers), USUAL_LIFE
+        )
+
+    def _plan(
+        self, view: View, tokens: Demand, life: timedelta
+    ) -> PlannedMap | None:
         if not sum(map(sum, tokens)):
             return None
         current = map_skew(view.maps, tokens, view.reports, view.engine)
         futile, since = self._futile
         if view.now - since >= timedelta(seconds=_REPLAN_S):
             futile = 0
-        if not can_gain(current, view.utilization, futile):
+        if not can_gain(current, view.utilization, futile, life):
             return None
         planned = plan_map(
             view.maps,
@@ -129,12 +138,41 @@
             view.engine,
             utilization=view.utilization,
             force=False,
+            terms=PlanTerms(life),
         )
         if planned.target is None:
             self._futile = (current, view.now)
         return planned
 
 
+class LastingDemandPolicy(PresentDemandPolicy):
+    """Plans for the demand that lasts, with the expected life of its gain."""
+
+    def __init__(self) -> None:
+        """Start without counts."""
+        super().__init__()
+        self._lasting = LastingDemand()
+        self._shifts = ShiftHistory()
+
+    def apply_counts(self, counts: LaneCounts, now: timedelta) -> None:
+        """Learn the counts of a poll."""
+        super().apply_counts(counts, now)
+        self._lasting = self._lasting.apply_counts(
+            self._demand.added, self._demand.recent, now
+        )
+        self._shifts = self._shifts.begin(now)
+        if self._lasting.has_shifted:
+            self._shifts = self._shifts.record_shift(now)
+
+    def plan(self, view: View) -> PlannedMap | None:
+        """Plan if the skew promises a gain."""
+        return self._plan(
+            view,
+            self._lasting.by_layer(view.engine.layers),
+            self._shifts.expected_life(view.now),
+        )
+
+
 def make_case_engine(case: Case) -> EngineProfile:
     """Return the engine of a case; a copy takes as long as its link needs."""
     copy_ms = _EXPERT_GB * _BITS_PER_BYTE / _LINK_MBIT_S * 1e6
@@ -212,7 +250,10 @@
     return Outcome(tuple(skews), copied, late, tuple(plan_seconds))
 
 
-POLICIES: dict[str, Callable[[], Policy]] = {'present': PresentDemandPolicy}
+POLICIES: dict[str, Callable[[], Policy]] = {
+    'present': PresentDemandPolicy,
+    'lasting': LastingDemandPolicy,
+}
 CASES = {
     'hard': Case(72, (2, 3)),
     'bursty': Case(72, (2, 3), batch=6),
