--- a/linnetwind/admission/customer_shares.py
+++ b/linnetwind/admission/customer_shares.py
@@ -154,27 +154,44 @@
     )
 
 
-def merge_packed(
-    works: Mapping[CustomerTag, CustomerWork], packed: Iterable[bytes]
+def unpack_customers(packed: bytes) -> dict[CustomerTag, CustomerWork]:
+    """Decode the customers that another daemon advertises.
+
+    Args:
+      packed: The encoded customers.
+
+    Returns:
+      The work by customer; none if the bytes are not whole entries, and
+      without numbers that are no work.
+    """
+    if len(packed) % _PACKED.size:
+        return {}
+    return {
+        customer: CustomerWork(asked, served)
+        for customer, asked, served in _PACKED.iter_unpack(packed)
+        if isfinite(asked + served) and min(asked, served) >= 0
+    }
+
+
+def merge_works(
+    *parts: Mapping[CustomerTag, CustomerWork],
 ) -> dict[CustomerTag, CustomerWork]:
-    """Add the work that other daemons advertise.
+    """Add up the work of customers.
 
     Args:
-      works: This daemon's own work by customer.
-      packed: The encoded customers of each daemon. One whose bytes are not
-        whole entries is left out, as are numbers that are no work.
+      parts: The work by customer, as of one time.
 
     Returns:
-      The work over all daemons.
+      The sums by customer.
     """
-    totals = {key: (each.asked, each.served) for key, each in works.items()}
-    whole = (each for each in packed if not len(each) % _PACKED.size)
-    for content in whole:
-        for customer, asked, served in _PACKED.iter_unpack(content):
-            before = totals.get(customer, (0, 0))
-            if isfinite(asked + served) and min(asked, served) >= 0:
-                totals[customer] = (before[0] + asked, before[1] + served)
-    return {key: CustomerWork(*total) for key, total in totals.items()}
+    sums: dict[CustomerTag, CustomerWork] = {}
+    for part in parts:
+        for customer, work in part.items():
+            before = sums.get(customer, _NONE)
+            sums[customer] = CustomerWork(
+                before.asked + work.asked, before.served + work.served
+            )
+    return sums
 
 
 def remembered(
--- a/linnetwind/admission/customer_shares_test.py
+++ b/linnetwind/admission/customer_shares_test.py
@@ -13,9 +13,10 @@
     customer_tag,
     customers_above_share,
     fair_level,
-    merge_packed,
+    merge_works,
     pack_customers,
     remembered,
+    unpack_customers,
 )
 from linnetwind.admission.queue_order import (
     PermitRequest,
@@ -72,7 +73,8 @@
     works = {key: CustomerWork(key, key / 2, NOW) for key in range(1, 30)}
     packed = pack_customers(works, NOW)
     assert len(packed) == 12 * MAX_ADVERTISED
-    merged = merge_packed({29: CustomerWork(1, 1)}, [packed, packed])
+    read = unpack_customers(packed)
+    merged = merge_works({29: CustomerWork(1, 1)}, read, read)
     assert merged[29] == CustomerWork(59, 30)
     assert len(merged) == MAX_ADVERTISED
 
@@ -80,7 +82,7 @@
 @given(st.binary(max_size=40))
 def test_other_bytes_are_no_customers(content):
     # They came from a datagram; not-a-number would spoil all shares.
-    merged = merge_packed({}, [content])
+    merged = unpack_customers(content)
     assert all(each.asked >= 0 and each.served >= 0 for each in merged.values())
 
 
--- a/linnetwind/admission/permit_shares.py
+++ b/linnetwind/admission/permit_shares.py
@@ -102,7 +102,7 @@
     running: int,
     free: float,
     own: ClassDemands,
-    others: Sequence[ClassDemands],
+    others: ClassDemands,
     rounding: float,
     portion: float = 1,
 ) -> Allowance:
@@ -117,17 +117,16 @@
       running: The streams that run at this daemon.
       free: The free permits of the group, below 0 if it runs too many streams.
       own: This daemon's demand by priority.
-      others: The demand of each other daemon by priority.
+      others: The demand of all other daemons by priority.
       rounding: A random number from 0 to 1, see `compute_allowance`.
       portion: The part of the demand that this group should serve.
 
     Returns:
       The allowance.
     """
-    daemons = [own, *others]
-    priorities = sorted({key for each in daemons for key in each})
+    priorities = sorted({*own, *others})
     demands = {
-        priority: portion * sum(_need(each, priority) for each in daemons)
+        priority: portion * (_need(own, priority) + _need(others, priority))
         for priority in priorities
     }
     rooms = allocate_room(free, demands)
--- a/linnetwind/admission/permit_shares_test.py
+++ b/linnetwind/admission/permit_shares_test.py
@@ -9,14 +9,17 @@
 from hypothesis import strategies as st
 
 from linnetwind.admission.class_arrivals import advertised_demands
+from linnetwind.admission.customer_shares import CustomerWork, pack_customers
+from linnetwind.admission.peer_totals import PeerTotals
 from linnetwind.admission.permit_shares import (
+    Allowance,
     Demand,
     compute_allowance,
     compute_class_allowance,
     own_share,
 )
 from linnetwind.admission.urgency import FLOOR, allocate_room
-from linnetwind.peers.peer_table import StreamLoad
+from linnetwind.peers.peer_table import ClassLoad, StreamLoad
 
 SECOND = timedelta(seconds=1)
 NOW = SECOND
@@ -82,9 +85,9 @@
     # keep all permits.
     batch = {2: Demand(20, 10)}
     urgent = {0: Demand(4, 10)}
-    first = compute_class_allowance(NOW, 30, 0, batch, [urgent], 0.5)
+    first = compute_class_allowance(NOW, 30, 0, batch, urgent, 0.5)
     assert first.max_of(2) == 25
-    second = compute_class_allowance(NOW, 3, 5, urgent, [batch], 0.5)
+    second = compute_class_allowance(NOW, 3, 5, urgent, batch, 0.5)
     assert second.max_of(0) >= 6
     # A daemon that sends no priorities counts as the most urgent.
     load = StreamLoad('model', 4, 10, ())
@@ -108,14 +111,24 @@
 ):
     # Each daemon computes its part by itself; if the parts did not fit, every
     # stream of the group would be late.
-    used = sum(
-        compute_class_allowance(
-            NOW, 100, free, own, [*demands[:at], *demands[at + 1 :]], rounding
-        ).max_streams
-        - 100
-        for at, own in enumerate(demands)
-        if own
-    )
+    used = 0
+    for at, own in enumerate(demands):
+        peers = PeerTotals()
+        for number, other in enumerate(demands):
+            classes = [
+                ClassLoad(priority, each.waiting, each.arrivals_per_s)
+                for priority, each in other.items()
+            ]
+            load = StreamLoad('model', 0, 0, (), tuple(classes))
+            if number != at and classes:
+                peers.merge(f'peer {number}', [load])
+        others = peers.demands('model')
+        allowance = (
+            compute_class_allowance(NOW, 100, free, own, others, rounding)
+            if own
+            else Allowance(NOW, 100)
+        )
+        used += allowance.max_streams - 100
     assert used <= max(0, free) + len(demands) * (1 + rounding)
 
 
@@ -134,3 +147,19 @@
         assert more >= less - 0.001
     first = min(rooms)
     assert rooms[first] >= min(free, demands[first]) * FLOOR
+
+
+def test_a_daemon_that_timed_out_leaves_no_demand():
+    # If its demand stayed, a share of the permits would never be used.
+    peers = PeerTotals()
+    work = pack_customers({7: CustomerWork(2, 1, NOW)}, NOW)
+    load = StreamLoad('model', 4, 9, (), (ClassLoad(1, 4, 9, work),))
+    for name in ('a', 'b', 'a'):
+        peers.merge(name, [load])
+    assert peers.demands('model') == {1: Demand(8, 18)}
+    assert peers.customers('model', 1) == {7: CustomerWork(4, 2)}
+    peers.merge('a', ())
+    assert peers.demands('model') == {1: Demand(4, 9)}
+    peers.merge('b', ())
+    assert peers.demands('model') == {}
+    assert peers.customers('model', 1) == {}
--- a/linnetwind/admission/service_capacity.py
+++ b/linnetwind/admission/service_capacity.py
@@ -13,14 +13,13 @@
 )
 from linnetwind.admission.class_arrivals import (
     ClassArrivals,
-    advertised_demands,
     class_demands,
     class_rates,
 )
 from linnetwind.admission.customer_shares import (
     CustomerTag,
     customers_above_share,
-    merge_packed,
+    merge_works,
     pack_customers,
     remembered,
 )
@@ -32,6 +31,7 @@
     rate,
     unavailable_for,
 )
+from linnetwind.admission.peer_totals import PeerTotals
 from linnetwind.admission.permit_shares import (
     Demand,
     compute_allowance,
@@ -76,6 +76,14 @@
     return deque(maxlen=_STARTS)
 
 
+@dataclass(frozen=True, slots=True)
+class ServicePeers:
+    """The totals over the other daemons, and the service that they are for."""
+
+    service: str
+    totals: PeerTotals
+
+
 @dataclass
 class ServiceCapacity:
     """The state of a service from which its free permits are computed.
@@ -137,7 +145,7 @@
     count: GroupCount,
     free: int,
     share: float,
-    loads: Sequence[StreamLoad],
+    peers: ServicePeers,
     now: timedelta,
 ) -> None:
     """Compute anew how many streams this daemon may run in a group.
@@ -148,14 +156,14 @@
       count: Its streams.
       free: Its free permits.
       share: This daemon's share of them while all priorities are equal.
-      loads: What the other daemons have advertised of the service's streams.
+      peers: The demand and the customers of the other daemons.
       now: The monotonic time.
     """
-    service.queue.put_behind(_above_share(service, loads, now))
+    service.queue.put_behind(_above_share(service, peers, now))
     rounding = random.random()
     own = own_demands(service, now)
-    others = [advertised_demands(each) for each in loads]
-    service.peer_priorities = frozenset(key for each in others for key in each)
+    others = peers.totals.demands(peers.service)
+    service.peer_priorities = frozenset(others)
     if len(service.peer_priorities | own.keys()) < 2:
         group.allowance = compute_allowance(
             now, count.own_running, free, share, rounding
@@ -285,20 +293,15 @@
 
 
 def _above_share(
-    service: ServiceCapacity, loads: Sequence[StreamLoad], now: timedelta
+    service: ServiceCapacity, peers: ServicePeers, now: timedelta
 ) -> dict[int, frozenset[CustomerTag]]:
     """Return the customers above their share in the classes that wait."""
     customers = service.queue.customers
     return {
         priority: customers_above_share(
-            merge_packed(
+            merge_works(
                 remembered(customers.get(priority, {}), now),
-                (
-                    each.customers
-                    for load in loads
-                    for each in load.classes
-                    if each.priority == priority
-                ),
+                peers.totals.customers(peers.service, priority),
             )
         )
         for priority in service.queue.waiting_by_priority()
--- a/linnetwind/admission/service_groups.py
+++ b/linnetwind/admission/service_groups.py
@@ -14,6 +14,7 @@
 from linnetwind.admission.service_capacity import ServiceCapacity
 from linnetwind.peers.peer_table import GroupSummary
 from linnetwind.ranks_by_group import sort_ranks
+from linnetwind.upstream_incarnation import UpstreamIncarnation
 from linnetwind.upstreams.upstream_list import Upstream
 
 
@@ -129,3 +130,19 @@
         cached = sort_ranks(upstreams, group_of, has_summary=has_summary)
         service.sorted_ranks = cached
     return cached.by_group
+
+
+def slow_ranks(
+    service: ServiceCapacity, now: timedelta
+) -> frozenset[UpstreamIncarnation]:
+    """Return the incarnations of a service's ranks that run slowly.
+
+    Args:
+      service: The service.
+      now: The monotonic time.
+
+    Returns:
+      The incarnations, as the planner's recent summaries list them.
+    """
+    summaries = [recent_summary(each, now) for each in service.groups.values()]
+    return frozenset(life for each in summaries if each for life in each.slow)
--- a/linnetwind/admission/stream_admission_control.py
+++ b/linnetwind/admission/stream_admission_control.py
@@ -20,9 +20,11 @@
     unavailable_for,
 )
 from linnetwind.admission.pass_time_estimator import Pause
+from linnetwind.admission.peer_totals import PeerTotals
 from linnetwind.admission.queue_order import PermitRequest
 from linnetwind.admission.service_capacity import (
     ServiceCapacity,
+    ServicePeers,
     capacity_view,
     permit_share,
     record_arrival,
@@ -34,9 +36,9 @@
     class_states,
     merge_summary,
     ranks_by_group,
+    slow_ranks,
     time_until_open,
 )
-from linnetwind.admission.stream_work import StreamWork
 from linnetwind.admission.wait_queue import WaitQueue
 from linnetwind.clock import Clock
 from linnetwind.group_outages import record_crash
@@ -65,12 +67,12 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._services: dict[str, ServiceCapacity] = {}
-        self._work = StreamWork()
+        self._totals = PeerTotals()
 
     @property
-    def work(self) -> StreamWork:
-        """Return the estimates of the work of streams."""
-        return self._work
+    def peer_totals(self) -> PeerTotals:
+        """Return the demand of the other daemons."""
+        return self._totals
 
     def acquire_permit(
         self,
@@ -296,7 +298,7 @@
                         count,
                         limit - count.running,
                         share,
-                        loads,
+                        ServicePeers(service.name, self._totals),
                         now,
                     )
             return capacity_view(state, counts, now)
@@ -379,11 +381,7 @@
         """
         now = self._clock.elapsed()
         with self._lock:
-            capacities = self._service(service).groups.values()
-            summaries = [recent_summary(each, now) for each in capacities]
-        return frozenset(
-            life for each in summaries if each for life in each.slow
-        )
+            return slow_ranks(self._service(service), now)
 
     def _service(self, service: str) -> ServiceCapacity:
         state = self._services.get(service)
--- a/linnetwind/gateway_state.py
+++ b/linnetwind/gateway_state.py
@@ -163,6 +163,7 @@
                 self._expiry_checked_at = now
                 self._peer_table = self._peer_table.expire_peers(now)
         self._books.merge_advertised(state, 1 + len(self._peer_table.received))
+        self._room.peer_totals.merge(state.name, received.loads)
         for summary in state.groups:
             self._room.apply_summary(summary)
 
@@ -364,6 +365,7 @@
                 live = {each.name for each in self._peer_table.live(now)}
                 for timed_out in self._streams.peers - live:
                     self._streams.drop_peer(timed_out)
+                    self._room.peer_totals.merge(timed_out, ())
         return self._streams.totals
 
 
--- a/linnetwind/relay.py
+++ b/linnetwind/relay.py
@@ -176,9 +176,7 @@
             request_priority(context.table, route, context.customer),
             context.until - self._request.received,
             context.customer or '',
-            state.stream_admission.work.relative(
-                route.name, context.facts.tokens
-            ),
+            self._tools.stream_work.relative(route.name, context.facts.tokens),
         )
         admission = state.stream_admission.acquire_permit(
             service.name,
--- a/linnetwind/request_context.py
+++ b/linnetwind/request_context.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
+from linnetwind.admission.stream_work import StreamWork
 from linnetwind.call_policy import FailedAttempt
 from linnetwind.call_types import (
     CallerRequest,
@@ -53,6 +54,7 @@
     open_call: CallOpener
     stop: GatewayStop
     runs: StreamDurations = field(default_factory=StreamDurations)
+    stream_work: StreamWork = field(default_factory=StreamWork)
     open_work: OpenWork = field(default_factory=OpenWork)
     advertise_to_peers: Callable[[], None] = _notify_no_peers
     persist_quarantine: Callable[[Fingerprint], None] = _store_no_quarantine
--- a/standins/admission_replay.py
+++ b/standins/admission_replay.py
@@ -17,6 +17,7 @@
     decide_admission,
 )
 from linnetwind.admission.group_capacity import GroupCapacity, GroupCount
+from linnetwind.admission.peer_totals import PeerTotals
 from linnetwind.admission.queue_order import (
     PermitRequest,
     QueuedStream,
@@ -24,6 +25,7 @@
 )
 from linnetwind.admission.service_capacity import (
     ServiceCapacity,
+    ServicePeers,
     capacity_view,
     permit_share,
     record_arrival,
@@ -70,11 +72,13 @@
     )
     running: int = 0
     heard: dict[int, tuple] = field(default_factory=dict)
+    totals: PeerTotals = field(default_factory=PeerTotals)
     viewed: tuple = (None, None)
 
     def receive(self, number, state, _now):
         """Keep the state of a peer."""
         self.heard[number] = state
+        self.totals.merge(str(number), [state[1]])
 
     def view(self, scene: Scene, now: timedelta):
         """Return the capacity, as `StreamAdmission.view` does."""
@@ -87,7 +91,8 @@
             loads = [load for _, load in self.heard.values()]
             share = permit_share(self.service, now, loads, _SEND)
             free = scene.limit - everywhere
-            renew_allowance(self.service, group, count, free, share, loads, now)
+            peers = ServicePeers('model', self.totals)
+            renew_allowance(self.service, group, count, free, share, peers, now)
         self.viewed = (now, capacity_view(self.service, {_GROUP: count}, now))
         return self.viewed[1]
 
