--- a/linnetwind/admission/group_limits.py
+++ b/linnetwind/admission/group_limits.py
@@ -8,7 +8,11 @@
     GroupCount,
     group_stream_limit,
 )
-from linnetwind.admission.service_demand import permit_share, renew_allowance
+from linnetwind.admission.service_demand import (
+    ServicePeers,
+    permit_share,
+    renew_allowance,
+)
 from linnetwind.admission.service_state import ServiceCapacity
 from linnetwind.admission.slow_group import longest_bearable_ms
 from linnetwind.peers.peer_table import StreamLoad
@@ -19,6 +23,7 @@
     gap: timedelta,
     counts: Mapping[str, GroupCount],
     loads: Sequence[StreamLoad],
+    peers: ServicePeers,
     send_interval: timedelta,
     now: timedelta,
 ) -> None:
@@ -32,6 +37,7 @@
       gap: The longest pause that is in time.
       counts: The streams that run in each group, and its ranks.
       loads: What the other daemons have advertised of the service's streams.
+      peers: The demand and the customers of the other daemons.
       send_interval: How often each of them sends its state.
       now: The monotonic time.
     """
@@ -53,7 +59,7 @@
         group.utilization = count.running / limit
         if now - group.allowance.at >= send_interval:
             free = limit - count.running
-            renew_allowance(service, group, count, free, share, loads, now)
+            renew_allowance(service, group, count, free, share, peers, now)
 
 
 def _peer_estimates(
--- a/linnetwind/admission/service_capacity.py
+++ b/linnetwind/admission/service_capacity.py
@@ -109,18 +109,36 @@
     return view
 
 
-def prefer_groups_in_time(
-    service: ServiceCapacity, permits: Mapping[str, int]
+def open_permits(
+    service: ServiceCapacity,
+    counts: Mapping[str, GroupCount],
+    priority: int | None,
+    now: timedelta,
 ) -> dict[str, int]:
-    """Withhold the permits of slow groups while other groups have any.
+    """Return the permits that a stream may use in each open group.
 
     Args:
       service: The service.
-      permits: The permits of each open group.
+      counts: The streams that run in each group.
+      priority: The priority of the stream, None for the most urgent.
+      now: The monotonic time.
 
     Returns:
-      The permits that a stream may use now.
+      The permits by group, below 0 where the daemon runs too many streams.
     """
+    groups = service.groups
+    permits = {
+        name: groups[name].allowance.max_of(priority) - count.own_running
+        for name, count in counts.items()
+        if name in groups and unavailable_for(groups[name], count, now) is None
+    }
+    return _prefer_groups_in_time(service, permits)
+
+
+def _prefer_groups_in_time(
+    service: ServiceCapacity, permits: Mapping[str, int]
+) -> dict[str, int]:
+    """Withhold the permits of slow groups while other groups have any."""
     late = {name for name in permits if serves_late(service.groups[name])}
     if all(permits[name] <= 0 for name in permits if name not in late):
         return dict(permits)
--- a/linnetwind/admission/stream_admission_control.py
+++ b/linnetwind/admission/stream_admission_control.py
@@ -16,18 +16,18 @@
     GroupCapacity,
     GroupCount,
     expire_times,
-    recent_summary,
     record_pause,
     serves_late,
-    unavailable_for,
 )
 from linnetwind.admission.group_limits import renew_limits
+from linnetwind.admission.peer_totals import PeerTotals
 from linnetwind.admission.queue_order import PermitRequest
 from linnetwind.admission.service_capacity import (
     capacity_view,
-    prefer_groups_in_time,
+    open_permits,
 )
 from linnetwind.admission.service_demand import (
+    ServicePeers,
     record_arrival,
     stream_load,
 )
@@ -37,13 +37,13 @@
     group_capacity_of,
     merge_summary,
     ranks_by_group,
+    slow_ranks,
     time_until_open,
 )
 from linnetwind.admission.service_state import ServiceCapacity
 from linnetwind.admission.slow_group import (
     callers_patience,
 )
-from linnetwind.admission.stream_work import StreamWork
 from linnetwind.admission.wait_queue import WaitQueue
 from linnetwind.clock import Clock
 from linnetwind.group_outages import record_crash
@@ -68,12 +68,12 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._services: dict[str, ServiceCapacity] = {}
-        self._work = StreamWork()
+        self._totals = PeerTotals()
 
     @property
-    def work(self) -> StreamWork:
-        """Return the estimates of the work of streams."""
-        return self._work
+    def peer_totals(self) -> PeerTotals:
+        """Return the demand of the other daemons."""
+        return self._totals
 
     def acquire_permit(
         self,
@@ -297,7 +297,15 @@
             state.first_asked_at = (
                 now if state.first_asked_at is None else state.first_asked_at
             )
-            renew_limits(state, gap, counts, loads, send_interval, now)
+            renew_limits(
+                state,
+                gap,
+                counts,
+                loads,
+                ServicePeers(service.name, self._totals),
+                send_interval,
+                now,
+            )
             return capacity_view(state, counts, now, random.random())
 
     def free_permits(
@@ -319,15 +327,8 @@
         """
         now = self._clock.elapsed()
         with self._lock:
-            capacities = self._service(service).groups
-            permits = {
-                name: capacities[name].allowance.max_of(priority)
-                - count.own_running
-                for name, count in counts.items()
-                if name in capacities
-                and unavailable_for(capacities[name], count, now) is None
-            }
-            permits = prefer_groups_in_time(self._service(service), permits)
+            state = self._service(service)
+            permits = open_permits(state, counts, priority, now)
         return permits or dict.fromkeys(counts, 0)
 
     def loads(self) -> tuple[StreamLoad, ...]:
@@ -384,11 +385,7 @@
         """
         now = self._clock.elapsed()
         with self._lock:
-            capacities = self._service(service).groups.values()
-            summaries = [recent_summary(each, now) for each in capacities]
-        return frozenset(
-            life for each in summaries if each for life in each.slow
-        )
+            return slow_ranks(self._service(service), now)
 
     def _service(self, service: str) -> ServiceCapacity:
         state = self._services.get(service)
