--- a/linnetwind/upstreams/cold_quotas.py
+++ b/linnetwind/upstreams/cold_quotas.py
@@ -70,7 +70,7 @@
         with self._lock:
             before = self._members
             self._members = before.hear(peer, listed, now, leaving=leaving)
-            has_grown = self._members.grown_at != before.grown_at
+            has_grown = len(self._members.heard) > len(before.heard)
             if has_grown or now - self._checked_at > _EXPIRY_CHECK_INTERVAL:
                 self._checked_at = now
                 self._members = self._members.expire(now)
