A service that is removed while a request chooses raises no error

The choice reads the cold time of an upstream and then the configuration, which may have changed in between. The missing service raised KeyError.

--- a/linnetwind/upstreams/cold_upstreams.py
+++ b/linnetwind/upstreams/cold_upstreams.py
@@ -192,8 +192,11 @@
         unsettled = self._quotas.unsettled_for(now)
         if unsettled:
             return None
-        per_s = self._services[upstream.service].cold_per_s
-        quota = self._quotas.quota(upstream.life, per_s)
+        service = self._services.get(upstream.service)
+        if service is None:
+            # A configuration without the service has just come into force.
+            return None
+        quota = self._quotas.quota(upstream.life, service.cold_per_s)
         window = self._windows.get(upstream.life, SendWindow())
         return window.wait(quota, WINDOW, now)
 
--- a/linnetwind/upstreams/cold_upstreams_test.py
+++ b/linnetwind/upstreams/cold_upstreams_test.py
@@ -116,6 +116,14 @@
     assert cold.count == 1
 
 
+def test_a_service_that_is_removed_meanwhile_is_sent_nothing(clock):
+    # A request that is just choosing an upstream still has the old list.
+    cold, upstream = _cold(clock), make_upstream('a', cold=SECOND)
+    _register(cold, upstream)
+    cold._services = {}
+    assert cold.wait(upstream, clock.elapsed()) is None
+
+
 def test_a_peer_makes_an_unknown_upstream_cold(clock):
     # The peer saw it start; this daemon started later and read it as warm.
     cold, upstream = _cold(clock), make_upstream('a')
