--- a/linnetwind/experts/map_planner.py
+++ b/linnetwind/experts/map_planner.py
@@ -1,7 +1,7 @@
 """Plan and roll out the expert maps of rank groups while this daemon leads.
 
-All decisions are made in `rollout`, `target_map` and `expert_demand`; this
-module is the loop around them.
+All decisions are made in `rollout`, `group_plan` and the modules that it uses;
+this module is the loop around them.
 """
 
 import random
@@ -11,17 +11,14 @@
 
 from linnetwind.clock import Clock
 from linnetwind.event_log import EventLog
-from linnetwind.experts.target_map import (
-    PlanTerms,
-    can_gain,
-    even_demand,
-    map_skew,
-    plan_map,
+from linnetwind.experts.group_plan import (
+    PlanRequest,
+    map_planned,
+    plan_group,
 )
 from linnetwind.gateway_events import (
     GroupChanged,
     LeaderChanged,
-    MapPlanned,
     MapStep,
     OrderFailed,
 )
@@ -82,9 +79,6 @@
 _MAX_COMPUTE_MS = 3
 _MAX_COMPUTE_TIME = timedelta(milliseconds=_MAX_COMPUTE_MS)
 _YIELD_S = 0.001
-# For how long no new plan is made after one that gained too little, as long as
-# the skew stays. Without this limit ten such plans were made per second.
-_REPLAN_DELAY = timedelta(seconds=1)
 # A planner that has not received reports from the whole group for this long
 # lets another daemon lead.
 _MAX_TIME_WITHOUT_VIEW = timedelta(seconds=1)
@@ -309,45 +303,17 @@
         *,
         force: bool,
     ) -> TargetMap | None:
-        tokens = group.lasting.by_layer(service.engine.layers)
-        if not sum(map(sum, tokens)):
-            # A held group runs no passes to count, but needs a new version.
-            tokens = even_demand(service.engine) if force else ()
-        if group.maps is None or not tokens:
-            return None
-        group.skew = map_skew(group.maps, tokens, reports, service.engine)
-        now = self._clock.elapsed()
-        settled = group.settled if now - group.settled_at < _REPLAN_DELAY else 0
         utilization = self._state.stream_admission.utilization(
             service.name, group.name
         )
-        life = group.shifts.expected_life(now)
-        if not force and not can_gain(group.skew, utilization, settled, life):
-            return None
-        planned = plan_map(
-            group.maps,
-            tokens,
-            reports,
-            service.engine,
-            utilization=utilization,
-            force=force,
-            terms=PlanTerms(life, self._yield_to_streams),
+        request = PlanRequest(
+            service.engine, reports, utilization, self._clock.elapsed(), force
         )
-        if planned.target is None:
-            group.settled = group.skew
-            group.settled_at = now
+        planned = plan_group(group, request, self._yield_to_streams)
+        if planned is None:
             return None
-        self._log.event(
-            MapPlanned(
-                _full_name(service, group),
-                planned.target.version,
-                planned.moves,
-                round(planned.skew_before, 3),
-                round(planned.skew_after, 3),
-                round(sum(map(sum, tokens))),
-                planned.reason,
-            )
-        )
+        name = _full_name(service, group)
+        self._log.event(map_planned(name, planned, group, request))
         return planned.target
 
     def _yield_to_streams(self) -> None:
