Log and count the gigabytes that planned maps copy

MapPlanned showed the number of moves only, not their size nor how long the gain was expected to last. It gets copies_gb and life, and the metric linnetwind_expert_copies_gigabytes_total sums the copies of planned maps.

--- a/linnetwind/experts/group_plan.py
+++ b/linnetwind/experts/group_plan.py
@@ -103,6 +103,8 @@
         round(planned.skew_after, 3),
         round(sum(map(sum, tokens))),
         planned.reason,
+        round(planned.moves * request.engine.expert_gb, 3),
+        group.shifts.expected_life(request.now),
     )
 
 
--- a/linnetwind/experts/map_planner_test.py
+++ b/linnetwind/experts/map_planner_test.py
@@ -9,7 +9,10 @@
 
 from linnetwind.address import Address
 from linnetwind.clock import SystemClock
+from linnetwind.experts.copy_payback import USUAL_LIFE
 from linnetwind.experts.map_planner import MapPlanner
+from linnetwind.gateway_events import MapPlanned
+from linnetwind.gateway_metrics import GatewayMetrics
 from linnetwind.gateway_state import GatewayState
 from linnetwind.rank_messages import OrderReply, RankSnapshot, make_lane_counts
 from linnetwind.rank_packing import join_counts
@@ -366,3 +369,36 @@
     bed.mesh.leading = True
     assert bed.poll() is group
     assert len(bed.links) == opened
+
+
+def test_counts_that_jump_back_are_no_shift_of_demand(bed):
+    # A rank restarts in the same epoch and counts from 0. A shift found there
+    # would shorten the expected life of all later plans.
+    for step in range(6, 12):
+        bed.count(81, step, 900 * step, 300 * step, 0, 0)
+        bed.count(82, step, 900 * step, 300 * step, 0, 0)
+        group = bed.poll()
+    lasting = group.lasting
+    bed.start(1, 82, born_ms=2, step=0)
+    group = bed.poll()
+    assert group.lasting is lasting
+    assert group.shifts.shifted_at is None
+
+
+def test_a_planned_map_is_logged_and_counted_with_its_copies(bed):
+    # Copies cost more than anything else, and moves alone do not show their
+    # size.
+    bed.poll()
+    bed.count(81, 6, 9_000, 0, 0, 0)
+    bed.count(82, 6, 0, 0, 0, 0)
+    bed.poll()
+    (event,) = (
+        each for each in bed.planner._log.events if isinstance(each, MapPlanned)
+    )
+    assert event.moves > 0
+    assert event.copies_gb == pytest.approx(event.moves * ENGINE.expert_gb)
+    assert event.life == USUAL_LIFE
+    metrics = GatewayMetrics()
+    metrics.observe(event)
+    line = f'linnetwind_expert_copies_gigabytes_total {event.copies_gb}\n'
+    assert line in metrics.render().decode()
--- a/linnetwind/gateway_events.py
+++ b/linnetwind/gateway_events.py
@@ -196,7 +196,11 @@
 
 @dataclass(frozen=True, slots=True)
 class MapPlanned:
-    """A new expert map was planned, or none for the given reason."""
+    """A new expert map was planned, or none for the given reason.
+
+    The plan copies `copies_gb` gigabytes, and its gain is expected to last for
+    `life` after the switch.
+    """
 
     group: str
     version: int
@@ -205,6 +209,8 @@
     skew_after: float
     tokens: float
     reason: str
+    copies_gb: float
+    life: timedelta
 
 
 @dataclass(frozen=True, slots=True)
--- a/linnetwind/gateway_metrics.py
+++ b/linnetwind/gateway_metrics.py
@@ -53,6 +53,9 @@
         self._records = self._counter('bad_records', 'Of the store.', 'topic')
         self._answers = self._counter('bad_answers', 'Of engines.', 'call')
         self._plans = self._counter('expert_maps_planned', 'Planned maps.')
+        self._copies = self._counter(
+            'expert_copies_gigabytes', 'Copies of planned maps.'
+        )
         self._rounds = self._counter('background_failures', 'Rounds.', 'work')
         self._dropped = self._counter('log_lines_dropped', 'Lines.')
         self._lost = self._counter('dependency_lost', 'Outages.', 'dependency')
@@ -75,6 +78,7 @@
                 self._observe_request(event)
             case MapPlanned():
                 self._plans.inc()
+                self._copies.inc(event.copies_gb)
             case MapStep():
                 self._stage.observe(event.took.total_seconds())
             case ConfigurationApplied():
