--- a/linnetwind/gateway_state_test.py
+++ b/linnetwind/gateway_state_test.py
@@ -5,9 +5,10 @@
 import pytest
 
 from linnetwind.address import Address
+from linnetwind.admission.permit_shares import Demand
 from linnetwind.clock import ManualClock, SystemClock
 from linnetwind.gateway_state import GatewayState
-from linnetwind.peers.peer_table import GroupSummary
+from linnetwind.peers.peer_table import ClassLoad, GroupSummary, StreamLoad
 from linnetwind.routes import RoutedService
 from linnetwind.shared_retry_budget import RetryBudgetTerms
 from linnetwind.upstreams.upstream_list import UpstreamRecord
@@ -167,3 +168,19 @@
     assert state.requests_in_flight('plain') == 0
     state.merge_advertised(_peer({entry.life: 2}, counter=2))
     assert state.requests_in_flight('plain') == 2
+
+
+def test_the_streams_of_a_peer_that_timed_out_hold_no_permits_back():
+    # A daemon dies while urgent streams wait there. If its demand stayed, the
+    # batch streams of all others would leave permits to it for good.
+    clock = ManualClock(datetime(2026, 1, 1, tzinfo=UTC))
+    terms = RetryBudgetTerms(timedelta(seconds=10), 0.2, 88)
+    state = GatewayState(clock, Address('127.0.0.1', 1), terms)
+    clock.advance(SECOND)
+    load = StreamLoad('model', 4, 9, (), (ClassLoad(0, 4, 9),))
+    state.merge_advertised(make_peer('b', loads=(load,)))
+    totals = state.stream_admission.peer_totals
+    assert totals.demands('model') == {0: Demand(4, 9)}
+    clock.advance(SECOND)
+    state.requests_in_flight('model')
+    assert totals.demands('model') == {}
--- a/standins/admission_replay.py
+++ b/standins/admission_replay.py
@@ -1,8 +1,7 @@
 """Replays the admission of streams by many daemons to one rank group.
 
-A model of time steps, without threads and sockets: it uses the decisions of
-`linnetwind.admission` as they are, and a simple group with a fixed limit. The
-daemons' states arrive up to 300 ms late, and some are lost.
+It uses the decisions of `linnetwind.admission` as they are, without threads and
+sockets, and a group with a fixed limit. States are up to 300 ms old when used.
 """
 
 import random
@@ -76,12 +75,10 @@
     viewed: tuple = (None, None)
 
     def receive(self, number, state, _now):
-        """Keep the state of a peer."""
         self.heard[number] = state
         self.totals.merge(str(number), [state[1]])
 
     def view(self, scene: Scene, now: timedelta):
-        """Return the capacity, as `StreamAdmission.view` does."""
         if self.viewed[0] == now:
             return self.viewed[1]
         group = self.service.groups.setdefault(_GROUP, GroupCapacity())
@@ -101,7 +98,7 @@
     """One replay; `running` is the number of streams after each step."""
 
     def __init__(self, scene: Scene, seed: int, *, equal: bool):
-        """Prepare; with `equal`, all streams get the same priority."""
+        """With `equal`, all streams get the same priority."""
         self._scene = scene
         self._equal = equal
         self._random = random.Random(seed)
