Customers are advertised only while streams of their class wait

Shares of customers play no part until streams wait, but each state carried 96 bytes per class for them.

--- a/linnetwind/admission/customer_shares.py
+++ b/linnetwind/admission/customer_shares.py
@@ -20,7 +20,7 @@
 from linnetwind.admission.urgency import FLOOR
 
 # The time constant with which work is forgotten.
-_MEMORY = timedelta(seconds=4)
+MEMORY = timedelta(seconds=4)
 # The customers of each class that a daemon advertises: those that ask for most.
 MAX_ADVERTISED = 8
 # Less work than this is not remembered.
@@ -45,7 +45,7 @@
 
     def aged(self, now: timedelta) -> 'CustomerWork':
         """Return the work that is remembered at a later monotonic time."""
-        kept = exp(-max(timedelta(), now - self.at) / _MEMORY)
+        kept = exp(-max(timedelta(), now - self.at) / MEMORY)
         return CustomerWork(self.asked * kept, self.served * kept, now)
 
 
--- a/linnetwind/admission/customer_shares_test.py
+++ b/linnetwind/admission/customer_shares_test.py
@@ -115,3 +115,16 @@
     assert 1.8 < work.relative('a', TokenCounts(200, 40)) < 2
     assert work.relative('a', TokenCounts(0, 10**9)) <= 10
     assert work.relative('b', TokenCounts(0, 0)) == 1
+
+
+def test_customers_are_advertised_only_while_streams_wait():
+    # Otherwise every state of every daemon would be 100 bytes longer.
+    order = QueueOrder()
+    for number, wait in enumerate((5 * MS, 200 * MS)):
+        assert not order.largest_customers(1, NOW)
+        request = PermitRequest(NOW, SECOND, 120 * MS, False, 1)
+        entry = QueuedStream(number, request, 0)
+        order.add(entry, NOW)
+        order.remove(entry, NOW + wait)
+    assert len(order.largest_customers(1, NOW + SECOND)) == 12
+    assert not order.largest_customers(1, NOW + 6 * SECOND)
--- a/linnetwind/admission/queue_order.py
+++ b/linnetwind/admission/queue_order.py
@@ -24,13 +24,18 @@
 
 from linnetwind.admission.admission_policy import MAX_RETRY_WAIT, PendingStream
 from linnetwind.admission.customer_shares import (
+    MEMORY,
     CustomerTag,
     CustomerWork,
     add_work,
     customer_tag,
+    pack_customers,
 )
 from linnetwind.admission.urgency import ClassTally, starved_classes
 
+# A stream that is admitted at once leaves the queue sooner than this.
+_WAIT_MS = 20
+_WAIT = timedelta(milliseconds=_WAIT_MS)
 # The priority in force for the first stream of a starved class.
 _BOOSTED = -1
 
@@ -127,7 +132,8 @@
 
     `customers` holds this daemon's work of each customer by priority, and
     `above_share` the customers of each priority that were served more than
-    their fair share. Not thread-safe.
+    their fair share. `waited_at` is the monotonic time at which a stream of
+    each priority last left the queue after a wait. Not thread-safe.
     """
 
     entries: list[Queued] = field(default_factory=list)
@@ -138,11 +144,28 @@
     above_share: Mapping[int, frozenset[CustomerTag]] = field(
         default_factory=dict
     )
+    waited_at: dict[int, timedelta] = field(default_factory=dict)
 
     def waiting_by_priority(self) -> Counter[int]:
         """Return the number of queued streams of each priority."""
         return Counter(each.request.priority for each in tuple(self.entries))
 
+    def largest_customers(self, priority: int, now: timedelta) -> bytes:
+        """Return the customers to advertise to the other daemons.
+
+        Args:
+          priority: The priority of their streams.
+          now: The monotonic time.
+
+        Returns:
+          The packed customers; none while no stream of the priority has to
+          wait, since shares play no part then.
+        """
+        waited_at = self.waited_at.get(priority)
+        if waited_at is None or now - waited_at > MEMORY:
+            return b''
+        return pack_customers(self.customers.get(priority, {}), now)
+
     def add(self, entry: Queued, now: timedelta) -> None:
         """Add a stream at its place.
 
@@ -162,6 +185,9 @@
           now: The monotonic time.
         """
         self.entries.remove(entry)
+        request = entry.request
+        if now - request.arrived_at >= _WAIT:
+            self.waited_at[request.priority] = now
         self.sort(now)
 
     def record_served(self, entry: Queued, now: timedelta) -> None:
--- a/linnetwind/admission/service_capacity.py
+++ b/linnetwind/admission/service_capacity.py
@@ -20,7 +20,6 @@
     CustomerTag,
     customers_above_share,
     merge_works,
-    pack_customers,
     remembered,
 )
 from linnetwind.admission.group_capacity import (
@@ -260,7 +259,7 @@
                 priority,
                 each.waiting,
                 each.arrivals_per_s,
-                pack_customers(service.queue.customers.get(priority, {}), now),
+                service.queue.largest_customers(priority, now),
             )
             for priority, each in own_demands(service, now).items()
         ),
--- a/linnetwind/admission/wait_queue.py
+++ b/linnetwind/admission/wait_queue.py
@@ -83,6 +83,18 @@
         """Return this daemon's work of each customer by priority."""
         return dict(self._order.customers)
 
+    def largest_customers(self, priority: int, now: timedelta) -> bytes:
+        """Return the customers of a priority to advertise to other daemons.
+
+        Args:
+          priority: The priority of their streams.
+          now: The monotonic time.
+
+        Returns:
+          The packed customers; none while no streams have to wait.
+        """
+        return self._order.largest_customers(priority, now)
+
     def put_behind(
         self, above_share: Mapping[int, frozenset[CustomerTag]]
     ) -> None:
--- a/standins/admission_replay.py
+++ b/standins/admission_replay.py
@@ -99,8 +99,7 @@
 
     def __init__(self, scene: Scene, seed: int, *, equal: bool):
         """With `equal`, all streams get the same priority."""
-        self._scene = scene
-        self._equal = equal
+        self._scene, self._equal = scene, equal
         self._random = random.Random(seed)
         self._arrivals = random.Random(seed)
         self._daemons = [_Daemon(each) for each in range(scene.daemons)]
@@ -152,8 +151,7 @@
         daemon.service.queue.add(entry, now)
 
     def _poll(self, daemon, step, now):
-        queue = daemon.service.queue
-        position = 0
+        queue, position = daemon.service.queue, 0
         while position < queue.length:
             entry = queue.entries[position]
             # Streams behind the first poll less often, as in `WaitQueue`.
