Soak: an operator evacuates data centres

`--evacuations` evacuates one of the upstreams' two data centres for 4 to 8 s again and again, beside the drawn faults; a call that reaches it from one second after the record on is a broken promise.

--- a/standins/soak.py
+++ b/standins/soak.py
@@ -33,21 +33,18 @@
     check_configuration,
     check_crashes,
     check_drains,
+    check_evacuations,
     check_recovery,
     check_stops,
 )
-from standins.soak_extras import (
-    come_back_older,
-    crash_upstreams,
-    press_back,
-    start_again,
-    write_as_others,
-)
+from standins.soak_extras import chosen_extras, crash_upstreams
 from standins.soak_proxy import SOUND, Link, SoakProxy
 from standins.soak_upstreams import SoakUpstream
 
 _GATEWAYS = 3
 _UPSTREAMS = 4
+# The data centres of the upstreams, in turn.
+_SITES = ('z', 'y')
 _CALLERS = 12
 # After the last fault everything has to be served again by then.
 _RECOVERY_S = 12
@@ -127,7 +124,7 @@
             for number in range(_CALLERS)
         ]
         until = time.monotonic() + self._seconds
-        for extra in _chosen(self._extras):
+        for extra in chosen_extras(self._extras):
             self._begin(extra, until)
         while time.monotonic() < until:
             time.sleep(self._random.uniform(0.1, 1.2))
@@ -153,6 +150,7 @@
             *check_drains(self.history, _DRAIN_S),
             *check_crashes(self.history),
             *check_backpressure(self.history, self.registered),
+            *check_evacuations(self.history, self.registered),
             *self.book.broken(),
         ]
 
@@ -170,7 +168,11 @@
     def _new_upstream(self) -> SoakUpstream:
         self._count += 1
         return SoakUpstream(
-            f'i-{self._count}', 'plain', self.book, self._cluster.store
+            f'i-{self._count}',
+            'plain',
+            self.book,
+            self._cluster.store,
+            _SITES[self._count % len(_SITES)],
         )
 
     def _start(self, host: _Host) -> None:
@@ -340,17 +342,6 @@
 }
 
 
-def _chosen(extras: Extras) -> list[Callable[..., None]]:
-    known = {
-        start_again: extras.restarts,
-        write_as_others: extras.strangers,
-        come_back_older: extras.returns,
-        crash_upstreams: extras.crashers,
-        press_back: extras.backpressure,
-    }
-    return [extra for extra, chosen in known.items() if chosen]
-
-
 def soak(
     seed: int, seconds: float, folder: Path, extras: Extras = Extras()
 ) -> tuple[list[str], str]:
--- a/standins/soak_book.py
+++ b/standins/soak_book.py
@@ -16,7 +16,8 @@
     `restarts`: upstreams start again under their names; `strangers`: other
     writers write among the entries of upstreams; `returns`: the store comes
     back from older copies; `crashers`: a request crashes upstreams; `backpressure`:
-    upstreams ask to back off or say that they leave.
+    upstreams ask to back off or say that they leave; `evacuations`: an operator
+    evacuates a data centre.
     """
 
     restarts: bool = False
@@ -24,6 +25,7 @@
     returns: bool = False
     crashers: bool = False
     backpressure: bool = False
+    evacuations: bool = False
 
 
 @dataclass
--- a/standins/soak_checks.py
+++ b/standins/soak_checks.py
@@ -23,6 +23,8 @@
 _MOST_IN_BACKOFF = 2
 # How long calls may still reach an upstream that says it leaves.
 _LEAVING_S = 2
+# How long calls may still reach an evacuated data centre.
+_EVACUATED_S = 1
 
 
 @dataclass(frozen=True)
@@ -51,7 +53,8 @@
 class History:
     """What was seen, the faults, and the planned stops and drains.
 
-    `upsets` are the stops, kills and freezes by the address of their host.
+    `upsets` are the stops, kills and freezes by the address of their host, and
+    `evacuations` those of data centres.
     """
 
     book: Book
@@ -59,6 +62,7 @@
     stops: list[Span] = field(default_factory=list)
     drains: list[tuple[float, SoakUpstream]] = field(default_factory=list)
     upsets: list[Span] = field(default_factory=list)
+    evacuations: list[Span] = field(default_factory=list)
 
     def is_calm(self, start: float, end: float) -> bool:
         """Return whether nothing but planned work went on."""
@@ -159,6 +163,60 @@
                 yield f'{upstream.instance} got {got} after {told}'
 
 
+def check_evacuations(
+    history: History, upstreams: list[SoakUpstream]
+) -> Iterator[str]:
+    """Yield each evacuation in which calls still reached the data centre.
+
+    A gateway whose link to the store fails learns of it from the others.
+    """
+    gateways = {call.name: call.gateway for call in history.book.calls}
+    for span in history.evacuations:
+        got = [
+            (upstream.instance, each)
+            for upstream in upstreams
+            for each in upstream.arrivals
+            if upstream.site == span.what
+            and span.start + _EVACUATED_S < each.at < span.end
+            and not _may_arrive(history, span, gateways.get(each.call), each.at)
+        ]
+        if got:
+            yield f'calls in an evacuated data centre, {span}: {got}'
+
+
+def _may_arrive(
+    history: History, span: Span, gateway: str | None, at: float
+) -> bool:
+    """Return whether faults excuse a call in an evacuated data centre.
+
+    Nobody could read of the evacuation, the store lost it, a link held the call
+    up, or the gateway was frozen before it sent the call.
+    """
+    excuses = [
+        each
+        for each in history.faults
+        if (
+            each.what == 'upstream link'
+            or (
+                each.what == 'store outage'
+                and each.start < span.start + _EVACUATED_S
+            )
+        )
+        and each.touches(at, at)
+    ]
+    lost = [
+        each
+        for each in history.faults
+        if each.what == 'comes back older' and each.touches(span.start, at)
+    ]
+    upset = [
+        each
+        for each in history.upsets
+        if each.what == gateway and each.start <= at <= each.end + _EVACUATED_S
+    ]
+    return bool(excuses or lost or upset)
+
+
 def _unwanted_after(told: Arrival) -> _Unwanted:
     if told.leaving:
         return _Unwanted(told.at + _LEAVING_S, math.inf, 0)
--- a/standins/soak_extras.py
+++ b/standins/soak_extras.py
@@ -3,12 +3,13 @@
 import itertools
 import random
 import time
+from collections.abc import Callable
 from contextlib import suppress
 from http.client import HTTPException
 
 from standins.bad_messages import bad_entries
 from standins.platform_cluster import entry_of
-from standins.soak_book import Call
+from standins.soak_book import Call, Extras
 from standins.soak_checks import Span
 
 # The share of bad entries that stand beside the upstreams' own, and their keys.
@@ -92,6 +93,20 @@
             run.history.faults.append(span)
 
 
+def evacuate_sites(run, source: random.Random, until: float) -> None:
+    """Have an operator evacuate a data centre, and cancel that."""
+    while time.monotonic() < until:
+        time.sleep(source.uniform(0.5, 2))
+        site = source.choice(run.upstreams).site
+        run.store.put('keyed.op', f'evacuate/{site}', {})
+        start = time.monotonic()
+        run.book.note(f'{site} is evacuated')
+        time.sleep(source.uniform(4, 8))
+        span = Span(site, start, time.monotonic())
+        run.history.evacuations.append(span)
+        run.store.put('keyed.op', f'evacuate/{site}', None)
+
+
 def crash_upstreams(run, source: random.Random, until: float) -> None:
     """Send a request that crashes upstreams through any gateway."""
     for number in itertools.count():
@@ -107,3 +122,16 @@
             # Read to its end; it is cut if this raises.
             call.whole = True
         time.sleep(source.uniform(0.1, 1))
+
+
+def chosen_extras(extras: Extras) -> list[Callable[..., None]]:
+    """Return what goes wrong besides, as functions of a run."""
+    known = {
+        start_again: extras.restarts,
+        write_as_others: extras.strangers,
+        come_back_older: extras.returns,
+        crash_upstreams: extras.crashers,
+        press_back: extras.backpressure,
+        evacuate_sites: extras.evacuations,
+    }
+    return [extra for extra, chosen in known.items() if chosen]
--- a/standins/soak_test.py
+++ b/standins/soak_test.py
@@ -70,6 +70,14 @@
     assert broken == [], picture
 
 
+def test_promises_hold_while_data_centres_are_evacuated(tmp_path):
+    # An operator evacuates one of two data centres and cancels that, while
+    # everything else goes wrong as well.
+    broken, picture = soak(9, _SHORT_S, tmp_path, Extras(evacuations=True))
+    assert ' is evacuated' in picture
+    assert broken == [], picture
+
+
 @pytest.mark.parametrize('mood', ['sound', 'failing', 'full'])
 def test_an_upstream_of_the_soak_says_in_all_answers_that_it_leaves(mood):
     """Guards against calls held against gateways that were told nothing."""
--- a/standins/soak_upstreams.py
+++ b/standins/soak_upstreams.py
@@ -42,9 +42,12 @@
     told in each answer; the entry does not say so.
     """
 
-    def __init__(self, instance: str, service: str, book: Book, store):
+    def __init__(
+        self, instance: str, service: str, book: Book, store, site: str = 'z'
+    ):
         """Start and register."""
         self.instance = instance
+        self.site = site
         self.mood = 'sound'
         self.last_runs: list[float] = []
         self.refusing = False
@@ -135,6 +138,7 @@
 
     def _write(self) -> None:
         entry = entry_of(self.proxy, self._service, self._state, self._born_ms)
+        entry['zone'] = self.site
         self._store.put('keyed.servers', self.instance, entry)
 
     def _serve(self, connection, request) -> None:
