The limit of a group is forecast from the costs of its engines

Under a wave of streams with changing experts, the limit by pauses was wrong in both directions: in a trough most of a pass is the reading of prompts, which it attributed to the few streams, so that callers were queued and rejected while the load rose. After a quiet time it knew nothing of the next change of the experts.

pass_forecast follows the configured costs with the skew that the admitted streams should meet, if the experts change regularly. Pauses correct it by a bounded time for reading prompts and a factor for each stream, of which daemons use the median. A skew that is reported late is applied to the pauses before it. Without a planner's summary the limit is derived from pauses as before.

--- a/linnetwind/admission/group_capacity.py
+++ b/linnetwind/admission/group_capacity.py
@@ -6,6 +6,15 @@
 from datetime import timedelta
 
 from linnetwind.admission.admission_policy import MAX_RETRY_AFTER
+from linnetwind.admission.pass_forecast import (
+    GroupShape,
+    PassCorrection,
+    PassForecast,
+    SkewHistory,
+    combine_corrections,
+    correct_by_pauses,
+    forecast,
+)
 from linnetwind.admission.pass_time_estimator import (
     DEFAULT_SKEW,
     PassTimeEstimator,
@@ -30,7 +39,7 @@
     apply_announcement,
     time_until_open,
 )
-from linnetwind.peers.peer_table import GroupSummary
+from linnetwind.peers.peer_table import GroupSummary, PassTimePerStream
 from linnetwind.routes import EngineProfile
 
 # The period in which arrivals and ends of streams count for their rates.
@@ -39,6 +48,14 @@
 _MAX_SUMMARY_AGE = timedelta(seconds=2)
 # A group is removed if no planner has sent a summary of it for this long.
 GROUP_EXPIRY = timedelta(seconds=10)
+# How much later than it applies a worse skew is reported, with the interval of
+# the planner's polls and the age of its state.
+_REPORT_DELAY_MS = 400
+_REPORT_DELAY = timedelta(milliseconds=_REPORT_DELAY_MS)
+# How long a correction of the forecast is used; the skew is always the present
+# one.
+_MAX_CORRECTION_AGE_MS = 150
+_MAX_CORRECTION_AGE = timedelta(milliseconds=_MAX_CORRECTION_AGE_MS)
 # The group of all ranks while no planner has announced the groups.
 UNNAMED_GROUP = ''
 
@@ -69,7 +86,9 @@
     `health` says whether the group can run streams. `summary` is the last one
     of the planner, and `summary_at` the monotonic time at which it came.
     `paces` is the history of its pace, and `slow_decision` says what it serves
-    while a rank is slow.
+    while a rank is slow. `ranks` counts all its ranks, `skews` holds the rises
+    of the skew, `correction` what this daemon's pauses show as of
+    `corrected_at`, and `forecast` the last forecast.
     """
 
     estimator: PassTimeEstimator = field(default_factory=PassTimeEstimator)
@@ -81,6 +100,11 @@
     summary_at: timedelta = timedelta()
     paces: PaceHistory = PaceHistory()
     slow_decision: SlowDecision = ServeInTime()
+    ranks: int = 0
+    skews: SkewHistory = SkewHistory()
+    correction: PassCorrection | None = None
+    corrected_at: timedelta = -_MAX_CORRECTION_AGE
+    forecast: PassForecast | None = None
 
 
 def apply_summary(
@@ -96,6 +120,8 @@
     group.summary = summary
     group.summary_at = now
     group.paces = group.paces.apply_pace(summary.pace, now)
+    group.skews = group.skews.add(now, summary.skew, group.paces.pace)
+    group.estimator.raise_skew(summary.skew, now - _REPORT_DELAY)
     announcement = GroupAnnouncement(now, summary.epoch, summary.is_open)
     group.health = apply_announcement(group.health, announcement)
 
@@ -174,12 +200,13 @@
     engine: EngineProfile,
     gap: timedelta,
     ranks: int,
-    peer_estimates: Sequence[tuple[float, int]],
+    peer_parts: Sequence[PassTimePerStream],
     bearable_ms: float,
 ) -> int:
     """Decide how many streams may run in a group.
 
-    The decision on late streams while a rank is slow is kept in the group.
+    The forecast and the decision on late streams while a rank is slow are kept
+    in the group.
 
     Args:
       group: The group.
@@ -187,32 +214,87 @@
       engine: The configured figures of the engines.
       gap: The longest pause that is in time.
       ranks: The number of ranks that accept streams.
-      peer_estimates: What each stream adds to a pass, as the other daemons
-        have estimated it: milliseconds, and the number of pauses.
+      peer_parts: What the other daemons have advertised of the group's passes.
       bearable_ms: The longest pass with which no caller leaves.
 
     Returns:
       The number of streams.
     """
     summary = recent_summary(group, now)
-    skew = summary.skew if summary else DEFAULT_SKEW
-    estimates = [*peer_estimates, estimate_part(group, now, engine)]
-    pace = _pace(group, now)
-    limit = stream_limit(engine, ranks, gap, estimates, skew, pace)
+    group.ranks = max(len(summary.members), ranks) if summary else ranks
+    group.forecast = _forecast(group, now, engine, gap, ranks, peer_parts)
     slow_ranks = len(summary.slow) if summary else 0
     decision = decide_slow_group(
         PassCosts(
-            engine.steps_per_pass * engine.step_ms * pace,
-            part_per_stream(engine, ranks, estimates, skew),
-            pace,
+            group.forecast.fixed_ms, group.forecast.part_ms, _pace(group, now)
+        ),
+        GroupLimits(
+            group.forecast.limit, gap, max(1, ranks - slow_ranks) * engine.slots
         ),
-        GroupLimits(limit, gap, max(1, ranks - slow_ranks) * engine.slots),
         bearable_ms,
         group.slow_decision,
     )
     decision = await_recovery(decision, group.paces, now, MAX_RETRY_AFTER)
     group.slow_decision = decision
-    return decision.limit if isinstance(decision, ServeLate) else limit
+    if isinstance(decision, ServeLate):
+        return decision.limit
+    return group.forecast.limit
+
+
+def _forecast(
+    group: GroupCapacity,
+    now: timedelta,
+    engine: EngineProfile,
+    gap: timedelta,
+    ranks: int,
+    peer_parts: Sequence[PassTimePerStream],
+) -> PassForecast:
+    """Return the forecast, or today's pass times if it cannot be corrected."""
+    pace = _pace(group, now)
+    summary = recent_summary(group, now)
+    own = update_correction(group, now, engine)
+    corrections = [
+        PassCorrection(each.reading_ms, each.factor, each.pauses)
+        for each in peer_parts
+        if each.factor
+    ]
+    combined = combine_corrections([*corrections, *([own] if own else [])])
+    if summary is not None and combined is not None:
+        shape = GroupShape(
+            group.ranks, ranks * engine.slots, group.skews.expected(now), pace
+        )
+        return forecast(engine, shape, gap, combined)
+    skew = summary.skew if summary else DEFAULT_SKEW
+    estimates = [(each.part_ms, each.pauses) for each in peer_parts]
+    estimates.append(estimate_part(group, now, engine))
+    return PassForecast(
+        stream_limit(engine, ranks, gap, estimates, skew, pace),
+        engine.steps_per_pass * engine.step_ms * pace,
+        part_per_stream(engine, ranks, estimates, skew),
+    )
+
+
+def update_correction(
+    group: GroupCapacity, now: timedelta, engine: EngineProfile
+) -> PassCorrection | None:
+    """Return what this daemon's pauses show beyond the configured costs.
+
+    Args:
+      group: The group, which keeps the correction for some time.
+      now: The monotonic time.
+      engine: The configured figures of the engines.
+
+    Returns:
+      The correction; None without pauses, or without a planner.
+    """
+    summary = recent_summary(group, now)
+    if summary is None or not group.ranks:
+        return None
+    if now - group.corrected_at >= _MAX_CORRECTION_AGE:
+        group.corrected_at = now
+        pauses = group.estimator.recent_pauses(now, group.paces.pace)
+        group.correction = correct_by_pauses(engine, group.ranks, pauses)
+    return group.correction
 
 
 def serves_late(group: GroupCapacity) -> bool:
--- a/linnetwind/admission/pass_time_estimator.py
+++ b/linnetwind/admission/pass_time_estimator.py
@@ -9,7 +9,7 @@
 
 from collections import deque
 from collections.abc import Collection, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 
 from linnetwind.routes import EngineProfile
@@ -19,9 +19,11 @@
 # which is the one after the experts in demand have shifted.
 _WINDOW_MS = 2_500
 WINDOW = timedelta(milliseconds=_WINDOW_MS)
+# Pauses are kept for forecasts, which use twice the window.
+_KEPT = 2 * WINDOW
 # The quantile of the pauses in the window that determines the limit. Longer
 # pauses come from stalls and slow daemons.
-_PAUSE_QUANTILE = 0.9
+PAUSE_QUANTILE = 0.9
 # The fraction of the allowed pause that a pass of that quantile may take.
 MAX_PAUSE_FRACTION = 0.88
 # The fraction of the limit by the engine's figures that is used while a group
@@ -72,6 +74,33 @@
         """
         self._pauses.append(pause)
 
+    def raise_skew(self, skew: float, since: timedelta) -> None:
+        """Correct the skew of pauses that preceded the report of a worse one.
+
+        Args:
+          skew: The reported skew.
+          since: The monotonic time since which it may have applied.
+        """
+        for position in range(len(self._pauses) - 1, -1, -1):
+            pause = self._pauses[position]
+            if pause.at < since:
+                return
+            if 0 < pause.skew < skew:
+                self._pauses[position] = replace(pause, skew=skew)
+
+    def recent_pauses(self, now: timedelta, pace: float) -> Collection[Pause]:
+        """Return the pauses of the last two windows at the present pace.
+
+        Args:
+          now: The monotonic time.
+          pace: The pace of the slowest rank.
+
+        Returns:
+          The pauses; also those at a slower pace while there are few others.
+        """
+        self._expire(now)
+        return _relevant(self._pauses, pace)
+
     def estimate_part(
         self,
         engine: EngineProfile,
@@ -107,21 +136,25 @@
     def _compute(
         self, engine: EngineProfile, now: timedelta, skew: float, pace: float
     ) -> tuple[float, int]:
-        while self._pauses and now - self._pauses[0].at > WINDOW:
-            self._pauses.popleft()
-        if not self._pauses:
+        self._expire(now)
+        recent = [each for each in self._pauses if now - each.at <= WINDOW]
+        if not recent:
             return float(0), 0
         fixed_ms = engine.steps_per_pass * engine.step_ms
         parts = sorted(
             (each.length / timedelta(milliseconds=1) - fixed_ms * each.pace)
             / max(1, each.running)
             * _skew_factor(engine, each.skew, skew)
-            for each in _relevant(self._pauses, pace)
+            for each in _relevant(recent, pace)
         )
-        return parts[int(len(parts) * _PAUSE_QUANTILE)], len(parts)
+        return parts[int(len(parts) * PAUSE_QUANTILE)], len(parts)
+
+    def _expire(self, now: timedelta) -> None:
+        while self._pauses and now - self._pauses[0].at > _KEPT:
+            self._pauses.popleft()
 
 
-def _relevant(pauses: deque[Pause], pace: float) -> Collection[Pause]:
+def _relevant(pauses: Collection[Pause], pace: float) -> Collection[Pause]:
     """Return the pauses at the present pace or a better one.
 
     The experts' share of a slow rank grows with its pace too, so that pauses
--- a/linnetwind/admission/pass_time_estimator_test.py
+++ b/linnetwind/admission/pass_time_estimator_test.py
@@ -104,3 +104,15 @@
         estimator.record(Pause(number * MS, 120 * MS, 40, skew=then))
     unscaled = _estimate(120 * MS, 40)
     assert estimator.estimate_part(ENGINE, 20 * MS, skew=now) == unscaled
+
+
+def test_pauses_before_the_report_of_a_worse_map_count_as_under_it():
+    # A worse skew is reported some tenths of a second after it applies. The
+    # pauses in between would count as long ones under the better map.
+    estimator = PassTimeEstimator()
+    for number in range(10):
+        estimator.record(Pause(number * 100 * MS, 90 * MS, 40, skew=1.4))
+    estimator.record(Pause(950 * MS, 90 * MS, 40))
+    estimator.raise_skew(2.6, 600 * MS)
+    skews = [each.skew for each in estimator.recent_pauses(1000 * MS, 1)]
+    assert skews == [1.4] * 6 + [2.6] * 4 + [0]
--- a/linnetwind/admission/service_capacity.py
+++ b/linnetwind/admission/service_capacity.py
@@ -21,6 +21,7 @@
     recent_summary,
     serves_late,
     unavailable_for,
+    update_correction,
 )
 from linnetwind.admission.permit_shares import Demand, own_share
 from linnetwind.admission.slow_group import (
@@ -247,7 +248,7 @@
     """
     demand = _demand(service, now)
     parts = [
-        PassTimePerStream(group, *estimate_part(each, now, service.engine))
+        _pass_time(group, each, service.engine, now)
         for group, each in service.groups.items()
     ]
     return StreamLoad(
@@ -258,6 +259,22 @@
     )
 
 
+def _pass_time(
+    name: str, group: GroupCapacity, engine: EngineProfile, now: timedelta
+) -> PassTimePerStream:
+    part_ms, pauses = estimate_part(group, now, engine)
+    correction = update_correction(group, now, engine)
+    if correction is None:
+        return PassTimePerStream(name, part_ms, pauses)
+    return PassTimePerStream(
+        name,
+        part_ms,
+        pauses,
+        round(correction.reading_ms, 1),
+        round(correction.factor, 2),
+    )
+
+
 def permit_share(
     service: ServiceCapacity,
     now: timedelta,
--- a/linnetwind/admission/stream_admission_control.py
+++ b/linnetwind/admission/stream_admission_control.py
@@ -292,7 +292,7 @@
             for name, count in counts.items():
                 group = state.groups.setdefault(name, GroupCapacity())
                 parts = [
-                    (part.part_ms, part.pauses)
+                    part
                     for load in loads
                     for part in load.parts
                     if part.group == name
--- a/linnetwind/peers/peer_table.py
+++ b/linnetwind/peers/peer_table.py
@@ -44,6 +44,8 @@
 # The highest pace that is advertised: a rank that slow serves nothing.
 MAX_PACE = 1_000
 Pace = Annotated[float, Meta(ge=0, le=MAX_PACE)]
+_MAX_CORRECTION = 1_000_000
+Correction = Annotated[float, Meta(ge=0, le=_MAX_CORRECTION)]
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,12 +74,15 @@
     """The time that each stream adds to a pass of a group.
 
     `part_ms` is the time in milliseconds, estimated from `pauses` pauses
-    between events.
+    between events. `reading_ms` and `factor` correct the forecast of passes,
+    see `PassCorrection`; the factor is 0 if there is no correction.
     """
 
     group: str
     part_ms: float
     pauses: int
+    reading_ms: Correction = 0
+    factor: Correction = 0
 
 
 @dataclass(frozen=True, slots=True)
