--- a/linnetwind/admission/service_capacity.py
+++ b/linnetwind/admission/service_capacity.py
@@ -28,6 +28,7 @@
     AwaitRecovery,
     CallerPatience,
     StreamLengths,
+    longest_bearable_ms,
 )
 from linnetwind.admission.wait_queue import WaitQueue
 from linnetwind.peers.peer_table import (
@@ -94,6 +95,11 @@
     patience: CallerPatience = CallerPatience()
     lengths: StreamLengths = StreamLengths()
 
+    @property
+    def bearable_ms(self) -> float:
+        """Return the longest pass with which no caller leaves."""
+        return longest_bearable_ms(self.patience, self.lengths.mean_events)
+
 
 def expire_groups(service: ServiceCapacity, now: timedelta) -> None:
     """Remove the groups of which no planner has sent a summary for long.
--- a/linnetwind/admission/stream_admission_control.py
+++ b/linnetwind/admission/stream_admission_control.py
@@ -23,6 +23,7 @@
     serves_late,
     unavailable_for,
 )
+from linnetwind.admission.limit_report import GroupLimitReport, report_limits
 from linnetwind.admission.permit_shares import compute_allowance
 from linnetwind.admission.service_capacity import (
     ServiceCapacity,
@@ -33,10 +34,7 @@
     ranks_by_group,
     stream_load,
 )
-from linnetwind.admission.slow_group import (
-    callers_patience,
-    longest_bearable_ms,
-)
+from linnetwind.admission.slow_group import callers_patience
 from linnetwind.admission.wait_queue import PermitRequest, WaitQueue
 from linnetwind.clock import Clock
 from linnetwind.group_outages import record_crash
@@ -304,9 +302,7 @@
                     gap,
                     count.ranks,
                     parts,
-                    longest_bearable_ms(
-                        state.patience, state.lengths.mean_events
-                    ),
+                    state.bearable_ms,
                 )
                 group.utilization = count.running / limit
                 if now - group.allowance.at >= send_interval:
@@ -354,6 +350,11 @@
                 if state.engine is not None
             )
 
+    def limit_reports(self) -> dict[str, GroupLimitReport]:
+        """Return the limit of each group, by service and group."""
+        with self._lock:
+            return report_limits(self._services, self._clock.elapsed())
+
     def utilization(self, service: str, group: str) -> float:
         """Return the share of a group's limit that is in use.
 
--- a/linnetwind/gateway_daemon.py
+++ b/linnetwind/gateway_daemon.py
@@ -27,6 +27,7 @@
 from linnetwind.gateway_setup import GatewayPorts, GatewaySetup
 from linnetwind.gateway_state import GatewayState
 from linnetwind.gateway_stop import make_stop
+from linnetwind.group_limit_log import GroupLimitLog
 from linnetwind.peer_mesh import MeshSettings, PeerMesh
 from linnetwind.quarantine_store import QuarantineStore
 from linnetwind.rank_link import RankLink
@@ -149,6 +150,10 @@
         self._mesh.start(self._threads, self._feeds.copy)
         self._threads.repeat_forever(self._quarantines.run_round, 'quarantines')
         self._threads.repeat_forever(self._planner.run_once, 'planner')
+        self._threads.repeat_forever(
+            GroupLimitLog(self._state.stream_admission, self._log).run_once,
+            'group limits',
+        )
         self._threads.accept(
             _listen(setup.readiness),
             self._serve_readiness,
--- a/linnetwind/gateway_events.py
+++ b/linnetwind/gateway_events.py
@@ -207,6 +207,21 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class GroupLimitChanged:
+    """The number of streams that may run in a rank group has changed.
+
+    `forecast_ms` is the forecast of a pass with that many streams, and
+    `observed_ms` a long pause of the last seconds.
+    """
+
+    group: str
+    limit: int
+    forecast_ms: float
+    observed_ms: float
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class MapStep:
     """The rollout of an expert map has entered a new stage."""
--- a/linnetwind/gateway_metrics.py
+++ b/linnetwind/gateway_metrics.py
@@ -24,6 +24,7 @@
     ConfigurationApplied,
     DependencyBack,
     DependencyLost,
+    GroupLimitChanged,
     MapPlanned,
     MapStep,
     OrderFailed,
@@ -36,6 +37,7 @@
 _LATENCIES = (0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 0.75, 1, 2, 4, 8)
 # Histogram buckets in seconds; the target for pauses between events is about
 # 0.1 s.
+_MS_PER_S = 1_000
 _PAUSES = (0.025, 0.05, 0.075, 0.1, 0.12, 0.15, 0.2, 0.3, 0.5, 1, 2)
 
 
@@ -57,6 +59,10 @@
         self._dropped = self._counter('log_lines_dropped', 'Lines.')
         self._lost = self._counter('dependency_lost', 'Outages.', 'dependency')
         self._away = self._gauge('dependency_away', 'Away now.', 'dependency')
+        self._limit = self._gauge('group_limit', 'Streams.', 'group')
+        self._forecast = self._gauge(
+            'group_pass_forecast_seconds', 'At the limit.', 'group'
+        )
         self._version = self._gauge('config_version', 'In force.')
         self._first = self._histogram('first_byte_seconds', _LATENCIES)
         self._whole = self._histogram('request_seconds', _LATENCIES)
@@ -75,6 +81,10 @@
                 self._observe_request(event)
             case MapPlanned():
                 self._plans.inc()
+            case GroupLimitChanged():
+                self._limit.labels(event.group).set(event.limit)
+                seconds = event.forecast_ms / _MS_PER_S
+                self._forecast.labels(event.group).set(seconds)
             case MapStep():
                 self._stage.observe(event.took.total_seconds())
             case ConfigurationApplied():
--- a/standins/wave_replay_test.py
+++ b/standins/wave_replay_test.py
@@ -23,3 +23,12 @@
     steady = Wave(per_s=88, swing=0, length_ms=8_000)
     replay = Replay(steady, 'forecast').run()
     assert replay.worth > 0.99
+
+
+def test_daemons_together_hardly_pass_the_limit_at_a_steep_ramp():
+    # Each daemon rounds its share of the free permits at random, with states
+    # of the others that are up to 300 ms old. More than one permit a daemon
+    # beyond the limit would mean that they use the same free permits.
+    wave = Wave(per_s=200, swing=0.95, period_ms=8_000, length_ms=5_000)
+    replay = Replay(wave, 'forecast', seed=3).run()
+    assert replay.overshoot <= wave.daemons
