--- a/linnetwind/admission/group_limits.py
+++ b/linnetwind/admission/group_limits.py
@@ -14,7 +14,6 @@
     renew_allowance,
 )
 from linnetwind.admission.service_state import ServiceCapacity
-from linnetwind.admission.slow_group import longest_bearable_ms
 from linnetwind.peers.peer_table import StreamLoad
 
 
@@ -42,9 +41,6 @@
       now: The monotonic time.
     """
     share = permit_share(service, now, loads, send_interval)
-    bearable_ms = longest_bearable_ms(
-        service.patience, service.lengths.mean_events
-    )
     for name, count in counts.items():
         group = service.groups.setdefault(name, GroupCapacity())
         limit = group_stream_limit(
@@ -53,22 +49,15 @@
             service.engine,
             gap,
             count.ranks,
-            _peer_estimates(name, loads),
-            bearable_ms,
+            [
+                part
+                for load in loads
+                for part in load.parts
+                if part.group == name
+            ],
+            service.bearable_ms,
         )
         group.utilization = count.running / limit
         if now - group.allowance.at >= send_interval:
             free = limit - count.running
             renew_allowance(service, group, count, free, share, peers, now)
-
-
-def _peer_estimates(
-    group: str, loads: Sequence[StreamLoad]
-) -> list[tuple[float, int]]:
-    """Return what each stream adds to a pass, as the other daemons estimate."""
-    return [
-        (part.part_ms, part.pauses)
-        for load in loads
-        for part in load.parts
-        if part.group == group
-    ]
--- a/linnetwind/admission/service_state.py
+++ b/linnetwind/admission/service_state.py
@@ -13,6 +13,7 @@
 from linnetwind.admission.slow_group import (
     CallerPatience,
     StreamLengths,
+    longest_bearable_ms,
 )
 from linnetwind.admission.wait_queue import WaitQueue
 from linnetwind.ranks_by_group import SortedRanks
@@ -58,3 +59,8 @@
     probed_at: timedelta | None = None
     patience: CallerPatience = CallerPatience()
     lengths: StreamLengths = StreamLengths()
+
+    @property
+    def bearable_ms(self) -> float:
+        """Return the longest pass with which no caller leaves."""
+        return longest_bearable_ms(self.patience, self.lengths.mean_events)
--- a/linnetwind/admission/stream_admission_control.py
+++ b/linnetwind/admission/stream_admission_control.py
@@ -20,6 +20,7 @@
     serves_late,
 )
 from linnetwind.admission.group_limits import renew_limits
+from linnetwind.admission.limit_report import GroupLimitReport, report_limits
 from linnetwind.admission.peer_totals import PeerTotals
 from linnetwind.admission.queue_order import PermitRequest
 from linnetwind.admission.service_capacity import (
@@ -341,23 +342,27 @@
                 if state.engine is not None
             )
 
-    def class_states(self) -> list[ClassState]:
-        """Return the waiting streams and the room of each priority."""
-        with self._lock:
-            services = tuple(self._services.values())
-        return class_states(services)
-
-    def room(self, service: str, priority: int) -> int:
-        """Return the permits for a priority when a stream last asked.
+    def class_states(self, service: str | None = None) -> list[ClassState]:
+        """Return the waiting streams and the room of each priority.
 
         Args:
-          service: The service's name.
-          priority: The priority.
+          service: The service's name, None for all services together.
 
         Returns:
-          The number of permits.
+          The states, the most urgent first.
         """
-        return self._service(service).rooms.get(priority, 0)
+        with self._lock:
+            services = [
+                state
+                for name, state in self._services.items()
+                if service in {None, name}
+            ]
+        return class_states(services)
+
+    def limit_reports(self) -> dict[str, GroupLimitReport]:
+        """Return the limit of each group, by service and group."""
+        with self._lock:
+            return report_limits(self._services, self._clock.elapsed())
 
     def utilization(self, service: str, group: str) -> float:
         """Return the share of a group's limit that is in use.
--- a/linnetwind/gateway_daemon.py
+++ b/linnetwind/gateway_daemon.py
@@ -16,17 +16,19 @@
 )
 from linnetwind.caller_service import serve_caller
 from linnetwind.clock import Clock
+from linnetwind.cold_log import make_cold_listener
 from linnetwind.daemon_events import Started, Stopped, Stopping
 from linnetwind.daemon_threads import DaemonThreads
 from linnetwind.drain_order import FleetDaemon
 from linnetwind.event_log import EventLog
 from linnetwind.experts.map_planner import MapPlanner
-from linnetwind.gateway_events import SettingsReloaded, UpstreamCold
+from linnetwind.gateway_events import SettingsReloaded
 from linnetwind.gateway_feeds import GatewayFeeds
 from linnetwind.gateway_metrics import GatewayMetrics
 from linnetwind.gateway_setup import GatewayPorts, GatewaySetup
 from linnetwind.gateway_state import GatewayState
 from linnetwind.gateway_stop import make_stop
+from linnetwind.group_limit_log import GroupLimitLog
 from linnetwind.peer_mesh import MeshSettings, PeerMesh
 from linnetwind.quarantine_store import QuarantineStore
 from linnetwind.rank_link import RankLink
@@ -34,8 +36,6 @@
 from linnetwind.routes import CallerLimits
 from linnetwind.stop_signals import StopSignals
 from linnetwind.upstream_call import open_call
-from linnetwind.upstream_incarnation import UpstreamIncarnation
-from linnetwind.upstreams.cold_allowance import ColdBound, ColdSource
 from linnetwind.upstreams.upstream_list import Upstream
 
 # The caller connections that are served at once, with a thread for each.
@@ -103,12 +103,10 @@
             clock,
             setup.mesh,
             setup.retry_terms,
-            ColdBound(
-                setup.cold_tolerance, bool(set(setup.seeds) - {setup.mesh})
-            ),
+            setup.cold_bound,
         )
         cold = self._state.request_history.cold
-        cold.report_to(self._log_cold)
+        cold.report_to(make_cold_listener(log))
         self._metrics.watch_cold(lambda: cold.count)
         self._metrics.watch_streams(self._state.stream_admission.class_states)
         mesh = MeshSettings(
@@ -164,6 +162,10 @@
         )
         self._threads.repeat_forever(self._quarantines.run_round, 'quarantines')
         self._threads.repeat_forever(self._planner.run_once, 'planner')
+        self._threads.repeat_forever(
+            GroupLimitLog(self._state.stream_admission, self._log).run_once,
+            'group limits',
+        )
         self._threads.accept(
             _listen(setup.readiness),
             self._serve_readiness,
@@ -187,15 +189,6 @@
         agent = Address(upstream.address.ip, self._setup.mesh.port)
         return RankLink(agent, self._ports.open_rank(upstream), self._clock)
 
-    def _log_cold(
-        self,
-        upstream: UpstreamIncarnation,
-        per_s: float,
-        left: timedelta,
-        source: ColdSource,
-    ) -> None:
-        self._log.event(UpstreamCold(upstream, per_s, left, source.value))
-
     def _limits(self) -> CallerLimits:
         table = self._state.table
         return table.limits if table else _FIRST_LIMITS
--- a/linnetwind/gateway_metrics.py
+++ b/linnetwind/gateway_metrics.py
@@ -27,6 +27,7 @@
     DependencyBack,
     DependencyLost,
     EvacuationChanged,
+    GroupLimitChanged,
     MapPlanned,
     MapStep,
     OrderFailed,
@@ -40,6 +41,7 @@
 _LATENCIES = (0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 0.75, 1, 2, 4, 8)
 # Histogram buckets in seconds; the target for pauses between events is about
 # 0.1 s.
+_MS_PER_S = 1_000
 _PAUSES = (0.025, 0.05, 0.075, 0.1, 0.12, 0.15, 0.2, 0.3, 0.5, 1, 2)
 
 
@@ -68,6 +70,10 @@
         self._lost = self._counter('dependency_lost', 'Outages.', 'dependency')
         self._away = self._gauge('dependency_away', 'Away now.', 'dependency')
         self._evacuated = self._gauge('evacuated', 'In force.', 'site')
+        self._limit = self._gauge('group_limit', 'Streams.', 'group')
+        self._forecast = self._gauge(
+            'group_pass_forecast_seconds', 'At the limit.', 'group'
+        )
         self._version = self._gauge('config_version', 'In force.')
         self._cold = self._gauge('upstreams_cold', 'Cold now.')
         self._first = self._histogram('first_byte_seconds', _LATENCIES)
@@ -88,6 +94,8 @@
             case MapPlanned():
                 self._plans.inc()
                 self._copies.inc(event.copies_gb)
+            case GroupLimitChanged():
+                self._observe_limit(event)
             case MapStep():
                 self._stage.observe(event.took.total_seconds())
             case ConfigurationApplied():
@@ -142,6 +150,11 @@
             case BadAnswer():
                 self._answers.labels(event.call).inc()
 
+    def _observe_limit(self, event: GroupLimitChanged) -> None:
+        self._limit.labels(event.group).set(event.limit)
+        seconds = event.forecast_ms / _MS_PER_S
+        self._forecast.labels(event.group).set(seconds)
+
     def _observe_request(self, event: RequestEnded) -> None:
         self._requests.labels(event.outcome).inc()
         if event.priority is not None:
--- a/linnetwind/gateway_setup.py
+++ b/linnetwind/gateway_setup.py
@@ -10,7 +10,7 @@
 from linnetwind.gateway_feeds import FeedPorts
 from linnetwind.rank_types import RankPort
 from linnetwind.shared_retry_budget import RetryBudgetTerms
-from linnetwind.upstreams.cold_allowance import ColdTolerance
+from linnetwind.upstreams.cold_allowance import ColdBound, ColdTolerance
 from linnetwind.upstreams.upstream_list import Upstream
 
 
@@ -37,6 +37,12 @@
     power: int = 0
     cold_tolerance: ColdTolerance | None = None
 
+    @property
+    def cold_bound(self) -> ColdBound:
+        """Return the bound for cold upstreams."""
+        has_peers = bool(set(self.seeds) - {self.mesh})
+        return ColdBound(self.cold_tolerance, has_peers)
+
 
 @dataclass(frozen=True, slots=True)
 class GatewayPorts:
--- a/linnetwind/relay.py
+++ b/linnetwind/relay.py
@@ -209,14 +209,17 @@
         rejection: RejectStream,
     ) -> None:
         service = context.service.name
-        admission = self._tools.state.stream_admission
+        states = self._tools.state.stream_admission.class_states(service)
+        room = sum(
+            each.room for each in states if each.priority == claim.priority
+        )
         self._tools.log.event(
             StreamRejected(
                 context.facts.call_id,
                 service,
                 claim.priority,
                 claim.customer,
-                admission.room(service, claim.priority),
+                room,
                 rejection.reason,
                 rejection.retry_after,
                 claim.returning,
--- a/linnetwind/stream_gauges_test.py
+++ b/linnetwind/stream_gauges_test.py
@@ -73,4 +73,5 @@
     assert (urgent.priority, batch.priority) == (0, 2)
     assert urgent.room >= batch.room > 0
     assert urgent.waiting == 0
-    assert admission.room('model', 0) == urgent.room
+    assert admission.class_states('model') == [urgent, batch]
+    assert not admission.class_states('other')
