A class without arrivals in the last second keeps some room

The room of a class was zero if none of its streams had arrived at the daemon within a second and more urgent ones took all permits. The stream that asks now counts as an arrival.

--- a/linnetwind/admission/urgency.py
+++ b/linnetwind/admission/urgency.py
@@ -83,11 +83,12 @@
       The permits that streams with precedence do not take, but at least the
       floor of the class.
     """
-    total = sum(each.arrivals_per_s for each in rates)
-    own = sum(
+    # The stream that asks counts, although the last second may have had none.
+    own = 1 + sum(
         each.arrivals_per_s for each in rates if each.priority == priority
     )
-    floor = FLOOR * ends_per_s * own / total if total else 0
+    total = 1 + sum(each.arrivals_per_s for each in rates)
+    floor = FLOOR * ends_per_s * own / total
     ahead_per_s = precedence_per_s(rates, priority, returning=returning)
     return max(ends_per_s - ahead_per_s, floor)
 
