Callers rejected at the end of a regular crest retry in the trough

Retry times did not take the wave of arrivals into account: callers who were rejected shortly before the arrivals fell came back at the crest, where they were rejected for good or took permits of newcomers.

If the next fall is within the bound of retry times, retry times are spread from it up to the bound. A share of the room in the trough is not held for these callers beyond what the queue does.

--- a/linnetwind/admission/admission_policy.py
+++ b/linnetwind/admission/admission_policy.py
@@ -46,7 +46,7 @@
     `opens_in`, which is exact then and no estimate. `late_free` counts the
     permits in groups with a slow rank, for streams that cannot be in time. A
     rejected caller should not retry before `recovers_in`, when such a group
-    should be well again.
+    should be well again or a wave of arrivals should have fallen.
     """
 
     free: int
@@ -220,6 +220,21 @@
     return earliest + (latest - earliest) * chance
 
 
+def spread_over_trough(falls_in: timedelta | None, chance: float) -> timedelta:
+    """Return a retry time in the trough of a wave of arrivals.
+
+    Args:
+      falls_in: When the arrivals should fall, None if that is not known.
+      chance: A random number from 0 to 1.
+
+    Returns:
+      A time in the trough; 0 if it is beyond the bound of retry times.
+    """
+    if falls_in is None or falls_in > MAX_RETRY_AFTER:
+        return timedelta()
+    return spread_retry(falls_in, chance)
+
+
 def clamp_retry_after(wait: timedelta) -> timedelta:
     """Clamp an estimated wait to the bounds of a retry time.
 
--- a/linnetwind/admission/service_capacity.py
+++ b/linnetwind/admission/service_capacity.py
@@ -9,8 +9,10 @@
     CapacityView,
     reserve_for_arrivals,
     reserve_for_newcomers,
+    spread_over_trough,
     spread_retry,
 )
+from linnetwind.admission.arrival_wave import ArrivalWave
 from linnetwind.admission.group_capacity import (
     GROUP_EXPIRY,
     GroupCapacity,
@@ -79,7 +81,7 @@
     `first_asked_at` is the monotonic time at which a stream first asked for a
     permit, `probed_at` that at which a stream was last running before the
     first summary of a planner. `patience` is what its callers bear, `lengths`
-    counts the events of its streams.
+    counts the events of its streams, and `wave` describes their arrivals.
     """
 
     queue: WaitQueue
@@ -94,6 +96,7 @@
     probed_at: timedelta | None = None
     patience: CallerPatience = CallerPatience()
     lengths: StreamLengths = StreamLengths()
+    wave: ArrivalWave = ArrivalWave()
 
     @property
     def bearable_ms(self) -> float:
@@ -214,7 +217,10 @@
         reserved,
         is_backoff=first is not None and soonest == counts[first].backoff,
         late_free=_count_free(open_groups, counts) - free,
-        recovers_in=_recovers_in(open_groups, chance),
+        recovers_in=max(
+            _recovers_in(open_groups, chance),
+            spread_over_trough(service.wave.falls_in(now), chance),
+        ),
     )
 
 
@@ -281,6 +287,20 @@
     )
 
 
+def observe_arrivals(
+    service: ServiceCapacity, now: timedelta, loads: Sequence[StreamLoad]
+) -> None:
+    """Record the arrivals of a service's streams at all daemons.
+
+    Args:
+      service: The service.
+      now: The monotonic time.
+      loads: What the other daemons have advertised of the service's streams.
+    """
+    others = sum(each.arrivals_per_s for each in loads)
+    service.wave = service.wave.add(now, rate(service.arrivals, now) + others)
+
+
 def permit_share(
     service: ServiceCapacity,
     now: timedelta,
--- a/linnetwind/admission/stream_admission_control.py
+++ b/linnetwind/admission/stream_admission_control.py
@@ -9,6 +9,7 @@
 import threading
 from collections.abc import Callable, Mapping, Sequence
 from datetime import timedelta
+from itertools import chain
 
 from linnetwind.admission.admission_policy import CapacityView, RejectStream
 from linnetwind.admission.group_capacity import (
@@ -29,6 +30,7 @@
     ServiceCapacity,
     apply_group_summary,
     capacity_view,
+    observe_arrivals,
     permit_share,
     prefer_groups_in_time,
     ranks_by_group,
@@ -93,14 +95,8 @@
         return state.queue.acquire_permit(request, read_view, acquire, has_time)
 
     def apply_table(self, table: RouteTable) -> None:
-        """Record what the callers of each service bear.
-
-        Args:
-          table: The configuration.
-        """
-        routes = [
-            each for some in table.routes_by_host.values() for each in some
-        ]
+        """Record what the callers of each service of a configuration bear."""
+        routes = list(chain.from_iterable(table.routes_by_host.values()))
         with self._lock:
             for service in table.services.values():
                 if service.engine is not None:
@@ -286,6 +282,7 @@
             state.first_asked_at = (
                 now if state.first_asked_at is None else state.first_asked_at
             )
+            observe_arrivals(state, now, loads)
             share = permit_share(state, now, loads, send_interval)
             for name, count in counts.items():
                 group = state.groups.setdefault(name, GroupCapacity())
--- a/standins/wave_group.py
+++ b/standins/wave_group.py
@@ -29,7 +29,10 @@
 
 @dataclass(frozen=True)
 class Wave:
-    """A load that swings around its mean `per_s`, and the group it meets."""
+    """A load that swings around its mean `per_s`, and the group it meets.
+
+    `retry` says whether rejected callers get retry times in the trough.
+    """
 
     per_s: float = 130
     swing: float = 0.55
@@ -41,6 +44,7 @@
     gap_ms: float = 150
     target_ms: float = 500
     prompt: float = 900
+    retry: bool = True
     engine: EngineProfile = field(default_factory=_engine)
 
     def rate(self, at: float) -> float:
--- a/standins/wave_replay.py
+++ b/standins/wave_replay.py
@@ -20,7 +20,9 @@
     RejectStream,
     decide_admission,
     reserve_for_newcomers,
+    spread_over_trough,
 )
+from linnetwind.admission.arrival_wave import ArrivalWave
 from linnetwind.admission.group_capacity import (
     GroupCapacity,
     apply_summary,
@@ -148,6 +150,7 @@
     allowed: int = 0
     allowed_at: float = -math.inf
     sent: _Sent | None = None
+    wave: ArrivalWave = ArrivalWave()
 
 
 class Replay:
@@ -236,12 +239,17 @@
             self._allow(daemon, at)
         starts = sorted(daemon.starts)
         reserved = reserve_for_newcomers(_per_s(daemon.newcomers, at))
+        sent = [each.sent for each in self.daemons if each.sent]
+        arrivals = sum(each.demand.arrivals_per_s for each in sent)
+        daemon.wave = daemon.wave.add(at * MS, arrivals)
+        falls_in = daemon.wave.falls_in(at * MS) if self.wave.retry else None
         view = CapacityView(
             0,
             _per_s(daemon.ends, at),
             starts[int(len(starts) * 0.9)] * MS,
             None,
             reserved,
+            recovers_in=spread_over_trough(falls_in, self.chance.random()),
         )
         for stream in tuple(daemon.queue):
             free = max(0, daemon.allowed - daemon.running)
