--- a/linnetwind/admission/service_capacity.py
+++ b/linnetwind/admission/service_capacity.py
@@ -7,6 +7,7 @@
     CapacityView,
     reserve_for_arrivals,
     reserve_for_newcomers,
+    spread_over_trough,
     spread_retry,
 )
 from linnetwind.admission.class_arrivals import (
@@ -103,7 +104,10 @@
         rates=rates,
         free_by_class=_free_by_class(rates, in_time, counts),
         late_free=_count_free(open_groups, counts) - free,
-        recovers_in=_recovers_in(open_groups, chance),
+        recovers_in=max(
+            _recovers_in(open_groups, chance),
+            spread_over_trough(service.wave.falls_in(now), chance),
+        ),
     )
     service.rooms = {each: view.free_for(each) for each in service.classes}
     return view
--- a/linnetwind/admission/service_demand.py
+++ b/linnetwind/admission/service_demand.py
@@ -165,6 +165,20 @@
     )
 
 
+def observe_arrivals(
+    service: ServiceCapacity, now: timedelta, loads: Sequence[StreamLoad]
+) -> None:
+    """Record the arrivals of a service's streams at all daemons.
+
+    Args:
+      service: The service.
+      now: The monotonic time.
+      loads: What the other daemons have advertised of the service's streams.
+    """
+    others = sum(each.arrivals_per_s for each in loads)
+    service.wave = service.wave.add(now, rate(service.arrivals, now) + others)
+
+
 def permit_share(
     service: ServiceCapacity,
     now: timedelta,
--- a/linnetwind/admission/service_state.py
+++ b/linnetwind/admission/service_state.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
+from linnetwind.admission.arrival_wave import ArrivalWave
 from linnetwind.admission.class_arrivals import (
     ClassArrivals,
 )
@@ -41,7 +42,8 @@
     summaries of the planner. `first_asked_at` is the monotonic time at which a
     stream first asked for a permit, `probed_at` that at which a stream was last
     running before the first summary of a planner. `patience` is what its
-    callers bear, `lengths` counts the events of its streams.
+    callers bear, `lengths` counts the events of its streams, and `wave`
+    describes their arrivals.
     """
 
     queue: WaitQueue
@@ -59,6 +61,7 @@
     probed_at: timedelta | None = None
     patience: CallerPatience = CallerPatience()
     lengths: StreamLengths = StreamLengths()
+    wave: ArrivalWave = ArrivalWave()
 
     @property
     def bearable_ms(self) -> float:
