--- a/linnetwind/admission/group_capacity.py
+++ b/linnetwind/admission/group_capacity.py
@@ -88,7 +88,8 @@
     `paces` is the history of its pace, and `slow_decision` says what it serves
     while a rank is slow. `ranks` counts all its ranks, `skews` holds the rises
     of the skew, `correction` what this daemon's pauses show as of
-    `corrected_at`, and `forecast` the last forecast.
+    `corrected_at`, `combined` that of all daemons as of `combined_at`, and
+    `forecast` the last forecast.
     """
 
     estimator: PassTimeEstimator = field(default_factory=PassTimeEstimator)
@@ -104,6 +105,8 @@
     skews: SkewHistory = SkewHistory()
     correction: PassCorrection | None = None
     corrected_at: timedelta = -_MAX_CORRECTION_AGE
+    combined: PassCorrection | None = None
+    combined_at: timedelta = -_MAX_CORRECTION_AGE
     forecast: PassForecast | None = None
 
 
@@ -252,13 +255,7 @@
     """Return the forecast, or today's pass times if it cannot be corrected."""
     pace = _pace(group, now)
     summary = recent_summary(group, now)
-    own = update_correction(group, now, engine)
-    corrections = [
-        PassCorrection(each.reading_ms, each.factor, each.pauses)
-        for each in peer_parts
-        if each.factor
-    ]
-    combined = combine_corrections([*corrections, *([own] if own else [])])
+    combined = _combined_correction(group, now, engine, peer_parts)
     if summary is not None and combined is not None:
         shape = GroupShape(
             group.ranks, ranks * engine.slots, group.skews.expected(now), pace
@@ -274,6 +271,29 @@
     )
 
 
+def _combined_correction(
+    group: GroupCapacity,
+    now: timedelta,
+    engine: EngineProfile,
+    peer_parts: Sequence[PassTimePerStream],
+) -> PassCorrection | None:
+    """Return the correction of all daemons, which is kept for some time."""
+    is_recent = now - group.combined_at < _MAX_CORRECTION_AGE
+    if group.combined is not None and is_recent:
+        return group.combined
+    own = update_correction(group, now, engine)
+    corrections = [
+        PassCorrection(each.reading_ms, each.factor, each.pauses)
+        for each in peer_parts
+        if each.factor
+    ]
+    group.combined = combine_corrections(
+        [*corrections, *([own] if own else [])]
+    )
+    group.combined_at = now
+    return group.combined
+
+
 def update_correction(
     group: GroupCapacity, now: timedelta, engine: EngineProfile
 ) -> PassCorrection | None:
