--- a/linnetwind/experts/copy_payback.py
+++ b/linnetwind/experts/copy_payback.py
@@ -14,7 +14,7 @@
 # The life to expect before a second shift is seen.
 _USUAL_LIFE_S = 2.0
 USUAL_LIFE = timedelta(seconds=_USUAL_LIFE_S)
-# A longer life makes plans copy more under steady demand for the same skew: with
+# A longer life makes plans copy more under steady demand at the same skew: with
 # 8 s, 72 ranks copied 331 GB in 34 s at 1.237, with 4 s 279 GB at 1.240.
 _MAX_LIFE_S = 4.0
 _MAX_LIFE = timedelta(seconds=_MAX_LIFE_S)
