A daemon without a configuration tells callers to come back later

After a power loss beside an outage of the store all gateways of a deployment were without a configuration for 1.9 s. The retry time is now 1.5 to 2.5 s, spread.

--- a/linnetwind/platform/gateway_test.py
+++ b/linnetwind/platform/gateway_test.py
@@ -89,12 +89,13 @@
 
 def test_without_a_configuration_the_caller_is_told_to_retry():
     # A daemon that has just started knows no routes and keys, so 404 or 401
-    # would be wrong. It responds with 503 and a `Retry-After`.
+    # would be wrong. It responds with 503 and a `Retry-After`. The store is
+    # unavailable for seconds then, and a caller that returns too early is lost.
     harness = GatewayHarness(PlatformDialect(), None)
     harness._limits = lambda: make_table().limits
     status, headers, _body = harness.ask(GET)
     assert status == 503
-    assert float(headers['Retry-After']) > 0
+    assert 1.5 <= float(headers['Retry-After']) <= 2.5
     harness.close()
 
 
--- a/linnetwind/relay.py
+++ b/linnetwind/relay.py
@@ -53,6 +53,11 @@
 _DEFAULT_TIME_LIMIT_S = 30
 DEFAULT_TIME_LIMIT = timedelta(seconds=_DEFAULT_TIME_LIMIT_S)
 _REFUSED = HTTPStatus.SERVICE_UNAVAILABLE
+# A daemon without a configuration has found neither the store nor a peer that
+# has one, and such an outage lasts for seconds. A rejected caller retries only
+# once, so it is told to come back late, and callers are spread.
+_MIN_UNCONFIGURED_RETRY_S = 1.5
+_MAX_UNCONFIGURED_RETRY_S = 2.5
 
 
 class Relay:
@@ -85,7 +90,7 @@
         if table is None:
             # Before the first configuration arrives, the daemon cannot know
             # whether a route or key exists, so 404 or 401 would be wrong.
-            self._respond(_REFUSED, _retry_after(MIN_RETRY_DELAY))
+            self._respond(_REFUSED, _retry_after(_unconfigured_retry_after()))
             return self._connection.reusable
         context = self._make_context(table)
         done = self._authorize(context)
@@ -357,6 +362,14 @@
         respond_to_caller(self._tools, self._connection, status, headers, body)
 
 
+def _unconfigured_retry_after() -> timedelta:
+    return timedelta(
+        seconds=random.uniform(
+            _MIN_UNCONFIGURED_RETRY_S, _MAX_UNCONFIGURED_RETRY_S
+        )
+    )
+
+
 def _retry_after(retry_delay: timedelta) -> Headers:
     seconds = f'{retry_delay.total_seconds():.2f}'.encode()
     return ((b'Retry-After', seconds),)
