Retries of a class are not rejected at the start of their wait

Right after an outage no stream has ended, and the room of a class seemed to be nearly none: retries were rejected for good. Retries wait again as they did, and nobody is rejected early while no ends are known.

--- a/linnetwind/admission/admission_policy.py
+++ b/linnetwind/admission/admission_policy.py
@@ -246,11 +246,14 @@
         stream.priority,
         returning=stream.returning,
     )
-    is_early = stream.waited <= _EARLY * stream.target
     is_served = can_be_served(missing_permits, room, wait_left)
     if view.late_free > 0 and (stream.returning or not is_served):
         return AdmitStream()
-    if wait_left <= timedelta() or (is_early and not is_served):
+    # A retry is its caller's last try. Right after an outage no streams end, so
+    # nothing is known of the room.
+    is_early = stream.waited <= _EARLY * stream.target
+    may_reject_early = is_early and not stream.returning and view.ends_per_s
+    if wait_left <= timedelta() or (may_reject_early and not is_served):
         wait = timedelta(seconds=missing_permits / room)
         return RejectStream(
             spread_retry_after(max(wait, view.recovers_in), stream.spread),
--- a/linnetwind/admission/urgency_test.py
+++ b/linnetwind/admission/urgency_test.py
@@ -128,6 +128,17 @@
     assert caller_patience(100 * MS, 400 * MS, None) == 3200 * MS
 
 
+def test_no_caller_is_rejected_for_good_right_after_an_outage():
+    # All callers retry when the groups open again, and no stream has ended yet.
+    # A retry that is rejected for want of room is lost.
+    last = replace(BATCH, ahead=40, returning=True, waited=timedelta())
+    assert isinstance(decide_admission(FULL, last), QueueStream)
+    unknown = replace(FULL, ends_per_s=0)
+    newcomer = replace(last, returning=False)
+    assert isinstance(decide_admission(unknown, newcomer), QueueStream)
+    assert isinstance(decide_admission(FULL, newcomer), RejectStream)
+
+
 def test_less_urgent_streams_leave_permits_to_urgent_arrivals():
     rates = (ClassRate(0, 60, 60), ClassRate(1, 30, 30))
     assert reserve_for_urgent(rates, 20, 1) == 4
