A group's utilization counts the streams with passes in time, not the slots

Where slots bound the limit, the planner took a group with passes of half the allowed time for used up and copied experts for gains that no caller sees.

--- a/linnetwind/admission/group_capacity.py
+++ b/linnetwind/admission/group_capacity.py
@@ -81,10 +81,11 @@
     """The state of a group from which its free permits are computed.
 
     `ends` are the monotonic times at which streams of this daemon ended,
-    `allowance` is how many streams it may run there. `use` is the
-    share of the limit that was in use when a stream last asked for a permit,
-    `health` says whether the group can run streams. `summary` is the last one
-    of the planner, and `summary_at` the monotonic time at which it came.
+    `allowance` is how many streams it may run there. `utilization` is the
+    number that ran when one last asked for a permit, relative to how many have
+    passes in time. `health` says whether the group can run streams. `summary`
+    is the last one of the planner, and `summary_at` the monotonic time at which
+    it came.
     `paces` is the history of its pace, and `slow_decision` says what it serves
     while a rank is slow. `ranks` counts all its ranks, `skews` holds the rises
     of the skew, `correction` what this daemon's pauses show as of
--- a/linnetwind/admission/group_limits.py
+++ b/linnetwind/admission/group_limits.py
@@ -57,7 +57,11 @@
             ],
             service.bearable_ms,
         )
-        group.utilization = count.running / limit
+        # Where the slots bound the limit, passes stay shorter than they need to
+        # be, and a better expert map brings callers nothing.
+        group.utilization = count.running / max(
+            limit, group.forecast.streams_within(gap)
+        )
         if now - group.allowance.at >= send_interval:
             free = limit - count.running
             renew_allowance(service, group, count, free, share, peers, now)
--- a/linnetwind/admission/pass_forecast.py
+++ b/linnetwind/admission/pass_forecast.py
@@ -76,6 +76,18 @@
         """Return the time of a pass with a number of streams."""
         return self.fixed_ms + self.part_ms * streams
 
+    def streams_within(self, gap: timedelta) -> float:
+        """Return how many streams have passes in time, regardless of slots.
+
+        Args:
+          gap: The longest pause that is in time.
+
+        Returns:
+          The number, below 0 if no pass is in time.
+        """
+        available_ms = gap / _MS * MAX_PAUSE_FRACTION - self.fixed_ms
+        return available_ms / self.part_ms
+
 
 @dataclass(frozen=True, slots=True)
 class SkewHistory:
--- a/linnetwind/admission/stream_admission_control_test.py
+++ b/linnetwind/admission/stream_admission_control_test.py
@@ -270,3 +270,16 @@
     daemon.admission.record_start(RANKS_A[0], 150 * MS)
     view, _permits = daemon.snapshot(in_a=10, in_b=10)
     assert view.start_time == 150 * MS
+
+
+def test_a_group_with_all_slots_taken_is_not_used_up_by_its_passes():
+    # The slots bound the limit while passes take half of the time allowed. If
+    # the group counted as used up, its expert map would be changed, at the cost
+    # of many copies, without a benefit to any caller.
+    daemon = LoneDaemon()
+    few = RoutedService('model', '/health', 248, make_engine(slots=1))
+    counts = {'a': GroupCount(16, 16, 16)}
+    daemon.admission.view(few, GAP, counts, (), SEND_INTERVAL)
+    assert daemon.admission.utilization('model', 'a') < 0.5
+    daemon.snapshot(150, 0)
+    assert daemon.admission.utilization('model', 'a') > 0.5
