Eject plain upstreams that refuse or fail far more than the others

A refusal ("not run") was recorded as a quick success. Its short latency attracted requests, so an upstream that refused 9 in 10 without naming a backoff got more than its share.

Refusals that name neither a backoff nor a limit now count like failures. An upstream whose share of bad answers of the last seconds is far above that of the others of its service is ejected, for at least as long as this daemon takes to send twelve requests (2 to 15 s), doubling to 30 s; at most half of a service's upstreams. Single probes bring it back. Responses of another instance (421) are no longer recorded for the expected one.

With all upstreams sound, or all refusing alike, the choices are those without ejection.

--- a/linnetwind/gateway_state.py
+++ b/linnetwind/gateway_state.py
@@ -154,7 +154,7 @@
             living = self._upstreams.incarnations()
             self._records.keep_only(living)
             self._books.cold.observe_list(before, self._upstreams)
-            self._books.cold.keep_only(living)
+            self._books.keep_only(living)
         self._books.limits.keep_only(living)
         self._room.wake()
         if self._upstreams.evacuations is not before.evacuations:
@@ -265,11 +265,16 @@
             weights = self._books.cold.weights(now)
             if service.engine is None:
                 stats = self._records.stats
-                chosen = choose_plain(usable, counts, stats, now, weights)
+                members = self._upstreams.usable(service.name, now)
+                ejected = self._books.ejections.ejected(members)
+                chosen = choose_plain(
+                    usable, counts, stats, now, weights, ejected
+                )
             else:
                 chosen = choose_rank(usable, counts, slow, weights)
             if chosen is not None:
                 self._books.limits.count_sent(chosen)
+                self._books.ejections.count_sent(chosen)
                 self._streams.begin(chosen.life)
         self._on_change()
         return chosen
--- a/linnetwind/request_history.py
+++ b/linnetwind/request_history.py
@@ -1,6 +1,6 @@
 """The request history that a gateway daemon shares with its peers."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass
 
 from linnetwind.clock import Clock
@@ -14,9 +14,11 @@
 from linnetwind.refusal_history import RefusalTracker
 from linnetwind.shared_retry_budget import RetryBudgetTerms, SharedRetryBudget
 from linnetwind.upstream_backoff import UpstreamBackoffs
+from linnetwind.upstream_incarnation import UpstreamIncarnation
 from linnetwind.upstreams.cold_allowance import ColdBound
 from linnetwind.upstreams.cold_quotas import ColdQuotas, ColdSettings
 from linnetwind.upstreams.cold_upstreams import ColdUpstreams
+from linnetwind.upstreams.ejected_upstreams import EjectedUpstreams
 from linnetwind.upstreams.upstream_limits import ServiceDemand, UpstreamLimits
 
 
@@ -27,8 +29,9 @@
     `retry_budgets` limits the retries to each service. `refusals` holds the
     requests that were refused with a time to retry, `crashes` the requests
     during which upstreams crashed, `limits` the upstreams' limits on requests
-    per second, `backoffs` the upstreams that currently accept no requests, and
-    `cold` those that have just started.
+    per second, `backoffs` the upstreams that currently accept no requests,
+    `cold` those that have just started, and `ejections` those that refuse or
+    fail too many requests.
     """
 
     retry_budgets: SharedRetryBudget
@@ -37,6 +40,16 @@
     limits: UpstreamLimits
     backoffs: UpstreamBackoffs
     cold: ColdUpstreams
+    ejections: EjectedUpstreams
+
+    def keep_only(self, lives: Collection[UpstreamIncarnation]) -> None:
+        """Discard what is known of upstreams that are not registered.
+
+        Args:
+          lives: The incarnations that are registered.
+        """
+        self.cold.keep_only(lives)
+        self.ejections.keep_only(lives)
 
     def merge_advertised(self, state: PeerState, daemons: int) -> None:
         """Merge the state that a peer sent.
@@ -91,4 +104,5 @@
         UpstreamLimits(clock, str(peers().own), demands, cold),
         UpstreamBackoffs(clock),
         cold,
+        EjectedUpstreams(clock),
     )
--- a/linnetwind/upstream_attempt.py
+++ b/linnetwind/upstream_attempt.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 from http import HTTPStatus
 
+from linnetwind.answer_records import AttemptOutcome, record_outcome
 from linnetwind.backpressure import record_backpressure
 from linnetwind.call_policy import FailedAttempt
 from linnetwind.call_types import Forwarding, ResponseFacts
@@ -48,6 +49,7 @@
         self._connection = connection
         self._context = context
         self._upstream = upstream
+        self._refusal: ResponseFacts | None = None
 
     def run(self) -> RequestResult | FailedAttempt:
         """Make the attempt.
@@ -99,9 +101,18 @@
         result: RequestResult | FailedAttempt,
         started_at: timedelta,
     ) -> None:
-        took = self._tools.clock.elapsed() - started_at
-        self._tools.state.upstream_records.record_answer(
-            self._upstream, took, failed=_is_failure(result)
+        outcome = AttemptOutcome(
+            started_at,
+            _is_failure(result),
+            self._refusal,
+            abandoned=result is CALLER_LEFT,
+        )
+        record_outcome(
+            self._tools.state,
+            self._tools.clock,
+            self._context.service,
+            self._upstream,
+            outcome,
         )
         if call.broken is not None:
             record_if_crashed(
@@ -140,6 +151,7 @@
     ) -> RequestResult | FailedAttempt:
         response = self._tools.dialect.read_response(head.status, head.headers)
         if response.not_executed or response.misdirected:
+            self._refusal = response
             self._update_instance(response)
             self._record_backpressure(response)
             reason = f'upstream refused with {head.status}'
--- a/linnetwind/upstreams/upstream_choice.py
+++ b/linnetwind/upstreams/upstream_choice.py
@@ -5,7 +5,8 @@
 differ in speed and may fail while their health check succeeds, so the choice
 among them depends on what was observed: the requests that run there, the
 latency of responses and the share of failures. An unreachable upstream is
-ejected for a short time, but at most half of a service's upstreams are. An
+ejected for a short time, and one that refuses or fails most requests for longer
+(`outlier_ejection.py`), but at most half of a service's upstreams are. An
 upstream that was cold until now gets less than its part for a time (slow start,
 as described for Envoy's load balancers).
 """
@@ -38,6 +39,7 @@
 FREE_SLOTS_EXPONENT = 3
 # Averages older than this are ignored, so that a slow upstream is tried again.
 MAX_RECORD_AGE = timedelta(seconds=5)
+_NONE: Collection[UpstreamIncarnation] = frozenset()
 _FULL_WEIGHTS: Mapping[UpstreamIncarnation, float] = MappingProxyType({})
 
 
@@ -186,6 +188,7 @@
     records: Mapping[UpstreamIncarnation, UpstreamStats],
     now: timedelta,
     weights: Mapping[UpstreamIncarnation, float] = _FULL_WEIGHTS,
+    ejected: Collection[UpstreamIncarnation] = _NONE,
 ) -> Upstream | None:
     """Return the plain upstream that should respond soonest.
 
@@ -195,11 +198,16 @@
       records: The statistics of each incarnation.
       now: The monotonic time.
       weights: The weights of the incarnations in their slow start, below 1.
+      ejected: The incarnations that refuse or fail too many requests.
 
     Returns:
       The upstream, or None if there is none.
     """
-    usable = [each for each in upstreams if not _is_ejected(each, records, now)]
+    usable = [
+        each
+        for each in upstreams
+        if each.life not in ejected and not _is_ejected(each, records, now)
+    ]
     if len(usable) * 2 < len(upstreams):
         usable = list(upstreams)
     if not usable:
