Tell peers which upstreams are ejected or asked for a backoff

With 24 daemons each sends a plain upstream a request in four seconds, so each had to be refused by a bad one several times before all avoided it.

A peer takes them as a hint. Backoffs bind only the daemon that was asked.

The test of states of previous versions covers each number of missing fields up to six.

--- a/linnetwind/answer_records.py
+++ b/linnetwind/answer_records.py
@@ -53,7 +53,13 @@
     state.upstream_records.record_answer(
         upstream, now - outcome.sent_at, failed=bad
     )
-    if service.engine is not None or is_bounded or outcome.abandoned:
+    if service.engine is not None or outcome.abandoned:
+        return
+    if refusal is not None and refusal.backoff is not None:
+        state.request_history.ejections.record_backoff(
+            upstream, refusal.backoff
+        )
+    if is_bounded:
         return
     state.request_history.ejections.record_answer(
         upstream,
--- a/linnetwind/peer_mesh.py
+++ b/linnetwind/peer_mesh.py
@@ -10,7 +10,7 @@
 import threading
 from collections.abc import Callable, Hashable
 from contextlib import suppress
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 
 from result import Ok
@@ -265,10 +265,15 @@
             self._state.upstreams.evacuations.to_advertise,
             self._state.request_history.cold.to_advertise(),
             self._state.request_history.cold.quotas.unheard(),
+            self._state.request_history.ejections.to_advertise(),
         )
         full = self._full_states.next_is_full(
             self._full_state_key(message), self._clock.elapsed()
         )
+        # Backoffs change often: full states after each change would be sent
+        # all the time.
+        if not self._state.request_history.ejections.take_news() and not full:
+            message = replace(message, avoided=())
         content = pack_state(message, full=full)
         for address in self._addresses():
             # A datagram that cannot be sent counts as lost; the next state
--- a/linnetwind/peers/peer_table.py
+++ b/linnetwind/peers/peer_table.py
@@ -21,6 +21,7 @@
 from linnetwind.fingerprint import Fingerprint
 from linnetwind.upstream_incarnation import UpstreamIncarnation
 from linnetwind.upstreams.cold_upstreams import AdvertisedCold
+from linnetwind.upstreams.ejection_hints import AdvertisedEjection
 from linnetwind.upstreams.evacuation import Evacuation
 from linnetwind.upstreams.upstream_limits import AdvertisedLimit, ServiceDemand
 
@@ -136,7 +137,8 @@
     named to this daemon, `demands` its request rates for their services.
     `evacuations` are the newest decisions on evacuated data centres. `cold` are
     the upstreams that it found to be cold, other than by their entries, and
-    `unheard` the daemons that it counts but has not heard for long.
+    `unheard` the daemons that it counts but has not heard for long. `avoided`
+    are the upstreams that it has ejected or that asked it to back off.
     """
 
     name: str
@@ -161,6 +163,7 @@
     evacuations: tuple[Evacuation, ...] = ()
     cold: tuple[AdvertisedCold, ...] = ()
     unheard: tuple[Address, ...] = ()
+    avoided: tuple[AdvertisedEjection, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/linnetwind/peers/peer_wire.py
+++ b/linnetwind/peers/peer_wire.py
@@ -38,6 +38,7 @@
     tag_incarnation,
 )
 from linnetwind.upstreams.cold_upstreams import AdvertisedCold
+from linnetwind.upstreams.ejection_hints import AdvertisedEjection
 from linnetwind.upstreams.evacuation import Evacuation
 from linnetwind.upstreams.upstream_limits import AdvertisedLimit, ServiceDemand
 
@@ -101,6 +102,7 @@
     evacuations: tuple[Evacuation, ...] = ()
     cold: tuple[AdvertisedCold, ...] = ()
     unheard: tuple[Address, ...] = ()
+    avoided: tuple[AdvertisedEjection, ...] = ()
 
 
 _CODEC = Codec((_WireState,))
--- a/linnetwind/peers/peer_wire_test.py
+++ b/linnetwind/peers/peer_wire_test.py
@@ -29,6 +29,7 @@
     tag_incarnation,
 )
 from linnetwind.upstreams.cold_upstreams import AdvertisedCold
+from linnetwind.upstreams.ejection_hints import AdvertisedEjection
 from linnetwind.upstreams.evacuation import Evacuation
 from linnetwind.upstreams.upstream_limits import AdvertisedLimit, ServiceDemand
 
@@ -85,7 +86,7 @@
     assert StateReader().read(content, KNOWN).crashes == ()
 
 
-@pytest.mark.parametrize('newer_fields', [1, 3, 5])
+@pytest.mark.parametrize('newer_fields', [1, 2, 3, 4, 5, 6])
 def test_a_state_of_a_previous_version_is_decoded(newer_fields):
     # While a new version is rolled out, both run side by side.
     tag, *values = cbor2.loads(pack_state(_state(), full=True))
@@ -168,6 +169,28 @@
     assert (decoded.cold, decoded.unheard) == ((), ())
 
 
+def test_avoided_upstreams_are_decoded_and_may_be_missing():
+    # A daemon of the previous version does not send them.
+    avoided = (AdvertisedEjection(IncarnationTag(7), 4_000, 90),)
+    content = pack_state(_state(avoided=avoided), full=False)
+    assert StateReader().read(content, KNOWN).avoided == avoided
+    tag, *values = cbor2.loads(content)
+    before = cbor2.dumps([tag, *values[:-1]])
+    assert StateReader().read(before, KNOWN).avoided == ()
+
+
+@pytest.mark.parametrize(
+    'ejection',
+    [
+        AdvertisedEjection(IncarnationTag(7), -1),
+        AdvertisedEjection(IncarnationTag(7), 1, 101),
+    ],
+)
+def test_ejections_out_of_range_are_no_state(ejection):
+    content = pack_state(_state(avoided=(ejection,)), full=True)
+    assert StateReader().read(content, KNOWN) is None
+
+
 def test_a_state_without_cold_upstreams_is_decoded():
     # While a new version is rolled out, both run side by side.
     tag, *values = cbor2.loads(pack_state(_state(), full=True))
--- a/linnetwind/request_history.py
+++ b/linnetwind/request_history.py
@@ -1,8 +1,10 @@
 """The request history that a gateway daemon shares with its peers."""
 
+import zlib
 from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass
 
+from linnetwind.address import Address
 from linnetwind.clock import Clock
 from linnetwind.crash_tracker import CrashTracker
 from linnetwind.peers.peer_table import (
@@ -21,6 +23,8 @@
 from linnetwind.upstreams.ejected_upstreams import EjectedUpstreams
 from linnetwind.upstreams.upstream_limits import ServiceDemand, UpstreamLimits
 
+_MAX_CRC32 = 0xFFFFFFFF
+
 
 @dataclass(frozen=True, slots=True)
 class RequestHistory:
@@ -68,6 +72,7 @@
             leaving=state.leaving,
         )
         self.cold.merge_advertised(state.cold)
+        self.ejections.merge_advertised(state.name, state.avoided)
 
 
 def make_request_history(
@@ -104,5 +109,10 @@
         UpstreamLimits(clock, str(peers().own), demands, cold),
         UpstreamBackoffs(clock),
         cold,
-        EjectedUpstreams(clock),
+        EjectedUpstreams(clock, _spread(peers().own)),
     )
+
+
+def _spread(own: Address) -> float:
+    """Return a number from 0 to 1 that differs from daemon to daemon."""
+    return zlib.crc32(str(own).encode()) / _MAX_CRC32
--- a/linnetwind/upstream_backoff.py
+++ b/linnetwind/upstream_backoff.py
@@ -1,8 +1,8 @@
 """Upstreams to which this daemon must send no requests for a time.
 
 An upstream that refuses a request may state for how long the sending daemon
-has to back off. This concerns that daemon alone, so it is not advertised to
-peers.
+has to back off. This concerns that daemon alone. Peers get a hint only, see
+`ejection_hints.py`, and are not bound by it.
 """
 
 import threading
--- a/linnetwind/upstreams/outlier_ejection_test.py
+++ b/linnetwind/upstreams/outlier_ejection_test.py
@@ -40,6 +40,16 @@
     assert total / len(SEEDS) < 60
 
 
+def test_many_daemons_tell_each_other():
+    # States are up to 300 ms old, and one in twenty is lost.
+    scenes = [
+        RefusalScene(24, (0.9, 0, 0), seed=seed, hears_peers=True)
+        for seed in SEEDS
+    ]
+    counts = [RefusalReplay(scene).run() for scene in scenes]
+    assert max(each.refusals.total() for each in counts) < 60
+
+
 class _CheckedReplay(RefusalReplay):
     """Compares each choice with that of records without ejections."""
 
@@ -69,7 +79,7 @@
 
 @pytest.mark.parametrize('daemons', [1, 15, 24])
 def test_an_overloaded_service_keeps_all_upstreams(daemons):
-    scene = RefusalScene(daemons, (0.9, 0.9, 0.9))
+    scene = RefusalScene(daemons, (0.9, 0.9, 0.9), hears_peers=True)
     _CheckedReplay(scene).run()
 
 
--- a/standins/refusal_replay.py
+++ b/standins/refusal_replay.py
@@ -32,6 +32,11 @@
 _MAX_ATTEMPTS = 2
 _REFUSAL_TIME = 3 * MS
 _RUN_TIME = 100 * MS
+# States of peers: after a change, and full ones; their ages and their losses.
+_SEND_INTERVAL = 300 * MS
+_FULL_EVERY = 4
+_MAX_AGE_S = 0.3
+_LOST = 0.05
 
 
 @dataclass(frozen=True)
@@ -42,6 +47,7 @@
     refused: tuple[float, ...]
     requests: int = 544
     per_s: float = 16.2
+    hears_peers: bool = False
     seed: int = 1
 
 
@@ -102,7 +108,11 @@
         for _request in range(self.scene.requests):
             at += self.random.expovariate(self.scene.per_s)
             self.schedule(timedelta(seconds=at), self._arrive)
-        while self._events:
+        if self.scene.hears_peers:
+            for number, _daemon in enumerate(self.daemons):
+                self.schedule(timedelta(), self._advertise, number, 0)
+        end = timedelta(seconds=at) + SECOND
+        while self._events and self._events[0][0] < end:
             at, _order, act, details = heapq.heappop(self._events)
             self.clock.advance(at - self.clock.elapsed())
             act(*details)
@@ -112,6 +122,22 @@
         """Call a function at a time."""
         heapq.heappush(self._events, (at, next(self._order), act, details))
 
+    def _advertise(self, number, count) -> None:
+        ejections = self.daemons[number].request_history.ejections
+        if ejections.take_news() or count % _FULL_EVERY == 0:
+            avoided = ejections.to_advertise()
+            for other in self.daemons:
+                if other is not self.daemons[number]:
+                    self._deliver(str(number), avoided, other)
+        at = self.clock.elapsed() + _SEND_INTERVAL
+        self.schedule(at, self._advertise, number, count + 1)
+
+    def _deliver(self, source, avoided, daemon) -> None:
+        if self.random.random() >= _LOST:
+            age = timedelta(seconds=self.random.uniform(0, _MAX_AGE_S))
+            merge = daemon.request_history.ejections.merge_advertised
+            self.schedule(self.clock.elapsed() + age, merge, source, avoided)
+
     def _arrive(self) -> None:
         self._send(self.random.choice(self.daemons), frozenset())
 
