Streams wait while no cold rank accepts any

A gateway that has just started sends nothing to cold upstreams until it knows its peers. Its queue admitted streams nevertheless, which then found no upstream and were rejected for good. A group whose ranks are all at their limits is now closed for that time, as one whose ranks all asked for a backoff is.

--- a/linnetwind/admission/group_capacity.py
+++ b/linnetwind/admission/group_capacity.py
@@ -67,7 +67,7 @@
     `running` counts the streams of all daemons, `own_running` those of this
     daemon, and `ranks` the ranks that accept streams from this daemon.
     `backoff` is how long no rank does, if all have asked this daemon for a
-    backoff.
+    backoff or are at their limits.
     """
 
     running: int
--- a/linnetwind/gateway_state.py
+++ b/linnetwind/gateway_state.py
@@ -12,15 +12,15 @@
 
 from linnetwind.address import Address
 from linnetwind.admission.admission_policy import CapacityView
-from linnetwind.admission.group_capacity import UNNAMED_GROUP, GroupCount
+from linnetwind.admission.group_capacity import UNNAMED_GROUP
 from linnetwind.admission.stream_admission_control import StreamAdmission
 from linnetwind.clock import Clock
+from linnetwind.group_counts import count_by_group
 from linnetwind.peers.peer_table import PeerState, PeerTable
 from linnetwind.request_counts import RequestCounts
 from linnetwind.request_history import RequestHistory, make_request_history
 from linnetwind.routes import RoutedService, RouteTable
 from linnetwind.shared_retry_budget import RetryBudgetTerms
-from linnetwind.upstream_backoff import UpstreamBackoffs
 from linnetwind.upstream_incarnation import UpstreamIncarnation
 from linnetwind.upstreams.cold_allowance import NO_COLD_BOUND, ColdBound
 from linnetwind.upstreams.upstream_choice import (
@@ -219,11 +219,11 @@
           The view of all groups together.
         """
         now = self._clock.elapsed()
-        counts = _count_by_group(
+        counts = count_by_group(
             self._groups(service.name),
             self._counts(),
             self._streams.own,
-            self._books.backoffs,
+            self._books,
         )
         peer_table = self._peer_table
         view = self._room.view(
@@ -331,11 +331,11 @@
         groups = self._books.limits.open_groups(self._groups(service.name))
         name = UNNAMED_GROUP
         if service.engine is not None:
-            counts = _count_by_group(
+            counts = count_by_group(
                 groups,
                 self._counts(),
                 self._streams.own,
-                self._books.backoffs,
+                self._books,
             )
             failed = frozenset(
                 name
@@ -378,22 +378,5 @@
         return self._streams.totals
 
 
-def _count_by_group(
-    groups: Mapping[str, list[Upstream]],
-    running: Mapping[UpstreamIncarnation, int],
-    own: Mapping[UpstreamIncarnation, int],
-    backoffs: UpstreamBackoffs,
-) -> dict[str, GroupCount]:
-    return {
-        name: GroupCount(
-            sum(running.get(each.life, 0) for each in members),
-            sum(own.get(each.life, 0) for each in members),
-            len(backoffs.without_backoff(members)),
-            backoffs.remaining_for_all(members),
-        )
-        for name, members in groups.items()
-    }
-
-
 def _do_nothing() -> None:
     """Do nothing; the default until a listener is set."""
--- a/linnetwind/gateway_state_test.py
+++ b/linnetwind/gateway_state_test.py
@@ -207,6 +207,21 @@
     assert len([each for each in acquired if each]) == 2
 
 
+def test_streams_wait_while_no_cold_rank_accepts_any():
+    # All ranks and daemons have restarted. A daemon that does not know its
+    # peers yet sends nothing to cold ranks. If it admitted streams, it would
+    # find no upstream for them and reject their callers for good.
+    service = replace(MODEL, cold_per_s=2)
+    bound = ColdBound(ColdTolerance(1, 0), has_peers=True)
+    state = _cold_state(service, bound)
+    rank = make_upstream('r', 80, 'model', cold=SECOND * 9)
+    _register(state, 1, rank)
+    state.merge_advertised(_peer({}, _summary('g', rank.life)))
+    view = state.group_view(service, 120 * MS)
+    assert timedelta() < view.opens_in <= 2 * SECOND
+    assert view.is_backoff
+
+
 def test_a_daemon_learns_of_a_cold_upstream_from_its_peers():
     # It started after the upstream did. The entry has no start time.
     service = replace(PLAIN, cold_per_s=3)
--- a/linnetwind/upstreams/upstream_limits.py
+++ b/linnetwind/upstreams/upstream_limits.py
@@ -34,6 +34,10 @@
 # fraction.
 _MIN_CHANGE = 0.1
 
+# How long upstreams are taken to accept nothing while it is not known when they
+# do; a daemon that has just started learns within seconds who shares a limit.
+_UNKNOWN_WAIT = timedelta(seconds=1)
+
 PerSecond = Annotated[float, Meta(ge=0, le=_MAX_PER_S)]
 
 
@@ -267,6 +271,20 @@
         self._send(earliest.upstream, now, earliest.wait)
         return earliest
 
+    def closed_for(self, upstreams: list[Upstream]) -> timedelta:
+        """Return how long the limits of all upstreams allow no request.
+
+        Args:
+          upstreams: Upstreams of one service.
+
+        Returns:
+          The time; zero if one of them may be sent a request now, or if there
+          are no upstreams.
+        """
+        if not upstreams or self.within_limit(upstreams):
+            return timedelta()
+        return self.time_until_accepted(upstreams) or _UNKNOWN_WAIT
+
     def time_until_accepted(
         self, upstreams: list[Upstream]
     ) -> timedelta | None:
