--- a/linnetwind/platform/gateway_test.py
+++ b/linnetwind/platform/gateway_test.py
@@ -193,6 +193,19 @@
     connection.answer(request, '', 503, Not_Executed='1', Response_Seal='')
 
 
+@pytest.mark.parametrize('text', [GET, ONCE])
+def test_an_upstream_that_refuses_all_requests_gets_few(gateway, text):
+    # Its refusals were recorded as quick answers, which attracted requests. A
+    # request that was refused is sent to another upstream, also if it must
+    # run at most once.
+    refusing = gateway.add(_refuse)
+    assert gateway.ask(text)[0] == 503
+    for _upstream in range(2):
+        gateway.add(_respond)
+    assert {gateway.ask(text)[0] for _request in range(40)} == {200}
+    assert len(refusing.requests) < 5
+
+
 def test_if_all_upstreams_refuse_the_caller_may_retry(gateway):
     upstreams = [gateway.add(_refuse) for _upstream in range(3)]
     status, headers, _body = gateway.ask(ONCE)
