Bound the bytes of bodies in hand by the host's memory

Cause: nothing bounded the sum of what a daemon holds for callers and upstreams that read or write slowly. Held per connection, of up to 900 served at once: - the request body, up to maxBodyBytes (4 MB), from its first byte until the response is complete. It exists twice while its parts are joined and again while it is sent together with the head, so 900 bodies could take 7,200 MB; - a response that is not a stream, up to 256 KB plus one chunk, until it is whole or exceeds this size; beyond that one chunk of 64 KB in transit; - of a stream, the events of one chunk, and the begin of an event whose end has not arrived, without any bound; - an upstream's error response that may be replaced by a better one (256 KB). A body that is declared too large was read up to the limit before the 413, and closing with unread data reset the connection, so the caller could lose the response.

Change: bodies count twice their size towards a quarter of limits.memoryMb (no limit without it; 38 MB at 152 MB, 138 MB at 552 MB). Decision in admission/memory_budget.py, count in bytes_in_hand.py. A declared size is counted before the body is read and before "100 Continue". A request that does not fit gets 503 with Retry-After and Connection: close, one that never fits 413. The rest of its body is then discarded for 2 s at most. Bodies below 64 KB are always accepted. Responses that do not fit are relayed without reading ahead, and an unfinished event that does not fit breaks off the call. Probes may only send small bodies. Bytes are given back by context managers. An error response kept for a possible replacement is not counted while the next attempt runs.

--- a/linnetwind/caller_connection.py
+++ b/linnetwind/caller_connection.py
@@ -13,6 +13,8 @@
 
 import h11
 
+from linnetwind.admission.memory_budget import NeverFits, RefuseForNow
+from linnetwind.bytes_in_hand import BytesInHand, Holder
 from linnetwind.call_types import CallerRequest, Headers
 from linnetwind.clock import Clock
 from linnetwind.routes import CallerLimits
@@ -29,6 +31,10 @@
 _REQUEST_LINE_BYTES = 8_192
 _HEADERS_TOO_LARGE = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
 _BODY_TOO_LARGE = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+# How long the rest of a refused request is read and discarded. If a connection
+# is closed while data is unread, the kernel resets it, and the caller may lose
+# the response.
+_DISCARD_TIMEOUT = timedelta(seconds=2)
 _HANGUP_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
@@ -39,10 +45,15 @@
 
 @dataclass(frozen=True, slots=True)
 class BadRequest:
-    """An invalid request, with the HTTP status for the caller."""
+    """A request that is not accepted, with the HTTP status for the caller.
+
+    `retry_after` is the delay after which the same request may be accepted,
+    None if it is invalid.
+    """
 
     status: int
     problem: str
+    retry_after: timedelta | None = None
 
 
 ReadResult = CallerRequest | ConnectionEnded | BadRequest
@@ -90,9 +101,12 @@
         """Return whether the connection may carry another request."""
         return self._http.our_state is h11.DONE
 
-    def read_request(self) -> ReadResult:
+    def read_request(self, held: Holder | None = None) -> ReadResult:
         """Wait for the next request and read it completely.
 
+        Args:
+          held: The account for the body, None to count no bytes.
+
         Returns:
           The request, or why there is none.
         """
@@ -100,7 +114,7 @@
             self._http.start_next_cycle()
         self._request_begun = bool(self._http.trailing_data[0])
         try:
-            return self._read_complete_request()
+            return self._read_complete_request(held or Holder(BytesInHand()))
         except h11.RemoteProtocolError as error:
             return BadRequest(error.error_status_hint, str(error))
         except OSError:
@@ -160,11 +174,25 @@
         poller.register(self._sock, _HANGUP_EVENTS)
         return bool(poller.poll(0))
 
+    def discard_rest(self) -> None:
+        """Discard the rest of a refused request, without holding it.
+
+        No response can follow. Ends after `_DISCARD_TIMEOUT` at the latest.
+        """
+        if self._http.their_state is not h11.SEND_BODY:
+            return
+        until = self._clock.elapsed() + _DISCARD_TIMEOUT
+        try:
+            self._discard_until(until)
+        except OSError:
+            # The caller has reset the connection.
+            return
+
     def close(self) -> None:
         """Close the connection; an unfinished response stays truncated."""
         self._sock.close()
 
-    def _read_complete_request(self) -> ReadResult:
+    def _read_complete_request(self, held: Holder) -> ReadResult:
         head = self._next_event()
         if isinstance(head, ConnectionEnded | BadRequest):
             return head
@@ -174,21 +202,44 @@
         limits = self._limits()
         if _head_size(head) > limits.head_bytes:
             return BadRequest(_HEADERS_TOO_LARGE, 'the head is too long')
+        # The declared size is counted before the body is read, so that the
+        # caller need not send a body that will be refused.
+        declared = _declared_size(head)
+        refusal = _check_body(declared, limits, held)
+        if refusal is not None:
+            return refusal
         if self._http.they_are_waiting_for_100_continue:
             self._send(h11.InformationalResponse(status_code=100, headers=[]))
+        body = self._read_body(declared, limits, held)
+        if not isinstance(body, bytes):
+            return body
+        headers = tuple(head.headers.raw_items())
+        return CallerRequest(head.method, head.target, headers, body, received)
+
+    def _read_body(
+        self, declared: int, limits: CallerLimits, held: Holder
+    ) -> bytes | ConnectionEnded | BadRequest:
         body = bytearray()
         event = self._next_event()
         while isinstance(event, h11.Data):
+            size = len(body) + len(event.data)
+            refusal = _check_body(max(declared, size), limits, held)
+            if refusal is not None:
+                return refusal
             body += event.data
-            if len(body) > limits.body_bytes:
-                return BadRequest(_BODY_TOO_LARGE, 'the body is too long')
             event = self._next_event()
         if isinstance(event, ConnectionEnded | BadRequest):
             return event
-        headers = tuple(head.headers.raw_items())
-        return CallerRequest(
-            head.method, head.target, headers, bytes(body), received
-        )
+        return bytes(body)
+
+    def _discard_until(self, until: timedelta) -> None:
+        # The end of our side tells the caller that nothing else will come.
+        self._sock.shutdown(socket.SHUT_WR)
+        while self._clock.elapsed() < until and not self._is_closing():
+            left = min(until - self._clock.elapsed(), _LIMITS_CHECK_INTERVAL)
+            if _readable(self._sock, max(left, timedelta())):
+                if not self._sock.recv(_READ_BYTES):
+                    return
 
     def _next_event(self) -> h11.Event | ConnectionEnded | BadRequest:
         event = self._http.next_event()
@@ -239,6 +290,37 @@
     return bool(poller.poll(limit / timedelta(milliseconds=1)))
 
 
+def _declared_size(head: h11.Request) -> int:
+    """Return the declared size of the body in bytes, 0 if it is not declared.
+
+    h11 has checked that the header is one number.
+    """
+    for name, value in head.headers:
+        if name == b'content-length':
+            return int(value)
+    return 0
+
+
+def _check_body(
+    size: int, limits: CallerLimits, held: Holder
+) -> BadRequest | None:
+    """Count a body of a size in bytes; return why it may not be read."""
+    too_large = BadRequest(_BODY_TOO_LARGE, 'the body is too long')
+    if size > limits.body_bytes:
+        return too_large
+    decision = held.resize(size)
+    match decision:
+        case NeverFits():
+            return too_large
+        case RefuseForNow(retry_after):
+            return BadRequest(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                'bodies use up the memory',
+                retry_after,
+            )
+    return None
+
+
 def _head_size(head: h11.Request) -> int:
     fields = sum(
         len(name) + len(value) + 4 for name, value in head.headers.raw_items()
--- a/linnetwind/gateway_daemon.py
+++ b/linnetwind/gateway_daemon.py
@@ -14,7 +14,7 @@
     CallerConnection,
     ConnectionEnded,
 )
-from linnetwind.caller_service import serve_caller
+from linnetwind.caller_service import read_probe, serve_caller
 from linnetwind.clock import Clock
 from linnetwind.cold_log import make_cold_listener
 from linnetwind.daemon_events import Started, Stopped, Stopping
@@ -25,7 +25,11 @@
 from linnetwind.gateway_events import SettingsReloaded
 from linnetwind.gateway_feeds import GatewayFeeds
 from linnetwind.gateway_metrics import GatewayMetrics
-from linnetwind.gateway_setup import GatewayPorts, GatewaySetup
+from linnetwind.gateway_setup import (
+    GatewayPorts,
+    GatewaySetup,
+    make_bytes_in_hand,
+)
 from linnetwind.gateway_state import GatewayState
 from linnetwind.gateway_stop import make_stop
 from linnetwind.group_limit_log import GroupLimitLog
@@ -147,7 +151,9 @@
             self._stop,
             advertise_to_peers=self._mesh.advertise_now,
             persist_quarantine=self._quarantines.persist,
+            bytes_in_hand=make_bytes_in_hand(setup),
         )
+        self._metrics.watch_bytes(lambda: self._tools.bytes_in_hand.total)
 
     def run(self) -> None:
         """Serve until SIGTERM, then shut down gracefully."""
@@ -222,7 +228,7 @@
     def _serve_readiness(self, sock: socket.socket) -> None:
         connection = self._connection(sock)
         while not isinstance(
-            connection.read_request(), BadRequest | ConnectionEnded
+            read_probe(connection), BadRequest | ConnectionEnded
         ):
             if self._is_ready():
                 status = HTTPStatus.OK
@@ -234,7 +240,7 @@
 
     def _serve_metrics(self, sock: socket.socket) -> None:
         connection = self._connection(sock)
-        if isinstance(connection.read_request(), CallerRequest):
+        if isinstance(read_probe(connection), CallerRequest):
             kind = ((b'Content-Type', _METRICS_TYPE),)
             connection.answer(HTTPStatus.OK, kind, self._metrics.render())
 
--- a/linnetwind/gateway_events.py
+++ b/linnetwind/gateway_events.py
@@ -137,6 +137,18 @@
     returning: bool
 
 
+@dataclass(frozen=True, slots=True)
+class BodyRefused:
+    """A large request was refused before its body was read.
+
+    `in_hand` is the memory in bytes that other bodies use.
+    """
+
+    in_hand: int
+    reason: str
+    retry_after: timedelta
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptFailed:
     """An upstream did not send a complete response.
--- a/linnetwind/gateway_metrics.py
+++ b/linnetwind/gateway_metrics.py
@@ -76,6 +76,7 @@
         )
         self._version = self._gauge('config_version', 'In force.')
         self._cold = self._gauge('upstreams_cold', 'Cold now.')
+        self._bytes = self._gauge('bytes_in_hand', 'Memory for bodies.')
         self._first = self._histogram('first_byte_seconds', _LATENCIES)
         self._whole = self._histogram('request_seconds', _LATENCIES)
         self._queued = self._histogram('queued_seconds', _LATENCIES)
@@ -122,6 +123,14 @@
         """
         self._cold.set_function(count)
 
+    def watch_bytes(self, total: Callable[[], int]) -> None:
+        """Set the source of the memory that bodies take.
+
+        Args:
+          total: Returns the memory in bytes.
+        """
+        self._bytes.set_function(total)
+
     def watch_streams(self, read: Callable[[], Sequence[ClassState]]) -> None:
         """Serve the waiting streams and the room of each priority.
 
--- a/linnetwind/gateway_setup.py
+++ b/linnetwind/gateway_setup.py
@@ -6,6 +6,8 @@
 from datetime import timedelta
 
 from linnetwind.address import Address
+from linnetwind.admission.memory_budget import derive_budget
+from linnetwind.bytes_in_hand import BytesInHand
 from linnetwind.call_types import Dialect
 from linnetwind.gateway_feeds import FeedPorts
 from linnetwind.rank_types import RankPort
@@ -22,7 +24,8 @@
     `seeds` are the addresses of the first peers. `stop_within` is the grace
     period: the time from SIGTERM until the process is killed. `power` is the
     capacity of the host relative to other hosts, in any unit. `cold_tolerance`
-    is None if requests to cold upstreams are not limited.
+    is None if requests to cold upstreams are not limited. `memory_bytes` is the
+    memory of the host, None if it is not stated.
     """
 
     name: str
@@ -36,6 +39,7 @@
     retry_terms: RetryBudgetTerms
     power: int = 0
     cold_tolerance: ColdTolerance | None = None
+    memory_bytes: int | None = None
 
     @property
     def cold_bound(self) -> ColdBound:
@@ -57,3 +61,15 @@
     open_rank: Callable[[Upstream], RankPort]
     reload: Callable[[], GatewaySetup]
     front: socket.socket
+
+
+def make_bytes_in_hand(setup: GatewaySetup) -> BytesInHand:
+    """Make the account of the bodies that a daemon holds.
+
+    Args:
+      setup: The settings of the daemon.
+
+    Returns:
+      The account, limited by the memory of the host.
+    """
+    return BytesInHand(derive_budget(setup.memory_bytes))
--- a/linnetwind/platform/entry.py
+++ b/linnetwind/platform/entry.py
@@ -62,4 +62,5 @@
         retry_terms=settings.retry_terms,
         power=settings.power,
         cold_tolerance=settings.cold_tolerance,
+        memory_bytes=settings.memory_bytes,
     )
--- a/linnetwind/platform/settings.py
+++ b/linnetwind/platform/settings.py
@@ -11,6 +11,7 @@
 from linnetwind.upstreams.cold_allowance import ColdTolerance
 
 _SETTINGS_VARIABLE = 'LINNETWIND_CONFIG'
+_BYTES_PER_MB = 1_048_576
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,6 +25,7 @@
     all hosts. `repeats` limits retries. `power` is the host's link in Mbit/s
     times the number of cores that the daemon may use, 0 if not stated.
     `cold_tolerance` is None if requests to cold upstreams are not limited.
+    `memory_bytes` is the host's memory, None if not stated.
     """
 
     name: str
@@ -41,6 +43,7 @@
     retry_terms: RetryBudgetTerms
     power: int
     cold_tolerance: ColdTolerance | None = None
+    memory_bytes: int | None = None
 
 
 def read_settings() -> HostSettings:
@@ -92,6 +95,7 @@
         ),
         power=_host_power(fields.get('limits') or {}),
         cold_tolerance=_cold_tolerance(bounds),
+        memory_bytes=_memory_bytes(fields.get('limits') or {}),
     )
 
 
@@ -101,6 +105,12 @@
     return int(cores * limits.get('linkMbps', 0))
 
 
+def _memory_bytes(limits: dict[str, Any]) -> int | None:
+    """Return the host's memory in bytes, None if it is not stated."""
+    memory_mb = limits.get('memoryMb')
+    return None if memory_mb is None else int(memory_mb * _BYTES_PER_MB)
+
+
 def _cold_tolerance(bounds: dict[str, Any]) -> ColdTolerance | None:
     """Return the bound on requests to cold upstreams, None if none is stated.
 
--- a/linnetwind/platform/settings_test.py
+++ b/linnetwind/platform/settings_test.py
@@ -1,4 +1,4 @@
-"""Tests of the settings that limit requests to cold upstreams."""
+"""Tests of the settings that limit cold upstreams and memory."""
 
 import pytest
 
@@ -34,3 +34,12 @@
 def test_the_bound_for_cold_upstreams_is_decoded(stated, expected):
     decoded = decode_settings({**SETTINGS, 'bounds': {**BOUNDS, **stated}})
     assert decoded.cold_tolerance == expected
+
+
+@pytest.mark.parametrize(
+    ('limits', 'expected'),
+    [({}, {}), ({'limits': {'memoryMb': 2}}, {'memory_bytes': 2_097_152})],
+)
+def test_the_memory_of_the_host_is_decoded(limits, expected):
+    decoded = decode_settings({**SETTINGS, **limits, 'bounds': BOUNDS})
+    assert decoded.memory_bytes == expected.get('memory_bytes')
--- a/linnetwind/relay.py
+++ b/linnetwind/relay.py
@@ -38,6 +38,7 @@
     RequestContext,
     RequestResult,
     respond_to_caller,
+    retry_after_header,
 )
 from linnetwind.request_end_log import log_request_end
 from linnetwind.routes import RouteTable, choose_service, request_priority
@@ -358,5 +359,4 @@
 
 
 def _retry_after(retry_delay: timedelta) -> Headers:
-    seconds = f'{retry_delay.total_seconds():.2f}'.encode()
-    return ((b'Retry-After', seconds),)
+    return (retry_after_header(retry_delay),)
--- a/linnetwind/request_context.py
+++ b/linnetwind/request_context.py
@@ -5,10 +5,12 @@
 from datetime import timedelta
 
 from linnetwind.admission.stream_work import StreamWork
+from linnetwind.bytes_in_hand import BytesInHand
 from linnetwind.call_policy import FailedAttempt
 from linnetwind.call_types import (
     CallerRequest,
     Dialect,
+    Header,
     Headers,
     RequestFacts,
 )
@@ -56,6 +58,7 @@
     runs: StreamDurations = field(default_factory=StreamDurations)
     stream_work: StreamWork = field(default_factory=StreamWork)
     open_work: OpenWork = field(default_factory=OpenWork)
+    bytes_in_hand: BytesInHand = field(default_factory=BytesInHand)
     advertise_to_peers: Callable[[], None] = _notify_no_peers
     persist_quarantine: Callable[[Fingerprint], None] = _store_no_quarantine
 
@@ -167,6 +170,18 @@
     connection.answer(status, with_connection_close(tools, headers), body)
 
 
+def retry_after_header(delay: timedelta) -> Header:
+    """Return the header that tells a caller when to come back.
+
+    Args:
+      delay: The time after which to come back.
+
+    Returns:
+      The header.
+    """
+    return (b'Retry-After', f'{delay.total_seconds():.2f}'.encode())
+
+
 def with_connection_close(tools: GatewayContext, headers: Headers) -> Headers:
     """Add `Connection: close` to a response's headers if the daemon stops.
 
--- a/linnetwind/response_relay.py
+++ b/linnetwind/response_relay.py
@@ -2,6 +2,7 @@
 
 from datetime import timedelta
 
+from linnetwind.bytes_in_hand import Holder
 from linnetwind.call_policy import FailedAttempt
 from linnetwind.caller_connection import CallerConnection
 from linnetwind.event_stream import EventSplitter, StreamEvent
@@ -33,6 +34,9 @@
 _FIRST_SUCCESS = 200
 _FIRST_REDIRECT = 300
 _FIRST_FAILURE = 500
+_EVENT_TOO_LARGE = FailedAttempt(
+    'no memory for the rest of an event', may_have_run=True, reached=True
+)
 
 
 class ResponseRelay:
@@ -68,19 +72,23 @@
         Returns:
           The result of the request, or why this response is not complete.
         """
+        with self._tools.bytes_in_hand.holder() as held:
+            return self._relay(held)
+
+    def _relay(self, held: Holder) -> RequestResult | FailedAttempt:
         is_stream = self._context.route.kind is RouteKind.STREAM
         success = _FIRST_SUCCESS <= self._head.status < _FIRST_REDIRECT
         if is_stream and success:
-            return self._relay_stream()
+            return self._relay_stream(held)
         if self._context.response_started:
             # The caller already received part of another attempt's response.
             # This one can neither continue nor replace that part.
             return _upstream_failure(self._head.status)
-        return self._relay_whole()
+        return self._relay_whole(held)
 
-    def _relay_whole(self) -> RequestResult | FailedAttempt:
+    def _relay_whole(self, held: Holder) -> RequestResult | FailedAttempt:
         result = read_body_up_to(
-            self._call, BUFFERED_BYTES, self._context.until
+            self._call, BUFFERED_BYTES, self._context.until, held.may_hold
         )
         if not isinstance(result, tuple):
             return as_failed_attempt(result)
@@ -127,7 +135,7 @@
                     return RequestResult('cut', 0, 'the answer broke off')
         return CALLER_LEFT
 
-    def _relay_stream(self) -> RequestResult | FailedAttempt:
+    def _relay_stream(self, held: Holder) -> RequestResult | FailedAttempt:
         splitter = EventSplitter()
         outcome: RequestResult | FailedAttempt | None = None
         while outcome is None:
@@ -135,19 +143,26 @@
             match progress:
                 case BodyChunk(content):
                     splitter, events = splitter.feed(content)
-                    outcome = self._relay_events(events)
+                    fits = held.may_hold(len(splitter.incomplete))
+                    outcome = self._relay_events(events, fits=fits)
                 case End():
                     outcome = self._end_stream(splitter)
                 case BrokenCall() | TimedOut() | CallerDisconnected():
                     outcome = as_failed_attempt(progress)
         return outcome
 
-    def _relay_events(self, events: list[StreamEvent]) -> RequestResult | None:
-        """Relay the events that the caller has not received yet."""
+    def _relay_events(
+        self, events: list[StreamEvent], *, fits: bool
+    ) -> RequestResult | FailedAttempt | None:
+        """Relay the events that the caller has not received yet.
+
+        `fits` says whether the begin of the next event may be held.
+        """
+        following = None if fits else _EVENT_TOO_LARGE
         last = self._context.last_event_id
         undelivered = [each for each in events if _is_undelivered(each, last)]
         if not undelivered:
-            return None
+            return following
         if not self._start_stream():
             return CALLER_LEFT
         self._record_pause()
@@ -157,7 +172,7 @@
         ]
         self._context.last_event_id = max(numbers, default=last)
         content = b''.join(each.content for each in undelivered)
-        return None if self._connection.send(content) else CALLER_LEFT
+        return following if self._connection.send(content) else CALLER_LEFT
 
     def _start_stream(self) -> bool:
         """Write the head unless an earlier attempt has written it."""
--- a/linnetwind/upstream_call.py
+++ b/linnetwind/upstream_call.py
@@ -250,21 +250,25 @@
 
 
 def read_body_up_to(
-    call: UpstreamCall, max_bytes: int, until: timedelta
+    call: UpstreamCall,
+    max_bytes: int,
+    until: timedelta,
+    may_hold: Callable[[int], bool],
 ) -> tuple[bytes, bool] | BrokenCall | TimedOut | CallerDisconnected:
-    """Read a body until it ends or exceeds a size.
+    """Read a body until it ends, exceeds a size, or may not be held.
 
     Args:
       call: A call whose head was already read.
       max_bytes: The size in bytes beyond which reading stops.
       until: The monotonic time at which to give up.
+      may_hold: Counts a size in bytes and returns whether more may be read.
 
     Returns:
       The bytes and whether they are the complete body, or why the body broke
       off.
     """
     body = bytearray()
-    while len(body) <= max_bytes:
+    while len(body) <= max_bytes and may_hold(len(body)):
         progress = call.next(until)
         match progress:
             case BodyChunk(content):
--- a/standins/gateway_harness.py
+++ b/standins/gateway_harness.py
@@ -7,6 +7,8 @@
 from http.client import HTTPResponse
 
 from linnetwind.address import Address
+from linnetwind.admission.memory_budget import MemoryBudget
+from linnetwind.bytes_in_hand import BytesInHand
 from linnetwind.call_types import Dialect
 from linnetwind.caller_service import serve_caller
 from linnetwind.clock import SystemClock
@@ -56,7 +58,12 @@
 class GatewayHarness:
     """Serves callers on the loopback interface."""
 
-    def __init__(self, dialect: Dialect, table: RouteTable | None):
+    def __init__(
+        self,
+        dialect: Dialect,
+        table: RouteTable | None,
+        memory: MemoryBudget | None = None,
+    ):
         """Start with a configuration and without upstreams."""
         self.clock = SystemClock()
         self.log = ListLog()
@@ -73,6 +80,7 @@
         # It has been up for long: a planner has told of a group.
         told = GroupSummary('model', 'group', 1, True, 1.5, 0, ())
         self.state.stream_admission.apply_summary(told)
+        self.bytes_in_hand = BytesInHand(memory)
         self._tools = GatewayContext(
             self.state,
             dialect,
@@ -80,6 +88,7 @@
             self.log,
             open_call,
             self.stop,
+            bytes_in_hand=self.bytes_in_hand,
         )
         self._listener = socket.create_server(('127.0.0.1', 0))
         self._upstreams: list[ScriptedUpstream] = []
