Close an upstream's call when a caller does not read until its time limit

Cause: a blocked write to a caller ended after 5 s, whatever the caller's time limit was. Measured with a stream and a time limit of 1 s: the upstream's call was closed 5.05 s after its start if the caller read nothing, after 1.03 s if it read slowly. After a write that failed at its end, the connection counted as reusable, and the next response would have followed a truncated one. A response that had been read completely kept its call open while it was written.

Change: the parts of a relayed response are written until the request's time limit, and for 5 s at most. A connection with a failed write is not reused. The call is closed before a complete response is written; this write keeps its 5 s, since a response that is ready is delivered even if it is late.

--- a/linnetwind/caller_connection.py
+++ b/linnetwind/caller_connection.py
@@ -23,6 +23,9 @@
 # A caller whose receive window stays full for this long counts as
 # disconnected, because it would block the thread that serves it.
 _SEND_TIMEOUT = timedelta(seconds=5)
+# A timeout of zero would make the connection non-blocking.
+_MIN_SEND_TIMEOUT_MS = 1
+_MIN_SEND_TIMEOUT = timedelta(milliseconds=_MIN_SEND_TIMEOUT_MS)
 # How often a waiting connection checks whether its limits have changed.
 _LIMITS_CHECK_INTERVAL_MS = 500
 _LIMITS_CHECK_INTERVAL = timedelta(milliseconds=_LIMITS_CHECK_INTERVAL_MS)
@@ -90,6 +93,7 @@
             max_incomplete_event_size=limits().head_bytes + _REQUEST_LINE_BYTES,
         )
         self._request_begun = False
+        self._send_failed = False
 
     @property
     def fileno(self) -> int:
@@ -98,8 +102,12 @@
 
     @property
     def reusable(self) -> bool:
-        """Return whether the connection may carry another request."""
-        return self._http.our_state is h11.DONE
+        """Return whether the connection may carry another request.
+
+        After a partial write the caller would take the next response for the
+        rest of this one.
+        """
+        return self._http.our_state is h11.DONE and not self._send_failed
 
     def read_request(self, held: Holder | None = None) -> ReadResult:
         """Wait for the next request and read it completely.
@@ -135,38 +143,42 @@
         head = h11.Response(status_code=status, headers=[*headers, *framing])
         return self._send(head, h11.Data(data=body), h11.EndOfMessage())
 
-    def start(self, status: int, headers: Headers) -> bool:
+    def start(self, status: int, headers: Headers, until: timedelta) -> bool:
         """Write the head of a response of unknown length.
 
         Args:
           status: The HTTP status.
           headers: The headers, without Content-Length and Transfer-Encoding.
+          until: The monotonic time at which the caller stops waiting.
 
         Returns:
           Whether it was written to the socket.
         """
-        return self._send(
-            h11.Response(status_code=status, headers=list(headers))
-        )
+        head = h11.Response(status_code=status, headers=list(headers))
+        return self._send(head, until=until)
 
-    def send(self, content: bytes) -> bool:
+    def send(self, content: bytes, until: timedelta) -> bool:
         """Write a part of the body.
 
         Args:
           content: The bytes.
+          until: The monotonic time at which the caller stops waiting.
 
         Returns:
           Whether they were written to the socket.
         """
-        return self._send(h11.Data(data=content))
+        return self._send(h11.Data(data=content), until=until)
 
-    def finish(self) -> bool:
+    def finish(self, until: timedelta) -> bool:
         """Write the end of the body.
 
+        Args:
+          until: The monotonic time at which the caller stops waiting.
+
         Returns:
           Whether it was written to the socket.
         """
-        return self._send(h11.EndOfMessage())
+        return self._send(h11.EndOfMessage(), until=until)
 
     def has_disconnected(self) -> bool:
         """Return whether the caller has closed the connection."""
@@ -275,11 +287,19 @@
                 return False
         return True
 
-    def _send(self, *events: h11.Event) -> bool:
+    def _send(self, *events: h11.Event, until: timedelta | None = None) -> bool:
         parts = [self._http.send(event) or b'' for event in events]
+        timeout = _SEND_TIMEOUT
+        if until is not None:
+            # A blocked write also holds the upstream's slot.
+            timeout = min(timeout, until - self._clock.elapsed())
         try:
+            self._sock.settimeout(
+                max(timeout, _MIN_SEND_TIMEOUT).total_seconds()
+            )
             self._sock.sendall(b''.join(parts))
         except OSError:
+            self._send_failed = True
             return False
         return True
 
--- a/linnetwind/response_relay.py
+++ b/linnetwind/response_relay.py
@@ -100,6 +100,8 @@
         self._context.first_byte = self._tools.clock.elapsed()
         if not whole:
             return self._relay_unbuffered(body)
+        # The response is complete, so a slow reader need not hold the upstream.
+        self._call.close()
         respond_to_caller(
             self._tools, self._connection, status, self._headers, body
         )
@@ -118,17 +120,20 @@
     def _relay_unbuffered(self, body: bytes) -> RequestResult:
         """Relay a response that is too large to buffer."""
         self._context.response_started = True
+        until = self._context.until
         sent = self._connection.start(
-            self._head.status, with_connection_close(self._tools, self._headers)
+            self._head.status,
+            with_connection_close(self._tools, self._headers),
+            until,
         )
-        sent = sent and self._connection.send(body)
+        sent = sent and self._connection.send(body, until)
         while sent:
-            progress = self._call.next(self._context.until)
+            progress = self._call.next(until)
             match progress:
                 case BodyChunk(content):
-                    sent = self._connection.send(content)
+                    sent = self._connection.send(content, until)
                 case End():
-                    self._connection.finish()
+                    self._connection.finish(until)
                     return RequestResult('answered', self._head.status)
                 case _:
                     self._connection.close()
@@ -172,7 +177,9 @@
         ]
         self._context.last_event_id = max(numbers, default=last)
         content = b''.join(each.content for each in undelivered)
-        return following if self._connection.send(content) else CALLER_LEFT
+        if self._connection.send(content, self._context.until):
+            return following
+        return CALLER_LEFT
 
     def _start_stream(self) -> bool:
         """Write the head unless an earlier attempt has written it."""
@@ -187,7 +194,9 @@
             now - received - self._context.queued,
         )
         headers = with_connection_close(self._tools, self._headers)
-        return self._connection.start(self._head.status, headers)
+        return self._connection.start(
+            self._head.status, headers, self._context.until
+        )
 
     def _record_pause(self) -> None:
         now = self._tools.clock.elapsed()
@@ -220,7 +229,8 @@
                 may_have_run=True,
                 reached=True,
             )
-        if self._start_stream() and self._connection.finish():
+        until = self._context.until
+        if self._start_stream() and self._connection.finish(until):
             self._record_run()
             return RequestResult('answered', self._head.status)
         return CALLER_LEFT
