Limit the time in which the body of a request arrives

Cause: each wait for a part of a body was limited, but not their sum. A caller that sends a byte every 2.9 s kept the memory counted for its body (8 MB for the largest one, of 38 MB on the smallest host) for as long as it liked.

Change: a body that has not arrived 30 s after its head gets 408.

Result: the new test fails without the limit, since the body is accepted.

--- a/linnetwind/caller_connection.py
+++ b/linnetwind/caller_connection.py
@@ -34,6 +34,10 @@
 _REQUEST_LINE_BYTES = 8_192
 _HEADERS_TOO_LARGE = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
 _BODY_TOO_LARGE = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+# A body counts towards the memory while it arrives. A caller that sends it byte
+# by byte would keep this memory from other callers.
+_BODY_TIMEOUT_S = 30
+_BODY_TIMEOUT = timedelta(seconds=_BODY_TIMEOUT_S)
 # How long the rest of a refused request is read and discarded. If a connection
 # is closed while data is unread, the kernel resets it, and the caller may lose
 # the response.
@@ -93,6 +97,7 @@
             max_incomplete_event_size=limits().head_bytes + _REQUEST_LINE_BYTES,
         )
         self._request_begun = False
+        self._body_until: timedelta | None = None
         self._send_failed = False
 
     @property
@@ -121,6 +126,7 @@
         if self._http.our_state is h11.DONE:
             self._http.start_next_cycle()
         self._request_begun = bool(self._http.trailing_data[0])
+        self._body_until = None
         try:
             return self._read_complete_request(held or Holder(BytesInHand()))
         except h11.RemoteProtocolError as error:
@@ -231,6 +237,7 @@
     def _read_body(
         self, declared: int, limits: CallerLimits, held: Holder
     ) -> bytes | ConnectionEnded | BadRequest:
+        self._body_until = self._clock.elapsed() + _BODY_TIMEOUT
         body = bytearray()
         event = self._next_event()
         while isinstance(event, h11.Data):
@@ -277,6 +284,8 @@
         Return whether data arrived.
         """
         started_at = self._clock.elapsed()
+        if self._body_until is not None and started_at > self._body_until:
+            return False
         while not _readable(self._sock, _LIMITS_CHECK_INTERVAL):
             limits = self._limits()
             idle = not self._request_begun
--- a/linnetwind/caller_connection_test.py
+++ b/linnetwind/caller_connection_test.py
@@ -74,6 +74,29 @@
     assert read.status == 408
 
 
+class _FastClock:
+    """A clock that advances by a second whenever it is read."""
+
+    seconds = 0
+
+    def elapsed(self):
+        """Return the time."""
+        self.seconds += 1
+        return timedelta(seconds=self.seconds)
+
+
+def test_a_body_that_arrives_byte_by_byte_gets_a_timeout_status(monkeypatch):
+    # Each byte came within the time limit for one wait, and the caller kept
+    # the memory that was counted for its body from others for hours.
+    monkeypatch.setattr('linnetwind.caller_connection._READ_BYTES', 1)
+    monkeypatch.setattr(
+        'linnetwind.caller_connection_test.SystemClock', _FastClock
+    )
+    read = _read_request(GOOD.replace(b' 3', b' 90'), b'x' * 87)
+    assert isinstance(read, BadRequest)
+    assert read.status == 408
+
+
 def test_an_idle_connection_is_closed_without_a_response():
     assert _read_request(close=False) == ConnectionEnded()
 
