--- a/linnetwind/caller_connection.py
+++ b/linnetwind/caller_connection.py
@@ -13,6 +13,8 @@
 
 import h11
 
+from linnetwind.admission.memory_budget import NeverFits, RefuseForNow
+from linnetwind.bytes_in_hand import BytesInHand, Holder
 from linnetwind.call_types import CallerRequest, Headers
 from linnetwind.clock import Clock
 from linnetwind.routes import CallerLimits
@@ -21,6 +23,9 @@
 # A caller whose receive window stays full for this long counts as
 # disconnected, because it would block the thread that serves it.
 _SEND_TIMEOUT = timedelta(seconds=5)
+# A timeout of zero would make the connection non-blocking.
+_MIN_SEND_TIMEOUT_MS = 1
+_MIN_SEND_TIMEOUT = timedelta(milliseconds=_MIN_SEND_TIMEOUT_MS)
 # How often a waiting connection checks whether its limits have changed.
 _LIMITS_CHECK_INTERVAL_MS = 500
 _LIMITS_CHECK_INTERVAL = timedelta(milliseconds=_LIMITS_CHECK_INTERVAL_MS)
@@ -29,6 +34,14 @@
 _REQUEST_LINE_BYTES = 8_192
 _HEADERS_TOO_LARGE = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
 _BODY_TOO_LARGE = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+# A body counts towards the memory while it arrives. A caller that sends it byte
+# by byte would keep this memory from other callers.
+_BODY_TIMEOUT_S = 30
+_BODY_TIMEOUT = timedelta(seconds=_BODY_TIMEOUT_S)
+# How long the rest of a refused request is read and discarded. If a connection
+# is closed while data is unread, the kernel resets it, and the caller may lose
+# the response.
+_DISCARD_TIMEOUT = timedelta(seconds=2)
 _HANGUP_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
@@ -39,10 +52,15 @@
 
 @dataclass(frozen=True, slots=True)
 class BadRequest:
-    """An invalid request, with the HTTP status for the caller."""
+    """A request that is not accepted, with the HTTP status for the caller.
+
+    `retry_after` is the delay after which the same request may be accepted,
+    None if it is invalid.
+    """
 
     status: int
     problem: str
+    retry_after: timedelta | None = None
 
 
 ReadResult = CallerRequest | ConnectionEnded | BadRequest
@@ -79,6 +97,8 @@
             max_incomplete_event_size=limits().head_bytes + _REQUEST_LINE_BYTES,
         )
         self._request_begun = False
+        self._body_until: timedelta | None = None
+        self._send_failed = False
 
     @property
     def fileno(self) -> int:
@@ -87,20 +107,28 @@
 
     @property
     def reusable(self) -> bool:
-        """Return whether the connection may carry another request."""
-        return self._http.our_state is h11.DONE
+        """Return whether the connection may carry another request.
+
+        After a partial write the caller would take the next response for the
+        rest of this one.
+        """
+        return self._http.our_state is h11.DONE and not self._send_failed
 
-    def read_request(self) -> ReadResult:
+    def read_request(self, held: Holder | None = None) -> ReadResult:
         """Wait for the next request and read it completely.
 
+        Args:
+          held: The account for the body, None to count no bytes.
+
         Returns:
           The request, or why there is none.
         """
         if self._http.our_state is h11.DONE:
             self._http.start_next_cycle()
         self._request_begun = bool(self._http.trailing_data[0])
+        self._body_until = None
         try:
-            return self._read_complete_request()
+            return self._read_complete_request(held or Holder(BytesInHand()))
         except h11.RemoteProtocolError as error:
             return BadRequest(error.error_status_hint, str(error))
         except OSError:
@@ -121,38 +149,42 @@
         head = h11.Response(status_code=status, headers=[*headers, *framing])
         return self._send(head, h11.Data(data=body), h11.EndOfMessage())
 
-    def start(self, status: int, headers: Headers) -> bool:
+    def start(self, status: int, headers: Headers, until: timedelta) -> bool:
         """Write the head of a response of unknown length.
 
         Args:
           status: The HTTP status.
           headers: The headers, without Content-Length and Transfer-Encoding.
+          until: The monotonic time at which the caller stops waiting.
 
         Returns:
           Whether it was written to the socket.
         """
-        return self._send(
-            h11.Response(status_code=status, headers=list(headers))
-        )
+        head = h11.Response(status_code=status, headers=list(headers))
+        return self._send(head, until=until)
 
-    def send(self, content: bytes) -> bool:
+    def send(self, content: bytes, until: timedelta) -> bool:
         """Write a part of the body.
 
         Args:
           content: The bytes.
+          until: The monotonic time at which the caller stops waiting.
 
         Returns:
           Whether they were written to the socket.
         """
-        return self._send(h11.Data(data=content))
+        return self._send(h11.Data(data=content), until=until)
 
-    def finish(self) -> bool:
+    def finish(self, until: timedelta) -> bool:
         """Write the end of the body.
 
+        Args:
+          until: The monotonic time at which the caller stops waiting.
+
         Returns:
           Whether it was written to the socket.
         """
-        return self._send(h11.EndOfMessage())
+        return self._send(h11.EndOfMessage(), until=until)
 
     def has_disconnected(self) -> bool:
         """Return whether the caller has closed the connection."""
@@ -160,11 +192,25 @@
         poller.register(self._sock, _HANGUP_EVENTS)
         return bool(poller.poll(0))
 
+    def discard_rest(self) -> None:
+        """Discard the rest of a refused request, without holding it.
+
+        No response can follow. Ends after `_DISCARD_TIMEOUT` at the latest.
+        """
+        if self._http.their_state is not h11.SEND_BODY:
+            return
+        until = self._clock.elapsed() + _DISCARD_TIMEOUT
+        try:
+            self._discard_until(until)
+        except OSError:
+            # The caller has reset the connection.
+            return
+
     def close(self) -> None:
         """Close the connection; an unfinished response stays truncated."""
         self._sock.close()
 
-    def _read_complete_request(self) -> ReadResult:
+    def _read_complete_request(self, held: Holder) -> ReadResult:
         head = self._next_event()
         if isinstance(head, ConnectionEnded | BadRequest):
             return head
@@ -174,21 +220,45 @@
         limits = self._limits()
         if _head_size(head) > limits.head_bytes:
             return BadRequest(_HEADERS_TOO_LARGE, 'the head is too long')
+        # The declared size is counted before the body is read, so that the
+        # caller need not send a body that will be refused.
+        declared = _declared_size(head)
+        refusal = _check_body(declared, limits, held)
+        if refusal is not None:
+            return refusal
         if self._http.they_are_waiting_for_100_continue:
             self._send(h11.InformationalResponse(status_code=100, headers=[]))
+        body = self._read_body(declared, limits, held)
+        if not isinstance(body, bytes):
+            return body
+        headers = tuple(head.headers.raw_items())
+        return CallerRequest(head.method, head.target, headers, body, received)
+
+    def _read_body(
+        self, declared: int, limits: CallerLimits, held: Holder
+    ) -> bytes | ConnectionEnded | BadRequest:
+        self._body_until = self._clock.elapsed() + _BODY_TIMEOUT
         body = bytearray()
         event = self._next_event()
         while isinstance(event, h11.Data):
+            size = len(body) + len(event.data)
+            refusal = _check_body(max(declared, size), limits, held)
+            if refusal is not None:
+                return refusal
             body += event.data
-            if len(body) > limits.body_bytes:
-                return BadRequest(_BODY_TOO_LARGE, 'the body is too long')
             event = self._next_event()
         if isinstance(event, ConnectionEnded | BadRequest):
             return event
-        headers = tuple(head.headers.raw_items())
-        return CallerRequest(
-            head.method, head.target, headers, bytes(body), received
-        )
+        return bytes(body)
+
+    def _discard_until(self, until: timedelta) -> None:
+        # The end of our side tells the caller that nothing else will come.
+        self._sock.shutdown(socket.SHUT_WR)
+        while self._clock.elapsed() < until and not self._is_closing():
+            left = min(until - self._clock.elapsed(), _LIMITS_CHECK_INTERVAL)
+            if _readable(self._sock, max(left, timedelta())):
+                if not self._sock.recv(_READ_BYTES):
+                    return
 
     def _next_event(self) -> h11.Event | ConnectionEnded | BadRequest:
         event = self._http.next_event()
@@ -214,6 +284,8 @@
         Return whether data arrived.
         """
         started_at = self._clock.elapsed()
+        if self._body_until is not None and started_at > self._body_until:
+            return False
         while not _readable(self._sock, _LIMITS_CHECK_INTERVAL):
             limits = self._limits()
             idle = not self._request_begun
@@ -224,11 +296,19 @@
                 return False
         return True
 
-    def _send(self, *events: h11.Event) -> bool:
+    def _send(self, *events: h11.Event, until: timedelta | None = None) -> bool:
         parts = [self._http.send(event) or b'' for event in events]
+        timeout = _SEND_TIMEOUT
+        if until is not None:
+            # A blocked write also holds the upstream's slot.
+            timeout = min(timeout, until - self._clock.elapsed())
         try:
+            self._sock.settimeout(
+                max(timeout, _MIN_SEND_TIMEOUT).total_seconds()
+            )
             self._sock.sendall(b''.join(parts))
         except OSError:
+            self._send_failed = True
             return False
         return True
 
@@ -239,6 +319,37 @@
     return bool(poller.poll(limit / timedelta(milliseconds=1)))
 
 
+def _declared_size(head: h11.Request) -> int:
+    """Return the declared size of the body in bytes, 0 if it is not declared.
+
+    h11 has checked that the header is one number.
+    """
+    for name, value in head.headers:
+        if name == b'content-length':
+            return int(value)
+    return 0
+
+
+def _check_body(
+    size: int, limits: CallerLimits, held: Holder
+) -> BadRequest | None:
+    """Count a body of a size in bytes; return why it may not be read."""
+    too_large = BadRequest(_BODY_TOO_LARGE, 'the body is too long')
+    if size > limits.body_bytes:
+        return too_large
+    decision = held.resize(size)
+    match decision:
+        case NeverFits():
+            return too_large
+        case RefuseForNow(retry_after):
+            return BadRequest(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                'bodies use up the memory',
+                retry_after,
+            )
+    return None
+
+
 def _head_size(head: h11.Request) -> int:
     fields = sum(
         len(name) + len(value) + 4 for name, value in head.headers.raw_items()
--- a/linnetwind/response_relay.py
+++ b/linnetwind/response_relay.py
@@ -2,6 +2,7 @@
 
 from datetime import timedelta
 
+from linnetwind.bytes_in_hand import Holder
 from linnetwind.call_policy import FailedAttempt
 from linnetwind.caller_connection import CallerConnection
 from linnetwind.event_stream import EventSplitter, StreamEvent
@@ -33,6 +34,9 @@
 _FIRST_SUCCESS = 200
 _FIRST_REDIRECT = 300
 _FIRST_FAILURE = 500
+_EVENT_TOO_LARGE = FailedAttempt(
+    'no memory for the rest of an event', may_have_run=True, reached=True
+)
 
 
 class ResponseRelay:
@@ -68,19 +72,23 @@
         Returns:
           The result of the request, or why this response is not complete.
         """
+        with self._tools.bytes_in_hand.holder() as held:
+            return self._relay(held)
+
+    def _relay(self, held: Holder) -> RequestResult | FailedAttempt:
         is_stream = self._context.route.kind is RouteKind.STREAM
         success = _FIRST_SUCCESS <= self._head.status < _FIRST_REDIRECT
         if is_stream and success:
-            return self._relay_stream()
+            return self._relay_stream(held)
         if self._context.response_started:
             # The caller already received part of another attempt's response.
             # This one can neither continue nor replace that part.
             return _upstream_failure(self._head.status)
-        return self._relay_whole()
+        return self._relay_whole(held)
 
-    def _relay_whole(self) -> RequestResult | FailedAttempt:
+    def _relay_whole(self, held: Holder) -> RequestResult | FailedAttempt:
         result = read_body_up_to(
-            self._call, BUFFERED_BYTES, self._context.until
+            self._call, BUFFERED_BYTES, self._context.until, held.may_hold
         )
         if not isinstance(result, tuple):
             return as_failed_attempt(result)
@@ -92,6 +100,8 @@
         self._context.first_byte = self._tools.clock.elapsed()
         if not whole:
             return self._relay_unbuffered(body)
+        # The response is complete, so a slow reader need not hold the upstream.
+        self._call.close()
         respond_to_caller(
             self._tools, self._connection, status, self._headers, body
         )
@@ -110,24 +120,27 @@
     def _relay_unbuffered(self, body: bytes) -> RequestResult:
         """Relay a response that is too large to buffer."""
         self._context.response_started = True
+        until = self._context.until
         sent = self._connection.start(
-            self._head.status, with_connection_close(self._tools, self._headers)
+            self._head.status,
+            with_connection_close(self._tools, self._headers),
+            until,
         )
-        sent = sent and self._connection.send(body)
+        sent = sent and self._connection.send(body, until)
         while sent:
-            progress = self._call.next(self._context.until)
+            progress = self._call.next(until)
             match progress:
                 case BodyChunk(content):
-                    sent = self._connection.send(content)
+                    sent = self._connection.send(content, until)
                 case End():
-                    self._connection.finish()
+                    self._connection.finish(until)
                     return RequestResult('answered', self._head.status)
                 case _:
                     self._connection.close()
                     return RequestResult('cut', 0, 'the answer broke off')
         return CALLER_LEFT
 
-    def _relay_stream(self) -> RequestResult | FailedAttempt:
+    def _relay_stream(self, held: Holder) -> RequestResult | FailedAttempt:
         splitter = EventSplitter()
         outcome: RequestResult | FailedAttempt | None = None
         while outcome is None:
@@ -135,19 +148,26 @@
             match progress:
                 case BodyChunk(content):
                     splitter, events = splitter.feed(content)
-                    outcome = self._relay_events(events)
+                    fits = held.may_hold(len(splitter.incomplete))
+                    outcome = self._relay_events(events, fits=fits)
                 case End():
                     outcome = self._end_stream(splitter)
                 case BrokenCall() | TimedOut() | CallerDisconnected():
                     outcome = as_failed_attempt(progress)
         return outcome
 
-    def _relay_events(self, events: list[StreamEvent]) -> RequestResult | None:
-        """Relay the events that the caller has not received yet."""
+    def _relay_events(
+        self, events: list[StreamEvent], *, fits: bool
+    ) -> RequestResult | FailedAttempt | None:
+        """Relay the events that the caller has not received yet.
+
+        `fits` says whether the begin of the next event may be held.
+        """
+        following = None if fits else _EVENT_TOO_LARGE
         last = self._context.last_event_id
         undelivered = [each for each in events if _is_undelivered(each, last)]
         if not undelivered:
-            return None
+            return following
         if not self._start_stream():
             return CALLER_LEFT
         self._record_pause()
@@ -157,7 +177,9 @@
         ]
         self._context.last_event_id = max(numbers, default=last)
         content = b''.join(each.content for each in undelivered)
-        return None if self._connection.send(content) else CALLER_LEFT
+        if self._connection.send(content, self._context.until):
+            return following
+        return CALLER_LEFT
 
     def _start_stream(self) -> bool:
         """Write the head unless an earlier attempt has written it."""
@@ -172,7 +194,9 @@
             now - received - self._context.queued,
         )
         headers = with_connection_close(self._tools, self._headers)
-        return self._connection.start(self._head.status, headers)
+        return self._connection.start(
+            self._head.status, headers, self._context.until
+        )
 
     def _record_pause(self) -> None:
         now = self._tools.clock.elapsed()
@@ -205,7 +229,8 @@
                 may_have_run=True,
                 reached=True,
             )
-        if self._start_stream() and self._connection.finish():
+        until = self._context.until
+        if self._start_stream() and self._connection.finish(until):
             self._record_run()
             return RequestResult('answered', self._head.status)
         return CALLER_LEFT
