Less urgent streams leave permits free for urgent arrivals

An urgent stream was rejected although batch streams were admitted: its first event takes most of its target, so that it can hardly wait for a permit, while a batch stream can. The test of the reserve asks for these permits as well.

--- a/linnetwind/admission/admission_policy.py
+++ b/linnetwind/admission/admission_policy.py
@@ -263,8 +263,18 @@
 
 
 def _reserved_by_class(view: CapacityView, stream: PendingStream) -> int:
-    """Return the permits that a stream leaves to more urgent ones."""
-    urgent = reserve_for_urgent(view.rates, view.ends_per_s, stream.priority)
+    """Return the permits that a stream leaves to more urgent ones.
+
+    An urgent stream can hardly wait: most of its target passes until its first
+    event. It is in time only if it finds a free permit when it arrives.
+    """
+    urgent_per_s = precedence_per_s(
+        view.rates, stream.priority, returning=False
+    )
+    urgent = max(
+        reserve_for_urgent(view.rates, view.ends_per_s, stream.priority),
+        reserve_for_newcomers(urgent_per_s),
+    )
     if not stream.returning:
         return urgent
     ahead_per_s = precedence_per_s(view.rates, stream.priority, returning=True)
--- a/linnetwind/admission/urgency_test.py
+++ b/linnetwind/admission/urgency_test.py
@@ -147,7 +147,9 @@
     assert decide_admission(view, URGENT) == AdmitStream()
     batch = replace(BATCH, priority=1)
     assert decide_admission(view, batch) != AdmitStream()
-    opened = replace(view, free=5)
+    # An urgent stream can hardly wait, so the arrivals of 0.3 s find a permit.
+    assert decide_admission(replace(view, free=18), batch) != AdmitStream()
+    opened = replace(view, free=19)
     assert decide_admission(opened, batch) == AdmitStream()
 
 
