No urgent stream is rejected while less urgent ones are served

The target of an urgent stream allows hardly any wait, so it was rejected at once, and batch streams, which can wait, got the permits: in a burst with an evacuation 85 of 1,662 urgent streams were refused for good and none of 1,978 batch streams. An urgent stream now waits as long as its caller stays, before all less urgent ones, and behind streams of its class that can be in time.

--- a/linnetwind/admission/admission_policy.py
+++ b/linnetwind/admission/admission_policy.py
@@ -22,6 +22,7 @@
     caller_patience,
     can_be_served,
     precedence_per_s,
+    precedes_others,
     reserve_for_urgent,
     room_per_s,
 )
@@ -122,9 +123,13 @@
 
 @dataclass(frozen=True, slots=True)
 class QueueStream:
-    """The stream may wait for a permit, for at most `max_wait`."""
+    """The stream may wait for a permit, for at most `max_wait`.
+
+    If it `is_late` by now, streams of its class that can be in time precede it.
+    """
 
     max_wait: timedelta
+    is_late: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -230,12 +235,14 @@
 
     A request that was held and is rejected in the end is worth least to its
     caller, so one that cannot be served in time is rejected at the start of
-    its wait.
+    its wait. But none is rejected while less urgent streams are served: it gets
+    the next permit before them, although it may be late.
     """
-    latest = stream.target
-    if stream.returning:
+    in_time_left = stream.target - view.start_time - stream.waited
+    wait_left = in_time_left
+    if stream.returning or precedes_others(view.rates, stream.priority):
         latest = caller_patience(stream.target, stream.gap, stream.time_limit)
-    wait_left = latest - view.start_time - stream.waited
+        wait_left = latest - view.start_time - stream.waited
     free = view.free_for(stream.priority)
     if free - _reserved_by_class(view, stream) > stream.ahead:
         return AdmitStream()
@@ -246,9 +253,10 @@
         stream.priority,
         returning=stream.returning,
     )
-    is_served = can_be_served(missing_permits, room, wait_left)
-    if view.late_free > 0 and (stream.returning or not is_served):
+    is_in_time = can_be_served(missing_permits, room, in_time_left)
+    if view.late_free > 0 and (stream.returning or not is_in_time):
         return AdmitStream()
+    is_served = can_be_served(missing_permits, room, wait_left)
     # A retry is its caller's last try. Right after an outage no streams end, so
     # nothing is known of the room.
     is_early = stream.waited <= _EARLY * stream.target
@@ -259,7 +267,7 @@
             spread_retry_after(max(wait, view.recovers_in), stream.spread),
             'no room in time',
         )
-    return QueueStream(wait_left)
+    return QueueStream(wait_left, is_late=in_time_left <= timedelta())
 
 
 def _reserved_by_class(view: CapacityView, stream: PendingStream) -> int:
--- a/linnetwind/admission/urgency.py
+++ b/linnetwind/admission/urgency.py
@@ -117,6 +117,21 @@
     )
 
 
+def precedes_others(rates: Sequence[ClassRate], priority: int) -> bool:
+    """Return whether less urgent streams than those of a class arrive.
+
+    Args:
+      rates: The streams that arrive, by class.
+      priority: The priority of the class.
+
+    Returns:
+      Whether a class of `rates` is less urgent and has arrivals.
+    """
+    return any(
+        each.priority > priority and each.arrivals_per_s for each in rates
+    )
+
+
 def reserve_for_urgent(
     rates: Sequence[ClassRate], ends_per_s: float, priority: int
 ) -> int:
--- a/linnetwind/admission/wait_queue.py
+++ b/linnetwind/admission/wait_queue.py
@@ -191,7 +191,8 @@
             )
             if not isinstance(decision, QueueStream):
                 return decision
-            if view.opens_in is not None and not request.returning:
+            is_late = view.opens_in is not None or decision.is_late
+            if is_late and not request.returning:
                 # A stream that waited for a broken group is late. When the
                 # group opens, streams that can be in time precede it.
                 entry.request = replace(request, returning=True)
