--- a/linnetwind/admission/group_capacity.py
+++ b/linnetwind/admission/group_capacity.py
@@ -205,7 +205,7 @@
     gap: timedelta,
     ranks: int,
     peer_parts: Sequence[PassTimePerStream],
-    bearable_ms: float,
+    tolerable_ms: float,
 ) -> int:
     """Decide how many streams may run in a group.
 
@@ -219,7 +219,7 @@
       gap: The longest pause that is in time.
       ranks: The number of ranks that accept streams.
       peer_parts: What the other daemons have advertised of the group's passes.
-      bearable_ms: The longest pass with which no caller leaves.
+      tolerable_ms: The longest pass with which no caller leaves.
 
     Returns:
       The number of streams.
@@ -235,7 +235,7 @@
         GroupLimits(
             group.forecast.limit, gap, max(1, ranks - slow_ranks) * engine.slots
         ),
-        bearable_ms,
+        tolerable_ms,
         group.slow_decision,
     )
     decision = await_recovery(decision, group.paces, now, MAX_RETRY_AFTER)
--- a/linnetwind/admission/group_limits.py
+++ b/linnetwind/admission/group_limits.py
@@ -55,7 +55,7 @@
                 for part in load.parts
                 if part.group == name
             ],
-            service.bearable_ms,
+            service.tolerable_ms,
         )
         # Where the slots bound the limit, passes stay shorter than they need to
         # be, and a better expert map brings callers nothing.
--- a/linnetwind/admission/pass_forecast.py
+++ b/linnetwind/admission/pass_forecast.py
@@ -220,7 +220,7 @@
     gap: timedelta,
     correction: PassCorrection,
 ) -> PassForecast:
-    """Forecast the passes of a group, and how many streams they bear.
+    """Forecast the passes of a group, and how many streams they allow.
 
     Args:
       engine: The figures of the engines.
--- a/linnetwind/admission/service_state.py
+++ b/linnetwind/admission/service_state.py
@@ -14,7 +14,7 @@
 from linnetwind.admission.slow_group import (
     CallerPatience,
     StreamLengths,
-    longest_bearable_ms,
+    longest_tolerable_ms,
 )
 from linnetwind.admission.wait_queue import WaitQueue
 from linnetwind.ranks_by_group import SortedRanks
@@ -42,7 +42,7 @@
     summaries of the planner. `first_asked_at` is the monotonic time at which a
     stream first asked for a permit, `probed_at` that at which a stream was last
     running before the first summary of a planner. `patience` is what its
-    callers bear, `lengths` counts the events of its streams, and `wave`
+    callers tolerate, `lengths` counts the events of its streams, and `wave`
     describes their arrivals.
     """
 
@@ -64,6 +64,6 @@
     wave: ArrivalWave = ArrivalWave()
 
     @property
-    def bearable_ms(self) -> float:
+    def tolerable_ms(self) -> float:
         """Return the longest pass with which no caller leaves."""
-        return longest_bearable_ms(self.patience, self.lengths.mean_events)
+        return longest_tolerable_ms(self.patience, self.lengths.mean_events)
--- a/linnetwind/admission/slow_group.py
+++ b/linnetwind/admission/slow_group.py
@@ -30,7 +30,7 @@
 _MIN_PATIENCE = timedelta(seconds=_MIN_PATIENCE_S)
 _PATIENCE_TARGETS = 4
 _PATIENCE_GAPS = 8
-# The fraction of the times that callers bear that is planned for.
+# The fraction of the times that callers tolerate that is planned for.
 _USED_PATIENCE = 0.88
 # The passes until a stream's first event: the rest of one that is in progress,
 # and one that reads the prompt.
@@ -44,7 +44,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CallerPatience:
-    """What the callers of a service bear before they leave.
+    """What the callers of a service tolerate before they leave.
 
     `pause` is the longest time without an event, of which a stream may have
     spent `queued` in the wait queue. `duration` is the longest time of a whole
@@ -180,7 +180,7 @@
 
 
 def callers_patience(routes: Iterable[Route], service: str) -> CallerPatience:
-    """Return what all callers of a service's streams bear.
+    """Return what all callers of a service's streams tolerate.
 
     Args:
       routes: The routes of the configuration.
@@ -211,11 +211,11 @@
     )
 
 
-def longest_bearable_ms(patience: CallerPatience, events: float) -> float:
+def longest_tolerable_ms(patience: CallerPatience, events: float) -> float:
     """Return the longest pass with which no caller leaves.
 
     Args:
-      patience: What the callers bear.
+      patience: What the callers tolerate.
       events: The events of a usual stream, 0 if not known.
 
     Returns:
@@ -234,7 +234,7 @@
 def decide_slow_group(
     costs: PassCosts,
     limits: GroupLimits,
-    bearable_ms: float,
+    tolerable_ms: float,
     before: SlowDecision,
 ) -> SlowDecision:
     """Decide whether a group serves streams that are late.
@@ -245,7 +245,7 @@
     Args:
       costs: The times of the group's passes.
       limits: The limits of the group.
-      bearable_ms: The longest pass with which no caller leaves.
+      tolerable_ms: The longest pass with which no caller leaves.
       before: The previous decision.
 
     Returns:
@@ -254,7 +254,7 @@
     if costs.pace <= 1:
         return ServeInTime()
     late_limit = min(
-        limits.slots, int((bearable_ms - costs.fixed_ms) / costs.part_ms)
+        limits.slots, int((tolerable_ms - costs.fixed_ms) / costs.part_ms)
     )
     if late_limit <= limits.in_time:
         return ServeInTime()
--- a/linnetwind/admission/slow_group_test.py
+++ b/linnetwind/admission/slow_group_test.py
@@ -18,7 +18,7 @@
     await_recovery,
     callers_patience,
     decide_slow_group,
-    longest_bearable_ms,
+    longest_tolerable_ms,
 )
 from linnetwind.routes import RouteKind, WeightedService
 from standins.gateway_fixtures import MS, SECOND, make_route
@@ -27,10 +27,10 @@
 LIMITS = GroupLimits(in_time=1, gap=GAP, slots=155)
 
 
-def _decide(pace, in_time, bearable_ms=800, before=ServeInTime()):
+def _decide(pace, in_time, tolerable_ms=800, before=ServeInTime()):
     costs = PassCosts(35 * pace, 0.3, pace)
     limits = replace(LIMITS, in_time=in_time)
-    return decide_slow_group(costs, limits, bearable_ms, before)
+    return decide_slow_group(costs, limits, tolerable_ms, before)
 
 
 def test_a_group_that_can_run_nothing_in_time_serves_late():
@@ -40,9 +40,9 @@
 
 
 def test_only_streams_whose_callers_stay_are_served_late():
-    assert _decide(pace=5, in_time=1, bearable_ms=205) == ServeLate(100)
+    assert _decide(pace=5, in_time=1, tolerable_ms=205) == ServeLate(100)
     # No stream would end before its caller leaves.
-    assert _decide(pace=5, in_time=1, bearable_ms=170) == ServeInTime()
+    assert _decide(pace=5, in_time=1, tolerable_ms=170) == ServeInTime()
 
 
 def test_streams_in_time_are_preferred_while_they_are_worth_more():
@@ -60,7 +60,7 @@
     assert _decide(pace=1, in_time=1) == ServeInTime()
 
 
-def test_callers_bear_the_shortest_times_of_the_service_s_routes():
+def test_callers_tolerate_the_shortest_times_of_the_service_s_routes():
     fields = {'kind': RouteKind.STREAM, 'services': (WeightedService('m', 1),)}
     quick = make_route('a', **fields, target=400 * MS, timeout=9 * SECOND)
     slow = make_route('b', **fields, target=SECOND, timeout=8 * SECOND)
@@ -72,8 +72,8 @@
 
 def test_a_whole_stream_ends_within_its_time():
     patience = CallerPatience(2 * SECOND, 400 * MS, 5 * SECOND)
-    assert longest_bearable_ms(patience, 0) == 800
-    assert longest_bearable_ms(patience, 20) == pytest.approx(200)
+    assert longest_tolerable_ms(patience, 0) == 800
+    assert longest_tolerable_ms(patience, 20) == pytest.approx(200)
 
 
 def test_the_usual_length_follows_the_streams():
--- a/linnetwind/admission/stream_admission_control.py
+++ b/linnetwind/admission/stream_admission_control.py
@@ -107,7 +107,7 @@
         return state.queue.acquire_permit(request, read_view, acquire, has_time)
 
     def apply_table(self, table: RouteTable) -> None:
-        """Record what the callers of each service of a configuration bear."""
+        """Record what the callers of each configured service tolerate."""
         routes = list(chain.from_iterable(table.routes_by_host.values()))
         with self._lock:
             for service in table.services.values():
--- a/standins/slow_rank_cost.py
+++ b/standins/slow_rank_cost.py
@@ -17,7 +17,7 @@
     ServeInTime,
     ServeLate,
     decide_slow_group,
-    longest_bearable_ms,
+    longest_tolerable_ms,
 )
 from standins.gateway_fixtures import MS, SECOND, make_engine
 
@@ -41,7 +41,7 @@
     decision = decide_slow_group(
         PassCosts(found.fixed_ms, found.part_ms, pace),
         GroupLimits(found.limit, _GAP, (ranks - 1) * _ENGINE.slots),
-        longest_bearable_ms(_PATIENCE, _EVENTS),
+        longest_tolerable_ms(_PATIENCE, _EVENTS),
         ServeInTime(),
     )
     is_late = isinstance(decision, ServeLate)
