The route's priority decides among customers of the same priority

Nearly all customers of a deployment had one priority of their own, which took the place of their routes' priorities: urgent, middle and batch streams were one class, and in bursts urgent ones were refused and batch ones served. The customer's priority now comes first and the route's second. Where the streams' routes or their customers are alike, the classes are the same as before.

--- a/linnetwind/routes.py
+++ b/linnetwind/routes.py
@@ -5,6 +5,9 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+# Routes of this priority and all less urgent ones count as one.
+_ROUTE_PRIORITIES = 10
+
 
 class RouteKind(enum.Enum):
     """How requests of a route may be retried."""
@@ -151,15 +154,23 @@
 ) -> int:
     """Return the priority of a request.
 
+    A customer's priority takes precedence over the route's, which decides among
+    the requests of customers of the same priority. If it were left out, batch
+    and urgent requests of such customers would be served alike.
+
     Args:
       table: The configuration.
       route: The request's route.
       customer: The name of its customer, None for an anonymous caller.
 
     Returns:
-      The customer's priority if it has one of its own, else the route's.
+      A number that sorts by the customer's priority, or the route's for a
+      customer without one, and then by the route's.
     """
-    return table.priorities.get(customer or '', route.priority)
+    first = table.priorities.get(customer or '', route.priority)
+    return first * _ROUTE_PRIORITIES + min(
+        route.priority, _ROUTE_PRIORITIES - 1
+    )
 
 
 def choose_service(route: Route, point: float) -> str:
--- a/linnetwind/routes_test.py
+++ b/linnetwind/routes_test.py
@@ -7,7 +7,13 @@
 
 from linnetwind.call_policy import Allowed, Denied, allow
 from linnetwind.call_types import RequestFacts
-from linnetwind.routes import WeightedService, choose_service, find_route
+from linnetwind.routes import (
+    RouteTable,
+    WeightedService,
+    choose_service,
+    find_route,
+    request_priority,
+)
 from standins.gateway_fixtures import make_route, make_table
 
 
@@ -73,3 +79,23 @@
     decision = allow(table, facts)
     assert isinstance(decision, Denied)
     assert decision.status == status
+
+
+def test_the_route_decides_among_customers_of_the_same_priority():
+    # All customers have a priority of their own. If it took the place of the
+    # routes', urgent and batch streams would be one class.
+    urgent, batch = make_route('u', priority=0), make_route('b', priority=2)
+    table = RouteTable(1, {}, {}, None, {}, {'first': 0, 'x': 1, 'y': 1})
+    ordered = [
+        request_priority(table, route, customer)
+        for customer, route in (
+            ('first', urgent),
+            ('first', batch),
+            ('x', urgent),
+            ('y', batch),
+        )
+    ]
+    assert ordered == sorted(set(ordered))
+    assert request_priority(table, urgent, None) == ordered[0]
+    equal = {request_priority(table, urgent, name) for name in ('x', 'y')}
+    assert len(equal) == 1
