A need near zero no longer overflows the division of permits

Rates are counts of a second, so that no daemon meets it; such a need counts as none now. The new test failed before.

--- a/linnetwind/admission/permit_shares.py
+++ b/linnetwind/admission/permit_shares.py
@@ -20,6 +20,9 @@
 
 from linnetwind.admission.urgency import allocate_room, demand_of
 
+# A smaller need counts as none: dividing by a number near zero overflows.
+_MIN_NEED = 1e-9
+
 
 @dataclass(frozen=True, slots=True)
 class Demand:
@@ -144,7 +147,8 @@
 
 def _need(demands: ClassDemands, priority: int) -> float:
     demand = demands.get(priority, _NO_DEMAND)
-    return demand_of(demand.waiting, demand.arrivals_per_s)
+    need = demand_of(demand.waiting, demand.arrivals_per_s)
+    return need if need >= _MIN_NEED else 0
 
 
 def _weight(demand: Demand, window: timedelta) -> float:
--- a/linnetwind/admission/permit_shares_test.py
+++ b/linnetwind/admission/permit_shares_test.py
@@ -163,3 +163,11 @@
     peers.merge('b', ())
     assert peers.demands('model') == {}
     assert peers.customers('model', 1) == {}
+
+
+def test_a_need_near_zero_does_not_overflow():
+    # A daemon whose rate of arrivals is a denormal number got an error instead
+    # of an allowance.
+    own = {0: Demand(0, 2.2250738585072014e-308)}
+    allowance = compute_class_allowance(SECOND, 3, 1, own, {}, 0)
+    assert allowance.max_streams == 3
