The patience of callers is computed in one place

The times after which a caller leaves a silent stream stood in two modules with the same constants. No behaviour changes: the tests of urgency and slow groups pass.

--- a/linnetwind/admission/slow_group.py
+++ b/linnetwind/admission/slow_group.py
@@ -14,6 +14,10 @@
 from datetime import timedelta
 from typing import Self
 
+from linnetwind.admission.caller_patience import (
+    MIN_PATIENCE,
+    longest_silence,
+)
 from linnetwind.routes import Route, RouteKind
 
 # A rank that takes this many times the usual time for the same work gets no new
@@ -24,12 +28,6 @@
 # one, so that it does not alternate.
 _MIN_LATE_WORTH = 1 / 3
 _MAX_LATE_WORTH = 1 / 2
-# Callers leave after a pause of this time, or of these multiples of the target
-# for the first event or of the longest pause in time, whichever is longest.
-_MIN_PATIENCE_S = 2
-_MIN_PATIENCE = timedelta(seconds=_MIN_PATIENCE_S)
-_PATIENCE_TARGETS = 4
-_PATIENCE_GAPS = 8
 # The fraction of the times that callers tolerate that is planned for.
 _USED_PATIENCE = 0.88
 # The passes until a stream's first event: the rest of one that is in progress,
@@ -51,7 +49,7 @@
     stream, None if it is not known.
     """
 
-    pause: timedelta = _MIN_PATIENCE
+    pause: timedelta = MIN_PATIENCE
     queued: timedelta = timedelta()
     duration: timedelta | None = None
 
@@ -198,14 +196,7 @@
     if not streams:
         return CallerPatience()
     return CallerPatience(
-        min(
-            max(
-                _MIN_PATIENCE,
-                _PATIENCE_TARGETS * route.target,
-                _PATIENCE_GAPS * route.gap,
-            )
-            for route in streams
-        ),
+        min(longest_silence(route.target, route.gap) for route in streams),
         max(route.target for route in streams),
         min(route.timeout for route in streams),
     )
--- a/linnetwind/admission/urgency.py
+++ b/linnetwind/admission/urgency.py
@@ -1,4 +1,4 @@
-"""Orders streams by their class: the priority of their customer or route.
+"""Orders streams by their class: the priority of their customer and route.
 
 Handles an overload in which urgent streams and batch streams ask for the same
 permits. Without classes a burst of batch streams takes the permits that urgent
@@ -10,6 +10,9 @@
 from dataclasses import dataclass
 from datetime import timedelta
 from math import exp, sqrt
+from typing import Self
+
+from linnetwind.admission.caller_patience import longest_silence
 
 # A class is not served less than this fraction as often as all streams.
 FLOOR = 0.25
@@ -19,11 +22,8 @@
 # Ends of streams are counted events: their number in a period exceeds its mean
 # by more than two standard deviations in one case of forty.
 _DEVIATIONS = 2
-# A caller leaves after the longest of this time, so many targets and so many
-# gaps. Its response has lost all worth after a fraction of its time limit.
-_MIN_PATIENCE = timedelta(seconds=2)
-_PATIENCE_TARGETS = 4
-_PATIENCE_GAPS = 8
+# The fraction of its time limit after which a caller's response has lost all
+# worth.
 _PATIENCE_LIMIT = 0.75
 # The time constant with which streams that asked or were served are forgotten.
 _TALLY_TIME = timedelta(seconds=4)
@@ -55,9 +55,7 @@
     Returns:
       The time since the request arrived.
     """
-    patience = max(
-        _MIN_PATIENCE, _PATIENCE_TARGETS * target, _PATIENCE_GAPS * gap
-    )
+    patience = longest_silence(target, gap)
     if time_limit is None:
         return patience
     return min(patience, _PATIENCE_LIMIT * time_limit)
@@ -176,7 +174,7 @@
     served: float
     at: timedelta
 
-    def aged(self, now: timedelta) -> 'ClassTally':
+    def aged(self, now: timedelta) -> Self:
         """Return the tally as of a later monotonic time."""
         kept = exp(-((now - self.at) / _TALLY_TIME))
         return ClassTally(self.asked * kept, self.served * kept, now)
