--- a/linnetwind/admission/admission_policy.py
+++ b/linnetwind/admission/admission_policy.py
@@ -10,8 +10,9 @@
 While a group is broken, streams are queued for it if it should open soon
 enough.
 
-Where streams have different priorities, the more urgent ones come first, and a
-stream is rejected at once if they will take the permits that it would need.
+Where streams have different priorities, the more urgent ones come first. One of
+the least urgent class is rejected at once if the others will take the permits
+that it would need; the others wait, since they get the next permits before it.
 """
 
 from dataclasses import dataclass
@@ -39,8 +40,8 @@
 # How much earlier than estimated a broken group may open.
 _ESTIMATE_SLACK_MS = 500
 _ESTIMATE_SLACK = timedelta(milliseconds=_ESTIMATE_SLACK_MS)
-# Retries leave permits free for the newcomers of this time, which is about as
-# long as a newcomer can be queued and still be in time.
+# Retries and less urgent streams leave permits free for the newcomers of this
+# time, which is about as long as one can be queued and still be in time.
 _NEWCOMER_WINDOW_MS = 300
 _NEWCOMER_WINDOW = timedelta(milliseconds=_NEWCOMER_WINDOW_MS)
 # A request that is rejected within this fraction of its target has lost
@@ -211,15 +212,15 @@
 
 
 def reserve_for_newcomers(newcomers_per_s: float) -> int:
-    """Return the permits that retries leave free for the next newcomers.
+    """Return the permits that other streams leave free for the next newcomers.
 
-    In an overload a newcomer can hardly wait. If retries took each permit as
-    it is released, newcomers would find none and become retries themselves.
-    Running fewer streams makes passes shorter, so the reserve reduces the
-    throughput only slightly.
+    In an overload a newcomer can hardly wait. If retries, or less urgent
+    streams, took each permit as it is released, newcomers would find none and
+    become retries themselves. Running fewer streams makes passes shorter, so
+    the reserve reduces the throughput only slightly.
 
     Args:
-      newcomers_per_s: The streams of the last second that are no retries.
+      newcomers_per_s: The streams of the last second that take precedence.
 
     Returns:
       The number of permits; 0 where each of hundreds of daemons has few
--- a/linnetwind/admission/group_capacity.py
+++ b/linnetwind/admission/group_capacity.py
@@ -85,10 +85,9 @@
     number that ran when one last asked for a permit, relative to how many have
     passes in time. `health` says whether the group can run streams. `summary`
     is the last one of the planner, and `summary_at` the monotonic time at which
-    it came.
-    `paces` is the history of its pace, and `slow_decision` says what it serves
-    while a rank is slow. `ranks` counts all its ranks, `skews` holds the rises
-    of the skew, `correction` what this daemon's pauses show as of
+    it came. `paces` is the history of its pace, and `slow_decision` says what
+    it serves while a rank is slow. `ranks` counts all its ranks, `skews` holds
+    the rises of the skew, `correction` what this daemon's pauses show as of
     `corrected_at`, `combined` that of all daemons as of `combined_at`, and
     `forecast` the last forecast.
     """
@@ -253,7 +252,7 @@
     ranks: int,
     peer_parts: Sequence[PassTimePerStream],
 ) -> PassForecast:
-    """Return the forecast, or today's pass times if it cannot be corrected."""
+    """Return the forecast; without a correction, the limit by recent pauses."""
     pace = _pace(group, now)
     summary = recent_summary(group, now)
     combined = _combined_correction(group, now, engine, peer_parts)
--- a/linnetwind/admission/service_capacity.py
+++ b/linnetwind/admission/service_capacity.py
@@ -10,9 +10,7 @@
     spread_over_trough,
     spread_retry,
 )
-from linnetwind.admission.class_arrivals import (
-    class_rates,
-)
+from linnetwind.admission.class_arrivals import class_rates
 from linnetwind.admission.group_capacity import (
     GroupCapacity,
     GroupCount,
@@ -22,9 +20,7 @@
 )
 from linnetwind.admission.service_demand import own_demands
 from linnetwind.admission.service_state import ServiceCapacity
-from linnetwind.admission.slow_group import (
-    AwaitRecovery,
-)
+from linnetwind.admission.slow_group import AwaitRecovery
 from linnetwind.admission.urgency import ClassRate
 
 # The quantile of the times of recent starts that is the estimate of the next.
@@ -56,6 +52,8 @@
 ) -> CapacityView:
     """Return the capacity on which the admission of a stream is decided.
 
+    The permits of each priority are kept in the service, for metrics.
+
     Args:
       service: The service.
       counts: The streams that run in each group; the service's state has to
--- a/linnetwind/admission/service_state.py
+++ b/linnetwind/admission/service_state.py
@@ -5,12 +5,8 @@
 from datetime import timedelta
 
 from linnetwind.admission.arrival_wave import ArrivalWave
-from linnetwind.admission.class_arrivals import (
-    ClassArrivals,
-)
-from linnetwind.admission.group_capacity import (
-    GroupCapacity,
-)
+from linnetwind.admission.class_arrivals import ClassArrivals
+from linnetwind.admission.group_capacity import GroupCapacity
 from linnetwind.admission.slow_group import (
     CallerPatience,
     StreamLengths,
--- a/linnetwind/admission/stream_admission_control.py
+++ b/linnetwind/admission/stream_admission_control.py
@@ -44,9 +44,7 @@
     time_until_open,
 )
 from linnetwind.admission.service_state import ServiceCapacity
-from linnetwind.admission.slow_group import (
-    callers_patience,
-)
+from linnetwind.admission.slow_group import callers_patience
 from linnetwind.admission.wait_queue import WaitQueue
 from linnetwind.clock import Clock
 from linnetwind.group_outages import record_crash
@@ -132,9 +130,9 @@
         """
         now = self._clock.elapsed()
         with self._lock:
-            group = group_capacity_of(self._service(upstream.service), upstream)
-            record_pause(group, length, running, now)
             state = self._service(upstream.service)
+            group = group_capacity_of(state, upstream)
+            record_pause(group, length, running, now)
             state.lengths = state.lengths.add_pause()
 
     def record_start(self, upstream: Upstream, took: timedelta) -> None:
@@ -146,11 +144,9 @@
             used to estimate what can be in time elsewhere.
         """
         with self._lock:
-            if serves_late(
-                group_capacity_of(self._service(upstream.service), upstream)
-            ):
-                return
             state = self._service(upstream.service)
+            if serves_late(group_capacity_of(state, upstream)):
+                return
             is_first = not state.starts
             state.starts.append(took)
         if is_first:
@@ -165,9 +161,7 @@
         now = self._clock.elapsed()
         with self._lock:
             state = self._service(upstream.service)
-            ends = group_capacity_of(
-                self._service(upstream.service), upstream
-            ).ends
+            ends = group_capacity_of(state, upstream).ends
             ends.append(now)
             expire_times(ends, now)
             state.lengths = state.lengths.add_end()
@@ -362,15 +356,15 @@
             return report_limits(self._services, self._clock.elapsed())
 
     def utilization(self, service: str, group: str) -> float:
-        """Return the share of a group's limit that is in use.
+        """Return how much of a group's time for passes is in use.
 
         Args:
           service: The service's name.
           group: The group's name.
 
         Returns:
-          The running streams over the limit, as of the last stream that asked
-          for a permit; 1 if none has.
+          The running streams over those that have passes in time, as of the
+          last stream that asked for a permit; 1 if none has.
         """
         with self._lock:
             known = self._service(service).groups.get(group)
--- a/linnetwind/admission/wait_queue.py
+++ b/linnetwind/admission/wait_queue.py
@@ -193,8 +193,8 @@
                 return decision
             is_late = view.opens_in is not None or decision.is_late
             if is_late and not request.returning:
-                # A stream that waited for a broken group is late. When the
-                # group opens, streams that can be in time precede it.
+                # A late stream, such as one that waited for a broken group,
+                # comes after those of its class that can be in time.
                 entry.request = replace(request, returning=True)
                 self._order.sort(self._clock.elapsed())
                 self._wake_first()
--- a/linnetwind/gateway_metrics.py
+++ b/linnetwind/gateway_metrics.py
@@ -36,12 +36,12 @@
 )
 from linnetwind.stream_gauges import StreamGauges
 
+_MS_PER_S = 1_000
 # Histogram buckets in seconds; the targets for the first event of a stream are
 # around half a second.
 _LATENCIES = (0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 0.75, 1, 2, 4, 8)
 # Histogram buckets in seconds; the target for pauses between events is about
 # 0.1 s.
-_MS_PER_S = 1_000
 _PAUSES = (0.025, 0.05, 0.075, 0.1, 0.12, 0.15, 0.2, 0.3, 0.5, 1, 2)
 
 
