Hints of peers are selected in one place; the gateway's state names its parts

Two selections of hinted upstreams differed in one comparison. The limits of upstreams that are gone were discarded apart from what else is known of them, and private names of the gateway's state needed explaining.

--- a/linnetwind/gateway_state.py
+++ b/linnetwind/gateway_state.py
@@ -66,10 +66,10 @@
         self._streams = RequestCounts()
         self._timeouts_checked_at = timedelta()
         self._records = UpstreamRecords(clock)
-        self._books = make_request_history(
+        self._history = make_request_history(
             terms, clock, lambda: self._peer_table, bound
         )
-        self._room = StreamAdmission(clock)
+        self._admission = StreamAdmission(clock)
         self._expiry_checked_at = timedelta()
         self._on_change: Callable[[], None] = _do_nothing
 
@@ -91,12 +91,12 @@
     @property
     def stream_admission(self) -> StreamAdmission:
         """Return the stream admission control of each group."""
-        return self._room
+        return self._admission
 
     @property
     def request_history(self) -> RequestHistory:
         """Return the history of callers' requests, for retries and limits."""
-        return self._books
+        return self._history
 
     @property
     def upstream_records(self) -> UpstreamRecords:
@@ -133,8 +133,8 @@
             if self._table is not None and table.version <= self._table.version:
                 return False
             self._table = table
-        self._room.apply_table(table)
-        self._books.cold.apply_services(table.services)
+        self._admission.apply_table(table)
+        self._history.cold.apply_services(table.services)
         return True
 
     def change_upstreams(
@@ -153,10 +153,9 @@
             self._upstreams = change(before)
             living = self._upstreams.incarnations()
             self._records.keep_only(living)
-            self._books.cold.observe_list(before, self._upstreams)
-            self._books.keep_only(living)
-        self._books.limits.keep_only(living)
-        self._room.wake()
+            self._history.cold.observe_list(before, self._upstreams)
+            self._history.keep_only(living)
+        self._admission.wake()
         if self._upstreams.evacuations is not before.evacuations:
             self._on_change()
         return before
@@ -175,10 +174,12 @@
             if now - self._expiry_checked_at > _EXPIRY_CHECK_INTERVAL:
                 self._expiry_checked_at = now
                 self._peer_table = self._peer_table.expire_peers(now)
-        self._books.merge_advertised(state, 1 + len(self._peer_table.received))
-        self._room.peer_totals.merge(state.name, received.loads)
+        self._history.merge_advertised(
+            state, 1 + len(self._peer_table.received)
+        )
+        self._admission.peer_totals.merge(state.name, received.loads)
         for summary in state.groups:
-            self._room.apply_summary(summary)
+            self._admission.apply_summary(summary)
 
     def record_pause(self, upstream: Upstream, length: timedelta) -> None:
         """Record a pause between two events of a stream.
@@ -187,11 +188,11 @@
           upstream: The rank that runs the stream.
           length: The length of the pause.
         """
-        group = self._room.group_of(upstream)
+        group = self._admission.group_of(upstream)
         members = self._groups(upstream.service).get(group, ())
         counts = self._counts()
         running = sum(counts.get(each.life, 0) for each in members)
-        self._room.record_pause(upstream, length, running)
+        self._admission.record_pause(upstream, length, running)
 
     def requests_in_flight(self, service: str) -> int:
         """Return the number of requests in flight at a service.
@@ -223,10 +224,10 @@
             self._groups(service.name),
             self._counts(),
             self._streams.own,
-            self._books,
+            self._history,
         )
         peer_table = self._peer_table
-        view = self._room.view(
+        view = self._admission.view(
             service,
             gap,
             counts,
@@ -256,17 +257,17 @@
         """
         candidates = self.candidates(service, tried, priority)
         counts = self._counts()
-        slow = self._room.slow(service.name)
+        slow = self._admission.slow(service.name)
         with self._lock:
             # Checked and counted under one lock; otherwise two requests at once
             # would both use the last one that a limit allows.
-            usable = self._books.limits.within_limit(candidates)
+            usable = self._history.limits.within_limit(candidates)
             now = self._clock.elapsed()
-            weights = self._books.cold.weights(now)
+            weights = self._history.cold.weights(now)
             if service.engine is None:
                 stats = self._records.stats
                 members = self._upstreams.usable(service.name, now)
-                ejections = self._books.ejections
+                ejections = self._history.ejections
                 ejected = ejections.ejected(members)
                 # A request that has failed once is no probe.
                 probes = ejections.due_probes(() if tried else usable)
@@ -276,8 +277,8 @@
             else:
                 chosen = choose_rank(usable, counts, slow, weights)
             if chosen is not None:
-                self._books.limits.count_sent(chosen)
-                self._books.ejections.count_sent(chosen)
+                self._history.limits.count_sent(chosen)
+                self._history.ejections.count_sent(chosen)
                 self._streams.begin(chosen.life)
         self._on_change()
         return chosen
@@ -301,7 +302,7 @@
         """
         usable = self.candidates(service, tried)
         with self._lock:
-            reservation = self._books.limits.reserve(usable, longest)
+            reservation = self._history.limits.reserve(usable, longest)
             if reservation is not None:
                 self._streams.begin(reservation.upstream.life)
         self._on_change()
@@ -309,7 +310,7 @@
 
     def _groups(self, service: str) -> Mapping[str, list[Upstream]]:
         usable = self._upstreams.usable(service, self._clock.elapsed())
-        return self._room.by_group(service, usable)
+        return self._admission.by_group(service, usable)
 
     def candidates(
         self,
@@ -328,25 +329,25 @@
           The upstreams of a plain service, or the ranks of the group that is
           chosen for a stream.
         """
-        groups = self._books.limits.open_groups(self._groups(service.name))
+        groups = self._history.limits.open_groups(self._groups(service.name))
         name = UNNAMED_GROUP
         if service.engine is not None:
             counts = count_by_group(
                 groups,
                 self._counts(),
                 self._streams.own,
-                self._books,
+                self._history,
             )
             failed = frozenset(
                 name
                 for name, members in groups.items()
                 if any(each.instance in tried for each in members)
             )
-            free_permits = self._room.free_permits(
+            free_permits = self._admission.free_permits(
                 service.name, counts, priority
             )
             name = choose_group(free_permits, failed, random.random())
-        members = self._books.backoffs.without_backoff(groups.get(name, []))
+        members = self._history.backoffs.without_backoff(groups.get(name, []))
         return [each for each in members if each.instance not in tried]
 
     def release_upstream(self, upstream: Upstream) -> None:
@@ -359,7 +360,7 @@
         with self._lock:
             self._streams.end(upstream.life)
         self._on_change()
-        self._room.record_end(upstream)
+        self._admission.record_end(upstream)
 
     def _counts(self) -> Mapping[UpstreamIncarnation, int]:
         """Return the requests in flight of all daemons that are not timed out.
@@ -374,7 +375,7 @@
                 live = {each.name for each in self._peer_table.live(now)}
                 for timed_out in self._streams.peers - live:
                     self._streams.drop_peer(timed_out)
-                    self._room.peer_totals.merge(timed_out, ())
+                    self._admission.peer_totals.merge(timed_out, ())
         return self._streams.totals
 
 
--- a/linnetwind/relay.py
+++ b/linnetwind/relay.py
@@ -91,7 +91,7 @@
         if table is None:
             # Before the first configuration arrives, the daemon cannot know
             # whether a route or key exists, so 404 or 401 would be wrong.
-            self._respond(_REFUSED, _retry_after(_unconfigured_retry_after()))
+            self._respond(_REFUSED, _retry_after(_unconfigured_retry_delay()))
             return self._connection.reusable
         context = self._make_context(table)
         done = self._authorize(context)
@@ -363,7 +363,7 @@
         respond_to_caller(self._tools, self._connection, status, headers, body)
 
 
-def _unconfigured_retry_after() -> timedelta:
+def _unconfigured_retry_delay() -> timedelta:
     return timedelta(
         seconds=random.uniform(
             _MIN_UNCONFIGURED_RETRY_S, _MAX_UNCONFIGURED_RETRY_S
--- a/linnetwind/request_history.py
+++ b/linnetwind/request_history.py
@@ -52,6 +52,7 @@
         Args:
           lives: The incarnations that are registered.
         """
+        self.limits.keep_only(lives)
         self.cold.keep_only(lives)
         self.ejections.keep_only(lives)
 
--- a/linnetwind/upstreams/ejection_hints.py
+++ b/linnetwind/upstreams/ejection_hints.py
@@ -8,7 +8,7 @@
 the choice: no more than half of its upstreams are avoided.
 """
 
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, replace
 from datetime import timedelta
 from types import MappingProxyType
@@ -115,13 +115,7 @@
     Returns:
       The incarnations.
     """
-    if not hints:
-        return frozenset()
-    return frozenset(
-        life
-        for life in members
-        if _is_avoided(hints.get(tag_incarnation(life)), now)
-    )
+    return _select(hints, members, lambda hint: now < hint.probe_at, now)
 
 
 def due_hint_probes(
@@ -137,13 +131,7 @@
     Returns:
       The incarnations.
     """
-    if not hints:
-        return frozenset()
-    return frozenset(
-        life
-        for life in members
-        if _is_due(hints.get(tag_incarnation(life)), now)
-    )
+    return _select(hints, members, lambda hint: hint.probe_at <= now, now)
 
 
 def limit_to_half(
@@ -234,13 +222,22 @@
     return replace(before, sources=sources, until=until)
 
 
-def _is_in_force(hint: Hint | None, now: timedelta) -> bool:
-    return hint is not None and not hint.refuted and now < hint.until
-
-
-def _is_avoided(hint: Hint | None, now: timedelta) -> bool:
-    return _is_in_force(hint, now) and now < hint.probe_at
+def _select(
+    hints: Hints,
+    members: Collection[UpstreamIncarnation],
+    matches: Callable[[Hint], bool],
+    now: timedelta,
+) -> frozenset[UpstreamIncarnation]:
+    """Return the members with a hint that is in force and matches."""
+    if not hints:
+        return frozenset()
+    hinted = {life: hints.get(tag_incarnation(life)) for life in members}
+    return frozenset(
+        life
+        for life, hint in hinted.items()
+        if hint is not None and _is_in_force(hint, now) and matches(hint)
+    )
 
 
-def _is_due(hint: Hint | None, now: timedelta) -> bool:
-    return _is_in_force(hint, now) and hint.probe_at <= now
+def _is_in_force(hint: Hint, now: timedelta) -> bool:
+    return not hint.refuted and now < hint.until
