--- a/linnetwind/peer_mesh.py
+++ b/linnetwind/peer_mesh.py
@@ -93,6 +93,22 @@
     power: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class _FullStateKey:
+    """What a full state holds, without the ages and times that always change.
+
+    Full states are sent for some time after it has changed.
+    """
+
+    members: frozenset[Hashable]
+    start_ids: frozenset[Hashable]
+    rosters: tuple[Hashable, ...]
+    crashes: tuple[Hashable, ...]
+    answered: tuple[Hashable, ...]
+    evacuations: tuple[Hashable, ...]
+    cold: frozenset[Hashable]
+
+
 class PeerMesh:
     """Sends this daemon's state to all peers and receives theirs."""
 
@@ -306,16 +322,14 @@
         rosters = tuple(
             (each.service, each.group, each.members) for each in message.groups
         )
-        cold = [each.life for each in message.cold]
-        crashes = tuple(
-            (each.fingerprint, each.life) for each in message.crashes
-        )
-        return (
-            frozenset((*message.members, *cold)),
+        return _FullStateKey(
+            frozenset(message.members),
             start_ids,
             rosters,
-            crashes,
-            (message.answered, message.evacuations),
+            tuple((each.fingerprint, each.life) for each in message.crashes),
+            message.answered,
+            message.evacuations,
+            frozenset(each.life for each in message.cold),
         )
 
     def _stopping_ms(self) -> int:
