Retry times in a module of their own, named after what they spread over

Two functions named spread_retry and spread_retry_after stood beside the decision and differed in their upper bound.

--- a/linnetwind/admission/admission_policy.py
+++ b/linnetwind/admission/admission_policy.py
@@ -18,6 +18,12 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from linnetwind.admission.retry_times import (
+    MAX_RETRY_AFTER,
+    MIN_RETRY_AFTER,
+    clamp_retry_after,
+    spread_until_double,
+)
 from linnetwind.admission.urgency import (
     ClassRate,
     caller_patience,
@@ -28,11 +34,6 @@
     room_per_s,
 )
 
-# Bounds of the time after which a rejected caller is asked to retry.
-_MIN_RETRY_AFTER_MS = 300
-MIN_RETRY_AFTER = timedelta(milliseconds=_MIN_RETRY_AFTER_MS)
-_MAX_RETRY_AFTER_MS = 2500
-MAX_RETRY_AFTER = timedelta(milliseconds=_MAX_RETRY_AFTER_MS)
 # How long the retry of a rejected caller may be queued. Callers give up a
 # stream that shows nothing for two seconds; the rest is for its first event.
 _MAX_RETRY_WAIT_S = 1.6
@@ -47,9 +48,6 @@
 # A request that is rejected within this fraction of its target has lost
 # nothing by the wait.
 _EARLY = 0.125
-# Callers that are rejected for the longest time come back spread over this
-# fraction of it.
-_SPREAD = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -265,7 +263,7 @@
     if wait_left <= timedelta() or (may_reject_early and not is_served):
         wait = timedelta(seconds=missing_permits / room)
         return RejectStream(
-            spread_retry_after(max(wait, view.recovers_in), stream.spread),
+            spread_until_double(max(wait, view.recovers_in), stream.spread),
             'no room in time',
         )
     return QueueStream(wait_left, is_late=in_time_left <= timedelta())
@@ -319,63 +317,3 @@
 
 def _reject(wait: timedelta, reason: str) -> RejectStream:
     return RejectStream(clamp_retry_after(wait), reason)
-
-
-def spread_retry(earliest: timedelta, chance: float) -> timedelta:
-    """Return a retry time after which there should be capacity again.
-
-    Callers that all came back at once would be more than can be queued.
-
-    Args:
-      earliest: When there should be capacity.
-      chance: A random number from 0 to 1.
-
-    Returns:
-      A time from then on, at most the bound of retry times.
-    """
-    latest = max(earliest, MAX_RETRY_AFTER)
-    return earliest + (latest - earliest) * chance
-
-
-def spread_over_trough(falls_in: timedelta | None, chance: float) -> timedelta:
-    """Return a retry time in the trough of a wave of arrivals.
-
-    Args:
-      falls_in: When the arrivals should fall, None if that is not known.
-      chance: A random number from 0 to 1.
-
-    Returns:
-      A time in the trough; 0 if it is beyond the bound of retry times.
-    """
-    if falls_in is None or falls_in > MAX_RETRY_AFTER:
-        return timedelta()
-    return spread_retry(falls_in, chance)
-
-
-def clamp_retry_after(wait: timedelta) -> timedelta:
-    """Clamp an estimated wait to the bounds of a retry time.
-
-    Args:
-      wait: The time after which the caller could be served.
-
-    Returns:
-      The time after which the caller may retry.
-    """
-    return min(max(wait, MIN_RETRY_AFTER), MAX_RETRY_AFTER)
-
-
-def spread_retry_after(wait: timedelta, spread: float) -> timedelta:
-    """Return a retry time for one of several callers rejected together.
-
-    Args:
-      wait: The time after which the first of them could be served.
-      spread: A random number from 0 to 1.
-
-    Returns:
-      A time between the wait and twice the wait, within the bounds of a retry
-      time.
-    """
-    soonest = clamp_retry_after(wait)
-    latest = clamp_retry_after(2 * soonest)
-    earliest = min(soonest, (1 - _SPREAD) * MAX_RETRY_AFTER)
-    return earliest + spread * (latest - earliest)
--- a/linnetwind/admission/admission_policy_test.py
+++ b/linnetwind/admission/admission_policy_test.py
@@ -3,15 +3,17 @@
 from dataclasses import replace
 
 from linnetwind.admission.admission_policy import (
-    MAX_RETRY_AFTER,
     MAX_RETRY_WAIT,
-    MIN_RETRY_AFTER,
     AdmitStream,
     QueueStream,
     RejectStream,
     decide_admission,
     reserve_for_arrivals,
-    spread_retry,
+)
+from linnetwind.admission.retry_times import (
+    MAX_RETRY_AFTER,
+    MIN_RETRY_AFTER,
+    spread_until_latest,
 )
 from standins.gateway_fixtures import MS
 from standins.stream_fixtures import FIRST, VIEW
@@ -53,8 +55,8 @@
     slow = replace(VIEW, free=-3, recovers_in=2_000 * MS, ends_per_s=100)
     last = replace(FIRST, ahead=60)
     assert decide_admission(slow, last).retry_after == 2_000 * MS
-    latest = spread_retry(2_000 * MS, 1)
-    assert spread_retry(2_000 * MS, 0) == 2_000 * MS < latest
+    latest = spread_until_latest(2_000 * MS, 1)
+    assert spread_until_latest(2_000 * MS, 0) == 2_000 * MS < latest
     assert latest == MAX_RETRY_AFTER
 
 
--- a/linnetwind/admission/group_capacity.py
+++ b/linnetwind/admission/group_capacity.py
@@ -5,7 +5,6 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
-from linnetwind.admission.admission_policy import MAX_RETRY_AFTER
 from linnetwind.admission.pass_forecast import (
     GroupShape,
     PassCorrection,
@@ -23,6 +22,7 @@
     stream_limit,
 )
 from linnetwind.admission.permit_shares import Allowance
+from linnetwind.admission.retry_times import MAX_RETRY_AFTER
 from linnetwind.admission.slow_group import (
     GroupLimits,
     PaceHistory,
--- a/linnetwind/admission/service_capacity.py
+++ b/linnetwind/admission/service_capacity.py
@@ -7,8 +7,6 @@
     CapacityView,
     reserve_for_arrivals,
     reserve_for_newcomers,
-    spread_over_trough,
-    spread_retry,
 )
 from linnetwind.admission.class_arrivals import class_rates
 from linnetwind.admission.group_capacity import (
@@ -18,6 +16,10 @@
     serves_late,
     unavailable_for,
 )
+from linnetwind.admission.retry_times import (
+    spread_over_trough,
+    spread_until_latest,
+)
 from linnetwind.admission.service_demand import own_demands
 from linnetwind.admission.service_state import ServiceCapacity
 from linnetwind.admission.slow_group import AwaitRecovery
@@ -200,7 +202,7 @@
         ),
         default=timedelta(),
     )
-    return spread_retry(earliest, chance) if earliest else earliest
+    return spread_until_latest(earliest, chance) if earliest else earliest
 
 
 def _view_without_summary(
--- a/linnetwind/admission/slow_group_test.py
+++ b/linnetwind/admission/slow_group_test.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from linnetwind.admission.admission_policy import MAX_RETRY_AFTER
+from linnetwind.admission.retry_times import MAX_RETRY_AFTER
 from linnetwind.admission.slow_group import (
     AwaitRecovery,
     CallerPatience,
--- a/linnetwind/admission/urgency_test.py
+++ b/linnetwind/admission/urgency_test.py
@@ -8,20 +8,22 @@
 from hypothesis import strategies as st
 
 from linnetwind.admission.admission_policy import (
-    MAX_RETRY_AFTER,
     MAX_RETRY_WAIT,
-    MIN_RETRY_AFTER,
     AdmitStream,
     CapacityView,
     PendingStream,
     QueueStream,
     RejectStream,
-    clamp_retry_after,
     decide_admission,
-    spread_retry_after,
 )
 from linnetwind.admission.class_arrivals import class_rates
 from linnetwind.admission.queue_order import PermitRequest, queue_position_key
+from linnetwind.admission.retry_times import (
+    MAX_RETRY_AFTER,
+    MIN_RETRY_AFTER,
+    clamp_retry_after,
+    spread_until_double,
+)
 from linnetwind.admission.service_demand import own_demands, record_arrival
 from linnetwind.admission.service_state import ServiceCapacity
 from linnetwind.admission.urgency import (
@@ -175,9 +177,9 @@
 @given(st.floats(0, 9000), st.floats(0, 1))
 def test_retry_times_are_spread_within_their_bounds(wait, spread):
     # Callers that are rejected together would come back together.
-    retry_after = spread_retry_after(wait * MS, spread)
+    retry_after = spread_until_double(wait * MS, spread)
     assert MIN_RETRY_AFTER <= retry_after <= MAX_RETRY_AFTER
-    assert spread_retry_after(wait * MS, 0) < spread_retry_after(wait * MS, 1)
+    assert spread_until_double(wait * MS, 0) < spread_until_double(wait * MS, 1)
 
 
 @given(
--- a/linnetwind/admission/wait_queue_test.py
+++ b/linnetwind/admission/wait_queue_test.py
@@ -7,12 +7,12 @@
 
 from linnetwind.admission.admission_policy import (
     MAX_RETRY_WAIT,
-    MIN_RETRY_AFTER,
     STOPPING,
     CapacityView,
     RejectStream,
 )
 from linnetwind.admission.queue_order import PermitRequest, queue_position_key
+from linnetwind.admission.retry_times import MIN_RETRY_AFTER
 from linnetwind.admission.wait_queue import WaitQueue
 from linnetwind.clock import ManualClock, SystemClock
 from standins.gateway_fixtures import MS, SECOND, make_upstream
--- a/linnetwind/platform/gateway_evacuation_test.py
+++ b/linnetwind/platform/gateway_evacuation_test.py
@@ -7,11 +7,11 @@
 
 from linnetwind.admission.admission_policy import (
     EVACUATED,
-    MAX_RETRY_AFTER,
     CapacityView,
     PendingStream,
     decide_admission,
 )
+from linnetwind.admission.retry_times import MAX_RETRY_AFTER
 from linnetwind.upstream_call import open_call
 from standins.gateway_fixtures import MS, SECOND, evacuate
 from standins.gateway_requests import FRAGILE, GET, ONCE, STREAM
--- a/linnetwind/relay.py
+++ b/linnetwind/relay.py
@@ -7,9 +7,9 @@
 from linnetwind.admission.admission_policy import (
     STOPPING,
     RejectStream,
-    clamp_retry_after,
 )
 from linnetwind.admission.queue_order import PermitRequest
+from linnetwind.admission.retry_times import clamp_retry_after
 from linnetwind.call_policy import (
     Allowed,
     Denied,
--- a/linnetwind/stream_backoff_test.py
+++ b/linnetwind/stream_backoff_test.py
@@ -4,7 +4,6 @@
 
 from linnetwind.admission.admission_policy import (
     MAX_RETRY_WAIT,
-    MIN_RETRY_AFTER,
     CapacityView,
     PendingStream,
     QueueStream,
@@ -12,6 +11,7 @@
     decide_admission,
 )
 from linnetwind.admission.group_capacity import GroupCount
+from linnetwind.admission.retry_times import MIN_RETRY_AFTER
 from linnetwind.admission.stream_admission_control import StreamAdmission
 from linnetwind.clock import ManualClock
 from linnetwind.peers.peer_table import GroupSummary
--- a/linnetwind/upstream_acquisition_test.py
+++ b/linnetwind/upstream_acquisition_test.py
@@ -6,7 +6,7 @@
 import pytest
 
 from linnetwind.address import Address
-from linnetwind.admission.admission_policy import MAX_RETRY_AFTER
+from linnetwind.admission.retry_times import MAX_RETRY_AFTER
 from linnetwind.clock import ManualClock
 from linnetwind.gateway_state import GatewayState
 from linnetwind.routes import RoutedService
--- a/standins/wave_replay.py
+++ b/standins/wave_replay.py
@@ -20,7 +20,6 @@
     RejectStream,
     decide_admission,
     reserve_for_newcomers,
-    spread_over_trough,
 )
 from linnetwind.admission.arrival_wave import ArrivalWave
 from linnetwind.admission.group_capacity import (
@@ -40,6 +39,7 @@
     compute_allowance,
     own_share,
 )
+from linnetwind.admission.retry_times import spread_over_trough
 from linnetwind.peers.peer_table import GroupSummary, PassTimePerStream
 from standins.gateway_fixtures import MS
 from standins.wave_group import Stream, Wave, WaveGroup
