The reason of a group's limit is that of the forecast in use

The log told this daemon's own correction from none, while the limit follows the corrections of all daemons: it said "pauses" at a gateway without streams. The new test fails with the former rule.

--- a/linnetwind/admission/limit_report.py
+++ b/linnetwind/admission/limit_report.py
@@ -46,7 +46,7 @@
 
 def _report(group: GroupCapacity, now: timedelta) -> GroupLimitReport:
     limit = group.forecast.limit
-    reason = 'pauses' if group.correction is None else 'forecast'
+    reason = 'forecast' if group.forecast.is_corrected else 'pauses'
     match group.slow_decision:
         case ServeLate(late_limit):
             limit = late_limit
--- a/linnetwind/admission/pass_forecast.py
+++ b/linnetwind/admission/pass_forecast.py
@@ -65,12 +65,15 @@
 class PassForecast:
     """The limit on streams, and the pass with that many in milliseconds.
 
-    `part_ms` is what each stream adds, `fixed_ms` the rest.
+    `part_ms` is what each stream adds, `fixed_ms` the rest. `is_corrected` says
+    that the costs of the engines are corrected by pauses, else the limit
+    follows recent pauses alone.
     """
 
     limit: int
     fixed_ms: float
     part_ms: float
+    is_corrected: bool = False
 
     def pass_ms(self, streams: int) -> float:
         """Return the time of a pass with a number of streams."""
@@ -237,7 +240,7 @@
     part_ms *= correction.factor
     available_ms = gap / _MS * MAX_PAUSE_FRACTION - fixed_ms
     limit = int(min(available_ms / part_ms, shape.slots))
-    return PassForecast(max(1, limit), fixed_ms, part_ms)
+    return PassForecast(max(1, limit), fixed_ms, part_ms, is_corrected=True)
 
 
 def _correct(engine: EngineProfile, ranks: int, pause: Pause) -> PassCorrection:
--- a/linnetwind/group_limit_log_test.py
+++ b/linnetwind/group_limit_log_test.py
@@ -1,8 +1,14 @@
 """Tests of the log of the groups' limits."""
 
 from dataclasses import replace
+from datetime import timedelta
 
-from linnetwind.admission.limit_report import GroupLimitReport
+from linnetwind.admission.group_capacity import GroupCapacity
+from linnetwind.admission.limit_report import GroupLimitReport, report_limits
+from linnetwind.admission.pass_forecast import PassForecast
+from linnetwind.admission.service_state import ServiceCapacity
+from linnetwind.admission.wait_queue import WaitQueue
+from linnetwind.clock import SystemClock
 from linnetwind.gateway_events import GroupLimitChanged
 from linnetwind.gateway_metrics import GatewayMetrics
 from linnetwind.group_limit_log import GroupLimitLog
@@ -48,3 +54,12 @@
     assert 'linnetwind_group_limit{group="model/a"} 111.0' in shown
     seconds = 'linnetwind_group_pass_forecast_seconds{group="model/a"} 0.09'
     assert seconds in shown
+
+
+def test_a_limit_by_the_pauses_of_other_daemons_is_a_forecast():
+    # This daemon has no pauses of its own. The log named the pauses as the
+    # reason while the limit followed the corrections of its peers.
+    group = GroupCapacity(forecast=PassForecast(9, 20, 1, is_corrected=True))
+    service = ServiceCapacity(WaitQueue(SystemClock()), groups={'a': group})
+    reports = report_limits({'model': service}, timedelta())
+    assert reports['model/a'].reason == 'forecast'
