Division of permits: no overflow where the division is, not in one caller

Cause: set a lower bound for the need in one caller of allocate_room, so that any other caller with a demand near zero would still overflow, and the bound was a constant without a source. Change: allocate_room multiplies the spare permits by a class's part of the demand instead of dividing them by the demand. The bound is dropped; a daemon's part is computed before the portion of the group is applied, as rounding near zero could make the parts exceed 1. The test expects that the only demand gets the free permit, as for any other small demand.

--- a/linnetwind/admission/permit_shares.py
+++ b/linnetwind/admission/permit_shares.py
@@ -20,9 +20,6 @@
 
 from linnetwind.admission.urgency import allocate_room, demand_of
 
-# A smaller need counts as none: dividing by a number near zero overflows.
-_MIN_NEED = 1e-9
-
 
 @dataclass(frozen=True, slots=True)
 class Demand:
@@ -128,16 +125,18 @@
       The allowance.
     """
     priorities = sorted({*own, *others})
-    demands = {
-        priority: portion * (_need(own, priority) + _need(others, priority))
+    needs = {
+        priority: _need(own, priority) + _need(others, priority)
         for priority in priorities
     }
-    rooms = allocate_room(free, demands)
+    rooms = allocate_room(
+        free, {priority: portion * need for priority, need in needs.items()}
+    )
     by_class = []
     usable = float(0)
     for priority in reversed(priorities):
-        needed = demands[priority]
-        part = portion * _need(own, priority) / needed if needed else 0
+        needed = needs[priority]
+        part = _need(own, priority) / needed if needed else 0
         room = rooms[priority] * part
         usable += max(0, room)
         permits = floor(usable + min(0, room) + rounding)
@@ -147,8 +146,7 @@
 
 def _need(demands: ClassDemands, priority: int) -> float:
     demand = demands.get(priority, _NO_DEMAND)
-    need = demand_of(demand.waiting, demand.arrivals_per_s)
-    return need if need >= _MIN_NEED else 0
+    return demand_of(demand.waiting, demand.arrivals_per_s)
 
 
 def _weight(demand: Demand, window: timedelta) -> float:
--- a/linnetwind/admission/permit_shares_test.py
+++ b/linnetwind/admission/permit_shares_test.py
@@ -167,7 +167,7 @@
 
 def test_a_need_near_zero_does_not_overflow():
     # A daemon whose rate of arrivals is a denormal number got an error instead
-    # of an allowance.
+    # of an allowance. All of the free permits are for the only demand.
     own = {0: Demand(0, 2.2250738585072014e-308)}
     allowance = compute_class_allowance(SECOND, 3, 1, own, {}, 0)
-    assert allowance.max_streams == 3
+    assert allowance.max_streams == 4
--- a/linnetwind/admission/urgency.py
+++ b/linnetwind/admission/urgency.py
@@ -235,8 +235,12 @@
         rooms[priority] = room
         part = max(0, room) / demand if demand else part
         left -= lacking
-    spare = max(0, left) / total
-    return {key: room + spare * demands[key] for key, room in rooms.items()}
+    spare = max(0, left)
+    # Dividing the spare permits by a demand near zero would overflow.
+    return {
+        key: room + spare * (demands[key] / total)
+        for key, room in rooms.items()
+    }
 
 
 def demand_of(waiting: int, arrivals_per_s: float) -> float:
