Plain wording of a doc comment, and Self as in the other tally

Cause: a doc comment said 'that nobody has heard of', and CustomerWork.aged named its own class as a string while ClassTally.aged returns Self. Change: wording and annotation only. Result: the tests of both modules pass.

--- a/linnetwind/admission/customer_shares.py
+++ b/linnetwind/admission/customer_shares.py
@@ -16,6 +16,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 from math import exp, isfinite
+from typing import Self
 
 from linnetwind.admission.urgency import FLOOR
 
@@ -43,7 +44,7 @@
     served: float
     at: timedelta = timedelta()
 
-    def aged(self, now: timedelta) -> 'CustomerWork':
+    def aged(self, now: timedelta) -> Self:
         """Return the work that is remembered at a later monotonic time."""
         kept = exp(-max(timedelta(), now - self.at) / MEMORY)
         return CustomerWork(self.asked * kept, self.served * kept, now)
--- a/linnetwind/evacuation_feed.py
+++ b/linnetwind/evacuation_feed.py
@@ -94,7 +94,7 @@
         ]
 
     def check_names(self) -> None:
-        """Log evacuations of data centres that nobody has heard of, once."""
+        """Log evacuations of data centres that no host belongs to, once."""
         upstreams = self._state.upstreams
         unknown = upstreams.evacuations.sites
         # Before the upstreams are read, no data centre is known.
