Doc comments name the changes that two functions make beside their result

Cause: renew_allowance also puts customers behind others, and ColdUpstreams.weights discards ended slow starts; neither said so. Change: doc comments only.

--- a/linnetwind/admission/service_demand.py
+++ b/linnetwind/admission/service_demand.py
@@ -84,6 +84,9 @@
 ) -> None:
     """Compute anew how many streams this daemon may run in a group.
 
+    The streams of customers above their share are also put behind the others,
+    as both depend on the totals over the other daemons.
+
     Args:
       service: The service.
       group: The group.
--- a/linnetwind/upstreams/cold_upstreams.py
+++ b/linnetwind/upstreams/cold_upstreams.py
@@ -229,6 +229,8 @@
     def weights(self, now: timedelta) -> Mapping[UpstreamIncarnation, float]:
         """Return the weights of the upstreams in their slow start.
 
+        Discards the state of those whose slow start is over.
+
         Args:
           now: The monotonic time.
 
