--- a/linnetwind/shared_retry_budget_test.py
+++ b/linnetwind/admission/shared_retry_budget_test.py
@@ -4,7 +4,10 @@
 
 import pytest
 
-from linnetwind.shared_retry_budget import RetryBudgetTerms, WindowedRetryBudget
+from linnetwind.admission.shared_retry_budget import (
+    RetryBudgetTerms,
+    WindowedRetryBudget,
+)
 
 SECOND = timedelta(seconds=1)
 TERMS = RetryBudgetTerms(10 * SECOND, 0.2, 88)
--- a/linnetwind/crash_guard_test.py
+++ b/linnetwind/crash_guard_test.py
@@ -6,11 +6,11 @@
 import pytest
 
 from linnetwind.address import Address
+from linnetwind.admission.shared_retry_budget import RetryBudgetTerms
 from linnetwind.clock import SystemClock
 from linnetwind.crash_guard import record_if_crashed
 from linnetwind.gateway_events import UpstreamCrashed
 from linnetwind.gateway_state import GatewayState
-from linnetwind.shared_retry_budget import RetryBudgetTerms
 from linnetwind.upstream_call import BrokenCall, ConnectFailed
 from standins.gateway_fixtures import MS, SECOND, make_upstream
 from standins.gateway_harness import ListLog
--- a/linnetwind/evacuation_feed_test.py
+++ b/linnetwind/evacuation_feed_test.py
@@ -6,6 +6,7 @@
 import pytest
 
 from linnetwind.address import Address
+from linnetwind.admission.shared_retry_budget import RetryBudgetTerms
 from linnetwind.clock import ManualClock
 from linnetwind.cmd_status import SHOWN_METRICS
 from linnetwind.gateway_events import (
@@ -22,7 +23,6 @@
     StoreUnavailable,
     Topic,
 )
-from linnetwind.shared_retry_budget import RetryBudgetTerms
 from linnetwind.upstreams.upstream_list import UpstreamRecord
 from standins.gateway_fixtures import make_peer, make_table, make_upstream
 from standins.gateway_harness import ListLog
--- a/linnetwind/gateway_setup.py
+++ b/linnetwind/gateway_setup.py
@@ -8,6 +8,7 @@
 from linnetwind.address import Address
 from linnetwind.admission.idle_connections import IdleConnections
 from linnetwind.admission.memory_budget import derive_budget
+from linnetwind.admission.shared_retry_budget import RetryBudgetTerms
 from linnetwind.bytes_in_hand import BytesInHand
 from linnetwind.call_types import Dialect
 from linnetwind.clock import Clock
@@ -15,7 +16,6 @@
 from linnetwind.gateway_events import ConnectionsShed
 from linnetwind.gateway_feeds import FeedPorts
 from linnetwind.rank_types import RankPort
-from linnetwind.shared_retry_budget import RetryBudgetTerms
 from linnetwind.upstreams.cold_allowance import ColdBound, ColdTolerance
 from linnetwind.upstreams.upstream_list import Upstream
 
--- a/linnetwind/gateway_state.py
+++ b/linnetwind/gateway_state.py
@@ -13,6 +13,7 @@
 from linnetwind.address import Address
 from linnetwind.admission.admission_policy import CapacityView
 from linnetwind.admission.group_capacity import UNNAMED_GROUP
+from linnetwind.admission.shared_retry_budget import RetryBudgetTerms
 from linnetwind.admission.stream_admission_control import StreamAdmission
 from linnetwind.clock import Clock
 from linnetwind.group_counts import count_by_group
@@ -20,7 +21,6 @@
 from linnetwind.request_counts import RequestCounts
 from linnetwind.request_history import RequestHistory, make_request_history
 from linnetwind.routes import RoutedService, RouteTable
-from linnetwind.shared_retry_budget import RetryBudgetTerms
 from linnetwind.upstream_incarnation import UpstreamIncarnation
 from linnetwind.upstreams.cold_allowance import NO_COLD_BOUND, ColdBound
 from linnetwind.upstreams.upstream_choice import (
--- a/linnetwind/gateway_state_test.py
+++ b/linnetwind/gateway_state_test.py
@@ -9,11 +9,11 @@
 
 from linnetwind.address import Address
 from linnetwind.admission.permit_shares import Demand
+from linnetwind.admission.shared_retry_budget import RetryBudgetTerms
 from linnetwind.clock import ManualClock, SystemClock
 from linnetwind.gateway_state import GatewayState
 from linnetwind.peers.peer_table import ClassLoad, GroupSummary, StreamLoad
 from linnetwind.routes import RoutedService
-from linnetwind.shared_retry_budget import RetryBudgetTerms
 from linnetwind.upstream_incarnation import tag_incarnation
 from linnetwind.upstreams.cold_allowance import ColdBound, ColdTolerance
 from linnetwind.upstreams.cold_upstreams import AdvertisedCold
--- a/linnetwind/peer_mesh_test.py
+++ b/linnetwind/peer_mesh_test.py
@@ -6,11 +6,11 @@
 import pytest
 
 from linnetwind.address import Address
+from linnetwind.admission.shared_retry_budget import RetryBudgetTerms
 from linnetwind.clock import ManualClock
 from linnetwind.gateway_state import GatewayState
 from linnetwind.peer_mesh import LEADERSHIP_DELAY, MeshSettings, PeerMesh
 from linnetwind.peers.peer_wire import StateReader
-from linnetwind.shared_retry_budget import RetryBudgetTerms
 from linnetwind.upstreams.evacuation import Evacuation
 from standins.gateway_fixtures import evacuate, make_peer
 
--- a/linnetwind/platform/gateway_feeds_test.py
+++ b/linnetwind/platform/gateway_feeds_test.py
@@ -12,6 +12,7 @@
 from hypothesis import strategies as st
 
 from linnetwind.address import Address
+from linnetwind.admission.shared_retry_budget import RetryBudgetTerms
 from linnetwind.clock import ManualClock
 from linnetwind.gateway_events import BadRecord, ConfigurationApplied
 from linnetwind.gateway_feeds import FeedPorts, GatewayFeeds
@@ -29,7 +30,6 @@
     Topic,
     Trimmed,
 )
-from linnetwind.shared_retry_budget import RetryBudgetTerms
 from standins.bad_messages import near_misses
 from standins.gateway_fixtures import make_peer
 from standins.gateway_harness import ListLog
--- a/linnetwind/platform/settings.py
+++ b/linnetwind/platform/settings.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from linnetwind.address import Address, parse_address
-from linnetwind.shared_retry_budget import RetryBudgetTerms
+from linnetwind.admission.shared_retry_budget import RetryBudgetTerms
 from linnetwind.upstreams.cold_allowance import ColdTolerance
 
 _SETTINGS_VARIABLE = 'LINNETWIND_CONFIG'
--- a/linnetwind/request_history.py
+++ b/linnetwind/request_history.py
@@ -5,6 +5,10 @@
 from dataclasses import dataclass
 
 from linnetwind.address import Address
+from linnetwind.admission.shared_retry_budget import (
+    RetryBudgetTerms,
+    SharedRetryBudget,
+)
 from linnetwind.clock import Clock
 from linnetwind.crash_tracker import CrashTracker
 from linnetwind.peers.peer_table import (
@@ -14,7 +18,6 @@
     demands_of,
 )
 from linnetwind.refusal_history import RefusalTracker
-from linnetwind.shared_retry_budget import RetryBudgetTerms, SharedRetryBudget
 from linnetwind.upstream_backoff import UpstreamBackoffs
 from linnetwind.upstream_incarnation import UpstreamIncarnation
 from linnetwind.upstreams.cold_allowance import ColdBound
--- a/linnetwind/upstream_acquisition_test.py
+++ b/linnetwind/upstream_acquisition_test.py
@@ -7,10 +7,10 @@
 
 from linnetwind.address import Address
 from linnetwind.admission.retry_times import MAX_RETRY_AFTER
+from linnetwind.admission.shared_retry_budget import RetryBudgetTerms
 from linnetwind.clock import ManualClock
 from linnetwind.gateway_state import GatewayState
 from linnetwind.routes import RoutedService
-from linnetwind.shared_retry_budget import RetryBudgetTerms
 from linnetwind.upstream_acquisition import (
     MIN_RETRY_DELAY,
     acquire_or_wait,
--- a/linnetwind/upstream_refusals_test.py
+++ b/linnetwind/upstream_refusals_test.py
@@ -4,11 +4,11 @@
 from datetime import UTC, datetime
 
 from linnetwind.address import Address
+from linnetwind.admission.shared_retry_budget import RetryBudgetTerms
 from linnetwind.clock import ManualClock
 from linnetwind.gateway_state import GatewayState
 from linnetwind.peers.peer_table import GroupSummary
 from linnetwind.routes import RoutedService
-from linnetwind.shared_retry_budget import RetryBudgetTerms
 from linnetwind.upstreams.upstream_list import UpstreamRecord
 from standins.gateway_fixtures import MS, SECOND, make_engine, make_upstream
 
--- a/standins/bench_state.py
+++ b/standins/bench_state.py
@@ -11,12 +11,12 @@
 from itertools import cycle
 
 from linnetwind.address import Address
+from linnetwind.admission.shared_retry_budget import RetryBudgetTerms
 from linnetwind.clock import SystemClock
 from linnetwind.gateway_state import GatewayState
 from linnetwind.peers.peer_table import GroupSummary, PeerState
 from linnetwind.peers.peer_wire import pack_state
 from linnetwind.routes import RoutedService
-from linnetwind.shared_retry_budget import RetryBudgetTerms
 from linnetwind.upstreams.upstream_list import Upstream, UpstreamRecord
 from standins.gateway_fixtures import MS, SECOND, make_engine, make_upstream
 
--- a/standins/gateway_harness.py
+++ b/standins/gateway_harness.py
@@ -9,6 +9,7 @@
 from linnetwind.address import Address
 from linnetwind.admission.idle_connections import IdleConnections
 from linnetwind.admission.memory_budget import MemoryBudget
+from linnetwind.admission.shared_retry_budget import RetryBudgetTerms
 from linnetwind.bytes_in_hand import BytesInHand
 from linnetwind.call_types import Dialect
 from linnetwind.caller_service import serve_caller
@@ -19,7 +20,6 @@
 from linnetwind.peers.peer_table import GroupSummary
 from linnetwind.request_context import GatewayContext
 from linnetwind.routes import RouteTable
-from linnetwind.shared_retry_budget import RetryBudgetTerms
 from linnetwind.upstream_call import open_call
 from linnetwind.upstreams.upstream_list import UpstreamRecord
 from standins.gateway_fixtures import make_upstream
--- a/standins/planner_harness.py
+++ b/standins/planner_harness.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 
 from linnetwind.address import Address
+from linnetwind.admission.shared_retry_budget import RetryBudgetTerms
 from linnetwind.clock import SystemClock
 from linnetwind.experts.map_planner import MapPlanner
 from linnetwind.gateway_state import GatewayState
@@ -17,7 +18,6 @@
     RankReport,
 )
 from linnetwind.routes import RoutedService, RouteTable
-from linnetwind.shared_retry_budget import RetryBudgetTerms
 from linnetwind.upstreams.upstream_list import UpstreamList, UpstreamRecord
 from standins.gateway_fixtures import (
     make_engine,
--- a/standins/refusal_replay.py
+++ b/standins/refusal_replay.py
@@ -12,12 +12,12 @@
 from datetime import UTC, datetime, timedelta
 
 from linnetwind.address import Address
+from linnetwind.admission.shared_retry_budget import RetryBudgetTerms
 from linnetwind.answer_records import AttemptOutcome, record_outcome
 from linnetwind.call_types import ResponseFacts
 from linnetwind.clock import ManualClock
 from linnetwind.gateway_state import GatewayState
 from linnetwind.routes import RoutedService
-from linnetwind.shared_retry_budget import RetryBudgetTerms
 from linnetwind.upstreams.upstream_list import UpstreamRecord
 from standins.gateway_fixtures import MS, SECOND, make_upstream
 
