Log and count each decision on a retry

The log and the metrics did not tell which retries a budget paid for, by how many gateways the allowance was divided, and how old the process was. No logic is changed.

--- a/linnetwind/admission/shared_retry_budget.py
+++ b/linnetwind/admission/shared_retry_budget.py
@@ -8,6 +8,7 @@
 of each other.
 """
 
+import enum
 import threading
 from collections import deque
 from dataclasses import dataclass
@@ -20,6 +21,27 @@
 SAFETY_FACTOR = 0.7
 
 
+class RetryDecision(enum.Enum):
+    """Whether a retry may be sent, and whether the budget paid for it."""
+
+    COUNTED = 'counted'
+    UNCOUNTED = 'uncounted'
+    DENIED = 'denied'
+
+
+@dataclass(frozen=True, slots=True)
+class RetryBudgetUse:
+    """How much of a service's budget this daemon uses.
+
+    `daemons` share the allowance, `spent` are this daemon's retries within the
+    window, and `uptime` is the time since its budgets were created.
+    """
+
+    daemons: int
+    spent: int
+    uptime: timedelta
+
+
 @dataclass(frozen=True, slots=True)
 class RetryBudgetTerms:
     """The terms of the shared budget.
@@ -87,6 +109,18 @@
         self._retries.append(now)
         return True
 
+    def spent(self, now: timedelta) -> int:
+        """Return the number of retries in the window.
+
+        Args:
+          now: The monotonic time.
+
+        Returns:
+          The retries that were spent.
+        """
+        self._expire(now)
+        return len(self._retries)
+
     def _expire(self, now: timedelta) -> None:
         start = now - self._terms.window
         for times in (self._requests, self._retries):
@@ -106,6 +140,7 @@
         """
         self._terms = terms
         self._clock = clock
+        self._started_at = clock.elapsed()
         self._lock = threading.Lock()
         self._daemons = 1
         self._budgets: dict[str, WindowedRetryBudget] = {}
@@ -152,6 +187,20 @@
         with self._lock:
             return self._budget(service).spend(now, self._daemons)
 
+    def use(self, service: str) -> RetryBudgetUse:
+        """Return how much of a service's budget this daemon uses.
+
+        Args:
+          service: The service.
+
+        Returns:
+          The retries within the window, and what the budget depends on.
+        """
+        now = self._clock.elapsed()
+        with self._lock:
+            spent = self._budget(service).spent(now)
+        return RetryBudgetUse(self._daemons, spent, now - self._started_at)
+
     def _budget(self, service: str) -> WindowedRetryBudget:
         return self._budgets.setdefault(
             service, WindowedRetryBudget(self._terms)
--- a/linnetwind/gateway_metrics.py
+++ b/linnetwind/gateway_metrics.py
@@ -15,6 +15,7 @@
     generate_latest,
 )
 
+from linnetwind.admission.retry_events import RetryDecided
 from linnetwind.admission.service_groups import ClassState
 from linnetwind.daemon_events import BadAnswer
 from linnetwind.daemon_threads import RoundFailed
@@ -57,6 +58,9 @@
             'streams', 'Ended.', 'priority', 'outcome'
         )
         self._attempts = self._counter('attempts_failed', 'Lost.', 'failure')
+        self._retries = self._counter(
+            'retries', 'Of requests.', 'service', 'decision'
+        )
         self._crashes = self._counter('upstreams_crashed', 'Under requests.')
         self._backoffs = self._counter('backoffs_asked', 'Asked.', 'during')
         self._orders = self._counter('rank_orders_failed', 'Not done.', 'order')
@@ -181,6 +185,8 @@
         match event:
             case AttemptFailed():
                 self._attempts.labels(event.failure).inc()
+            case RetryDecided():
+                self._retries.labels(event.service, event.decision).inc()
             case UpstreamCrashed():
                 self._crashes.inc()
             case ConnectionsShed():
--- a/linnetwind/relay.py
+++ b/linnetwind/relay.py
@@ -9,6 +9,7 @@
     RejectStream,
 )
 from linnetwind.admission.queue_order import PermitRequest
+from linnetwind.admission.retry_decision import decide_retry
 from linnetwind.admission.retry_times import clamp_retry_after
 from linnetwind.call_policy import (
     Allowed,
@@ -315,8 +316,13 @@
     ) -> bool:
         if remaining_quarantine(self._tools, context) is not None:
             return False
-        retry_budgets = self._tools.state.request_history.retry_budgets
-        return not retry.counts or retry_budgets.spend(context.service.name)
+        return decide_retry(
+            self._tools.state.request_history.retry_budgets,
+            self._tools.log,
+            context.facts.call_id,
+            context.service.name,
+            counts=retry.counts,
+        )
 
     def _refuse(
         self,
