Track the fleet of daemons apart from the quotas of cold upstreams

The daemons that may be sending, heard or not, are needed for every bound that all of them share. The behaviour of the quotas is unchanged; daemons without a bound for cold upstreams now track and list silent peers as well.

--- a/linnetwind/peer_mesh.py
+++ b/linnetwind/peer_mesh.py
@@ -281,7 +281,7 @@
             self._demands(),
             self._state.upstreams.evacuations.to_advertise,
             self._state.request_history.cold.to_advertise(),
-            self._state.request_history.cold.quotas.unheard(),
+            self._state.request_history.fleet.unheard(),
             self._state.request_history.ejections.to_advertise(),
             self._state.request_history.prompts.to_advertise(),
         )
--- a/linnetwind/request_history.py
+++ b/linnetwind/request_history.py
@@ -24,6 +24,7 @@
 from linnetwind.upstreams.cold_quotas import ColdQuotas, ColdSettings
 from linnetwind.upstreams.cold_upstreams import ColdUpstreams
 from linnetwind.upstreams.ejected_upstreams import EjectedUpstreams
+from linnetwind.upstreams.fleet_tracker import FleetSettings, FleetTracker
 from linnetwind.upstreams.prompt_quarantines import PromptQuarantines
 from linnetwind.upstreams.upstream_limits import ServiceDemand, UpstreamLimits
 
@@ -40,6 +41,7 @@
     `limits` the upstreams' limits on requests per second, `backoffs` the
     upstreams that currently accept no requests, `cold` those that have just
     started, and `ejections` those that refuse or fail too many requests.
+    `fleet` are the daemons among which shared bounds are divided.
     """
 
     retry_budgets: SharedRetryBudget
@@ -50,6 +52,7 @@
     backoffs: UpstreamBackoffs
     cold: ColdUpstreams
     ejections: EjectedUpstreams
+    fleet: FleetTracker
 
     def keep_only(self, lives: Collection[UpstreamIncarnation]) -> None:
         """Discard what is known of upstreams that are not registered.
@@ -74,7 +77,7 @@
             self.prompts.merge_advertised(news)
         self.retry_budgets.set_daemon_count(daemons)
         self.limits.merge_advertised(state.limits)
-        self.cold.quotas.hear_peer(
+        self.fleet.hear_peer(
             state.address,
             (*state.members, *state.unheard),
             leaving=state.leaving,
@@ -106,10 +109,10 @@
         own_demand = ServiceDemand(service, retry_budgets.demand(service))
         return demands_of(peers(), own_demand, clock.elapsed())
 
-    cold_settings = ColdSettings(
-        bound, peers().own, lambda: peers().peer_timeout, PEER_EXPIRY
-    )
-    cold = ColdUpstreams(ColdQuotas(cold_settings, clock), clock)
+    fleet_settings = FleetSettings(peers().own, bound.has_peers, PEER_EXPIRY)
+    fleet = FleetTracker(fleet_settings, clock)
+    cold_settings = ColdSettings(bound, lambda: peers().peer_timeout)
+    cold = ColdUpstreams(ColdQuotas(cold_settings, fleet), clock)
     return RequestHistory(
         retry_budgets,
         RefusalTracker(clock),
@@ -119,6 +122,7 @@
         UpstreamBackoffs(clock),
         cold,
         EjectedUpstreams(clock, _spread(peers().own)),
+        fleet,
     )
 
 
--- a/linnetwind/upstreams/cold_upstreams_test.py
+++ b/linnetwind/upstreams/cold_upstreams_test.py
@@ -22,6 +22,7 @@
     RETENTION,
     FleetMembers,
 )
+from linnetwind.upstreams.fleet_tracker import FleetSettings, FleetTracker
 from linnetwind.upstreams.limit_share import SendWindow, window_quota
 from linnetwind.upstreams.upstream_limits import UpstreamLimits
 from linnetwind.upstreams.upstream_list import UpstreamList, UpstreamRecord
@@ -44,11 +45,17 @@
     return clock
 
 
-def _cold(clock, *, has_peers=False, tolerance=TOLERANCE, service=SERVICE):
+def _fleet(clock, *, has_peers=False):
+    return FleetTracker(FleetSettings(OWN, has_peers), clock)
+
+
+def _cold(clock, fleet=None, *, tolerance=TOLERANCE, service=SERVICE):
+    fleet = fleet or _fleet(clock)
     settings = ColdSettings(
-        ColdBound(tolerance, has_peers), OWN, lambda: SECOND / 2
+        ColdBound(tolerance, has_peers=not fleet.knows_peers),
+        lambda: SECOND / 2,
     )
-    cold = ColdUpstreams(ColdQuotas(settings, clock), clock)
+    cold = ColdUpstreams(ColdQuotas(settings, fleet), clock)
     cold.apply_services({'plain': service})
     return cold
 
@@ -193,13 +200,14 @@
 
 def test_a_daemon_that_has_just_started_waits_for_its_peers(clock):
     # It knows none of the others, which divide the bound without it.
-    cold = _cold(clock, has_peers=True)
+    fleet = _fleet(clock, has_peers=True)
+    cold = _cold(clock, fleet)
     upstream = make_upstream('a', cold=COLD_TIME)
     _register(cold, upstream)
-    cold.quotas.hear_peer(PEER, (OWN,), leaving=False)
+    fleet.hear_peer(PEER, (OWN,), leaving=False)
     assert _sent_at_once(cold, clock, upstream) == 0
     clock.advance(SECOND)
-    cold.quotas.hear_peer(PEER, (OWN, THIRD), leaving=False)
+    fleet.hear_peer(PEER, (OWN, THIRD), leaving=False)
     clock.advance(SECOND)
     assert _sent_at_once(cold, clock, upstream) == 0
     clock.advance(SECOND)
@@ -207,7 +215,7 @@
 
 
 def test_a_daemon_that_hears_no_peer_sends_one_request_at_a_time(clock):
-    cold = _cold(clock, has_peers=True)
+    cold = _cold(clock, _fleet(clock, has_peers=True))
     upstream = make_upstream('a', cold=COLD_TIME)
     _register(cold, upstream)
     clock.advance(2 * SECOND)
--- a/linnetwind/upstreams/fleet_members.py
+++ b/linnetwind/upstreams/fleet_members.py
@@ -1,10 +1,10 @@
 """The daemons that may be sending requests, heard or not.
 
-The bound for cold upstreams is divided among all daemons. A daemon that is not
-heard any more may be dead, or may serve callers on the other side of a broken
-link; only one that said that it leaves is known to have stopped. This handles
-two halves of the daemons that do not hear each other, and daemons that have
-just started and know no others yet.
+The bounds for cold upstreams and for retries are divided among all daemons. A
+daemon that is not heard any more may be dead, or may serve callers on the other
+side of a broken link; only one that said that it leaves is known to have
+stopped. This handles two halves of the daemons that do not hear each other, and
+daemons that have just started and know no others yet.
 """
 
 from collections.abc import Iterable, Mapping
@@ -37,6 +37,7 @@
       heard: When each daemon was last heard, or first listed by a peer.
       left: When a daemon was last heard to be leaving.
       hears_peers: Whether any peer has been heard since the start.
+      left_silence: How long a daemon that has left still counts.
     """
 
     own: Address
@@ -44,6 +45,7 @@
     heard: Mapping[Address, timedelta] = field(default_factory=dict)
     left: Mapping[Address, timedelta] = field(default_factory=dict)
     hears_peers: bool = False
+    left_silence: timedelta = LEFT_SILENCE
 
     def hear(
         self,
@@ -121,4 +123,4 @@
         return frozenset(map(str, (self.own, *self.heard)))
 
     def _retention(self, peer: Address) -> timedelta:
-        return LEFT_SILENCE if peer in self.left else RETENTION
+        return self.left_silence if peer in self.left else RETENTION
--- a/standins/cold_fleet.py
+++ b/standins/cold_fleet.py
@@ -13,6 +13,7 @@
 from linnetwind.upstreams.cold_allowance import ColdBound, ColdTolerance
 from linnetwind.upstreams.cold_quotas import ColdQuotas, ColdSettings
 from linnetwind.upstreams.cold_upstreams import ColdUpstreams
+from linnetwind.upstreams.fleet_tracker import FleetSettings, FleetTracker
 from linnetwind.upstreams.upstream_limits import UpstreamLimits
 from linnetwind.upstreams.upstream_list import UpstreamList, UpstreamRecord
 from standins.gateway_fixtures import make_upstream
@@ -65,10 +66,11 @@
 class _Daemon:
     def __init__(self, clock, address, interval_s):
         timeout = 3 * interval_s * SECOND
+        self.fleet = FleetTracker(FleetSettings(address, has_peers=True), clock)
         settings = ColdSettings(
-            ColdBound(TOLERANCE, has_peers=True), address, lambda: timeout
+            ColdBound(TOLERANCE, has_peers=True), lambda: timeout
         )
-        self.cold = ColdUpstreams(ColdQuotas(settings, clock), clock)
+        self.cold = ColdUpstreams(ColdQuotas(settings, self.fleet), clock)
         self.limits = UpstreamLimits(clock, str(address), dict, self.cold)
         self.address = address
         self.known = set()
@@ -189,7 +191,7 @@
         daemon = self._daemons[number]
         daemon.known.update(listed, (peer,))
         daemon.known.discard(daemon.address)
-        daemon.cold.quotas.hear_peer(peer, listed, leaving=False)
+        daemon.fleet.hear_peer(peer, listed, leaving=False)
 
     def _call(self, number):
         cold = self._now_s() >= self._scene.returns_s
