Test of a broken group waits for the end of the first request

The end of a request is logged after its answer: beside load the second request may be logged first, and the test looked at the wrong one. Seen once; with the first line delayed by 0.3 s the old test always fails and this one passes.

--- a/linnetwind/platform/gateway_crashes_test.py
+++ b/linnetwind/platform/gateway_crashes_test.py
@@ -90,6 +90,7 @@
     # streams, stall with them and refuse them later.
     gateway.add(_crash, 'model')
     gateway.ask(STREAM)
+    gateway.log.first(RequestEnded)
     other = gateway.add(_crash, 'model')
     status, headers, _body = gateway.ask(
         STREAM.replace('/stream/1', '/stream/2')
