Retries stay within the shared budget across starts, cuts and moves

What callers saw: nothing at first.

Cause: what a gateway may send was divided by the peers it had heard so far, forgotten when its process ended, and paid for by the requests of its own last window, wherever their callers went next. A kill or a move of callers between two outages spent a fifth of two windows of requests within one.

Change: each request pays for 0.45 of the ratio, once and within the window, so that two windows of requests never pay for more than one may; a new process has a small part of the allowance until the window has passed; the allowance is divided among all daemons that may be alive, heard or not, and not used without contact to any.

Ruled out: sends put down as not reached (both places have sent nothing), resumed streams (each is counted).

--- a/linnetwind/admission/retry_decision_test.py
+++ b/linnetwind/admission/retry_decision_test.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from linnetwind.address import Address
 from linnetwind.admission.retry_decision import decide_retry
 from linnetwind.admission.retry_events import RetryDecided
 from linnetwind.admission.shared_retry_budget import (
@@ -12,6 +13,7 @@
 )
 from linnetwind.clock import ManualClock
 from linnetwind.gateway_metrics import GatewayMetrics
+from linnetwind.upstreams.fleet_tracker import FleetSettings, FleetTracker
 from standins.gateway_harness import ListLog
 
 SECOND = timedelta(seconds=1)
@@ -31,7 +33,8 @@
 ):
     clock = ManualClock(datetime(2026, 1, 1, tzinfo=UTC))
     terms = RetryBudgetTerms(10 * SECOND, 0, allowance)
-    budgets = SharedRetryBudget(terms, clock)
+    fleet = FleetTracker(FleetSettings(Address('10.0.0.1', 7)), clock)
+    budgets = SharedRetryBudget(terms, clock, fleet, clock.elapsed())
     clock.advance(UPTIME)
     log = ListLog()
     may_send = decide_retry(budgets, log, 'call', 'plain', counts=counts)
--- a/linnetwind/admission/retry_events.py
+++ b/linnetwind/admission/retry_events.py
@@ -9,13 +9,13 @@
     """The retry budget of a service allowed or denied a retry.
 
     `daemons` are the gateways that share the allowance as this one counts
-    them, `spent` are its own retries within the window, and `uptime` is the
-    time since its process started.
+    them, None if it knows none of its peers. `spent` are its own retries that
+    still count, and `uptime` is the time since its process started.
     """
 
     request: str
     service: str
     decision: str
-    daemons: int
+    daemons: int | None
     spent: int
     uptime: timedelta
--- a/linnetwind/admission/shared_retry_budget.py
+++ b/linnetwind/admission/shared_retry_budget.py
@@ -2,10 +2,14 @@
 
 A retry sends a request to another upstream. In any time window the retries of
 all daemons may be a fraction of the requests plus a fixed allowance. Without a
-budget, a failing service would get twice its load just when it fails. Each
-daemon uses its own requests and its part of the allowance. This needs no
-messages, and the sum stays within the shared budget whatever the daemons know
-of each other.
+budget, a failing service would get twice its load just when it fails.
+
+The sum stays within the shared budget without messages about it, whichever
+daemons are restarted, cut off or take over each other's callers. Each request
+pays for half of the fraction, once and within the window: retries of one window
+are paid for by the requests of at most two. The allowance is divided among all
+daemons that may be alive, and a daemon that has just started has only a small
+part of it, since its previous process may have spent the rest.
 """
 
 import enum
@@ -15,10 +19,19 @@
 from datetime import timedelta
 
 from linnetwind.clock import Clock
+from linnetwind.upstreams.fleet_tracker import FleetTracker
 
-# The fraction of the budget that is used. Upstreams count a retry a little
-# later than the daemon that sends it, and their windows start at other times.
-SAFETY_FACTOR = 0.7
+# The part of the budget's ratio that a request pays for. The rest of the half
+# covers retries that arrive some time after they were allowed.
+_REQUEST_PART = 0.45
+# The parts of the allowance that the running daemons spend in a window, and
+# that those which have started within it spend in addition.
+_ALLOWANCE_PART = 0.7
+_START_PART = 0.2
+# The most by which sums of parts of a retry are rounded.
+_ROUNDING = 1e-6
+# How much later than it was allowed a retry may arrive.
+_MAX_DELAY = timedelta(seconds=2)
 
 
 class RetryDecision(enum.Enum):
@@ -33,11 +46,12 @@
 class RetryBudgetUse:
     """How much of a service's budget this daemon uses.
 
-    `daemons` share the allowance, `spent` are this daemon's retries within the
-    window, and `uptime` is the time since its budgets were created.
+    `daemons` share the allowance, None if this daemon knows none of its peers.
+    `spent` are this daemon's retries that still count, and `uptime` is the
+    time since it started.
     """
 
-    daemons: int
+    daemons: int | None
     spent: int
     uptime: timedelta
 
@@ -54,19 +68,57 @@
     ratio: float
     allowance: float
 
+    @property
+    def longest_use(self) -> timedelta:
+        """Return how long a retry counts: the window, from its arrival on."""
+        return self.window + _MAX_DELAY
+
+
+class _RequestCredit:
+    """The retries that callers' requests pay for, each within the window."""
+
+    def __init__(self, terms: RetryBudgetTerms) -> None:
+        self._window = terms.window
+        self._per_request = _REQUEST_PART * terms.ratio
+        self._unspent: deque[timedelta] = deque()
+        # What is spent of the oldest request's credit.
+        self._spent_of_oldest: float = 0
+
+    def add_request(self, now: timedelta) -> None:
+        self._unspent.append(now)
+
+    def available(self, now: timedelta) -> float:
+        """Return the unspent credit in retries, after expiring old requests."""
+        start = now - self._window
+        while self._unspent and self._unspent[0] < start:
+            self._unspent.popleft()
+            self._spent_of_oldest = 0
+        return len(self._unspent) * self._per_request - self._spent_of_oldest
+
+    def spend(self, amount: float) -> None:
+        """Spend credit of the oldest requests; `amount` is available."""
+        self._spent_of_oldest += amount
+        while self._unspent and self._spent_of_oldest >= self._per_request:
+            self._unspent.popleft()
+            self._spent_of_oldest -= self._per_request
+
 
 class WindowedRetryBudget:
     """The retries that this daemon may still send to one service."""
 
-    def __init__(self, terms: RetryBudgetTerms) -> None:
-        """Start with nothing spent.
+    def __init__(self, terms: RetryBudgetTerms, started_at: timedelta) -> None:
+        """Start with nothing to spend.
 
         Args:
           terms: The terms of the shared budget.
+          started_at: The monotonic time at which this daemon started.
         """
         self._terms = terms
+        self._started_at = started_at
         self._requests: deque[timedelta] = deque()
-        self._retries: deque[timedelta] = deque()
+        self._credit = _RequestCredit(terms)
+        # The retries still in use, with what each took of the allowance.
+        self._retries: deque[tuple[timedelta, float]] = deque()
 
     def count_request(self, now: timedelta) -> None:
         """Count a caller's request.
@@ -75,6 +127,7 @@
           now: The monotonic time.
         """
         self._requests.append(now)
+        self._credit.add_request(now)
         self._expire(now)
 
     def demand(self, now: timedelta) -> float:
@@ -89,70 +142,83 @@
         self._expire(now)
         return len(self._requests) / self._terms.window.total_seconds()
 
-    def spend(self, now: timedelta, daemons: int) -> bool:
-        """Spend one retry if the budget allows it.
+    def spent(self, now: timedelta) -> int:
+        """Return the number of retries that still count.
 
         Args:
           now: The monotonic time.
-          daemons: How many daemons share the allowance.
 
         Returns:
-          Whether the retry may be sent.
+          The retries that were spent.
         """
         self._expire(now)
-        own_allowance = self._terms.allowance / max(1, daemons)
-        limit = SAFETY_FACTOR * (
-            self._terms.ratio * len(self._requests) + own_allowance
-        )
-        if len(self._retries) + 1 > limit:
-            return False
-        self._retries.append(now)
-        return True
+        return len(self._retries)
 
-    def spent(self, now: timedelta) -> int:
-        """Return the number of retries in the window.
+    def spend(self, now: timedelta, daemons: int | None) -> bool:
+        """Spend one retry if the budget allows it.
 
         Args:
           now: The monotonic time.
+          daemons: How many daemons share the allowance, None if that is
+            unknown.
 
         Returns:
-          The retries that were spent.
+          Whether the retry may be sent.
         """
         self._expire(now)
-        return len(self._retries)
+        paid_by_requests = min(1, self._credit.available(now))
+        rest = 1 - paid_by_requests
+        if rest > self._allowance_left(now, daemons) + _ROUNDING:
+            return False
+        self._credit.spend(paid_by_requests)
+        self._retries.append((now, rest))
+        return True
+
+    def _allowance_left(self, now: timedelta, daemons: int | None) -> float:
+        if daemons is None:
+            return 0
+        own_allowance = self._terms.allowance / daemons
+        uptime = now - self._started_at
+        if uptime >= self._terms.longest_use:
+            limit = _ALLOWANCE_PART * own_allowance
+        else:
+            limit = _START_PART * own_allowance * (uptime / self._terms.window)
+        return limit - sum(taken for _at, taken in self._retries)
 
     def _expire(self, now: timedelta) -> None:
-        start = now - self._terms.window
-        for times in (self._requests, self._retries):
-            while times and times[0] < start:
-                times.popleft()
+        window_start = now - self._terms.window
+        while self._requests and self._requests[0] < window_start:
+            self._requests.popleft()
+        oldest_use = now - self._terms.longest_use
+        while self._retries and self._retries[0][0] < oldest_use:
+            self._retries.popleft()
 
 
 class SharedRetryBudget:
     """This daemon's budgets for all services; may be used from any thread."""
 
-    def __init__(self, terms: RetryBudgetTerms, clock: Clock) -> None:
-        """Start as the only daemon.
+    def __init__(
+        self,
+        terms: RetryBudgetTerms,
+        clock: Clock,
+        fleet: FleetTracker,
+        started_at: timedelta,
+    ) -> None:
+        """Start with nothing to spend.
 
         Args:
           terms: The terms of the shared budget of each service.
           clock: For the windows.
+          fleet: The daemons that share the allowance.
+          started_at: The monotonic time at which this daemon started.
         """
         self._terms = terms
         self._clock = clock
-        self._started_at = clock.elapsed()
+        self._fleet = fleet
+        self._started_at = started_at
         self._lock = threading.Lock()
-        self._daemons = 1
         self._budgets: dict[str, WindowedRetryBudget] = {}
 
-    def set_daemon_count(self, daemons: int) -> None:
-        """Set how many daemons share the allowance.
-
-        Args:
-          daemons: The number of daemons, this one included.
-        """
-        self._daemons = daemons
-
     def count_request(self, service: str) -> None:
         """Count a caller's request.
 
@@ -185,7 +251,7 @@
         """
         now = self._clock.elapsed()
         with self._lock:
-            return self._budget(service).spend(now, self._daemons)
+            return self._budget(service).spend(now, self._daemons())
 
     def use(self, service: str) -> RetryBudgetUse:
         """Return how much of a service's budget this daemon uses.
@@ -194,14 +260,17 @@
           service: The service.
 
         Returns:
-          The retries within the window, and what the budget depends on.
+          The retries that still count, and what the budget depends on.
         """
         now = self._clock.elapsed()
         with self._lock:
             spent = self._budget(service).spent(now)
-        return RetryBudgetUse(self._daemons, spent, now - self._started_at)
+        return RetryBudgetUse(self._daemons(), spent, now - self._started_at)
+
+    def _daemons(self) -> int | None:
+        return len(self._fleet.names) if self._fleet.knows_peers else None
 
     def _budget(self, service: str) -> WindowedRetryBudget:
         return self._budgets.setdefault(
-            service, WindowedRetryBudget(self._terms)
+            service, WindowedRetryBudget(self._terms, self._started_at)
         )
--- a/linnetwind/admission/shared_retry_budget_test.py
+++ b/linnetwind/admission/shared_retry_budget_test.py
@@ -1,24 +1,45 @@
 """Tests of the shared budget of retries."""
 
-from datetime import timedelta
+from datetime import UTC, datetime, timedelta
 
 import pytest
 
+from linnetwind.address import Address
 from linnetwind.admission.shared_retry_budget import (
     RetryBudgetTerms,
+    SharedRetryBudget,
     WindowedRetryBudget,
 )
+from linnetwind.clock import ManualClock
+from linnetwind.upstreams.fleet_tracker import FleetSettings, FleetTracker
 
 SECOND = timedelta(seconds=1)
 TERMS = RetryBudgetTerms(10 * SECOND, 0.2, 88)
+ALLOWANCE = RetryBudgetTerms(10 * SECOND, 0, 10)
+LONG_UP = timedelta(hours=-1)
+OWN = Address('10.0.0.1', 7)
+PEER = Address('10.0.0.2', 7)
 
 
+def _spend_all(budget, now, daemons=1):
+    """Spend as many retries as the budget allows; return their number."""
+    spent = 0
+    while budget.spend(now, daemons):
+        spent += 1
+    return spent
+
+
+@pytest.mark.parametrize('started_at', [LONG_UP, timedelta()])
 @pytest.mark.parametrize('daemons', [1, 4, 16])
-def test_all_daemons_together_stay_within_the_shared_budget(daemons):
+def test_all_daemons_together_stay_within_the_shared_budget(
+    daemons, started_at
+):
     # Every request to its first upstream fails, at all daemons, for longer than
     # the window. The budget must keep the service from getting twice its load,
     # and let callers see failures instead.
-    budgets = [WindowedRetryBudget(TERMS) for _daemon in range(daemons)]
+    budgets = [
+        WindowedRetryBudget(TERMS, started_at) for _daemon in range(daemons)
+    ]
     retried_at = []
     for tick in range(300):
         now = SECOND * tick / 10
@@ -35,8 +56,63 @@
 
 
 def test_spent_retries_expire_with_the_window():
-    budget = WindowedRetryBudget(RetryBudgetTerms(10 * SECOND, 0.0, 10))
-    while budget.spend(SECOND, 1):
-        continue
-    assert not budget.spend(10 * SECOND, 1)
-    assert budget.spend(12 * SECOND, 1)
+    budget = WindowedRetryBudget(ALLOWANCE, LONG_UP)
+    assert _spend_all(budget, SECOND) > 0
+    # A retry may have arrived up to two seconds after it was allowed.
+    assert not budget.spend(12 * SECOND, 1)
+    assert budget.spend(14 * SECOND, 1)
+
+
+def test_a_new_process_gets_its_allowance_bit_by_bit():
+    """Guards against a process that spends what the one before it spent."""
+    budget = WindowedRetryBudget(ALLOWANCE, SECOND)
+    assert _spend_all(budget, SECOND) == 0
+    assert _spend_all(budget, 6 * SECOND) == 1
+    assert _spend_all(budget, 12 * SECOND) == 1
+    assert _spend_all(budget, 14 * SECOND) == 5
+
+
+def test_a_request_pays_once_and_within_the_window():
+    """Guards against retries that are paid for by requests of long ago."""
+    budget = WindowedRetryBudget(RetryBudgetTerms(10 * SECOND, 0.2, 0), LONG_UP)
+    for _request in range(100):
+        budget.count_request(SECOND)
+    assert _spend_all(budget, 2 * SECOND) == 9
+    for _request in range(100):
+        budget.count_request(5 * SECOND)
+    assert _spend_all(budget, 12 * SECOND) == 9
+    assert _spend_all(budget, 16 * SECOND) == 0
+
+
+def test_requests_and_allowance_add_up_to_whole_retries():
+    """Guards against parts of a retry that many daemons can never use."""
+    budget = WindowedRetryBudget(
+        RetryBudgetTerms(10 * SECOND, 0.2, 10), LONG_UP
+    )
+    for _request in range(6):
+        budget.count_request(SECOND)
+    assert _spend_all(budget, SECOND, daemons=14) == 1
+
+
+def test_a_daemon_without_contact_to_peers_has_no_allowance():
+    """Guards against a daemon that takes the whole allowance for itself."""
+    clock = ManualClock(datetime(2026, 1, 1, tzinfo=UTC))
+    fleet = FleetTracker(FleetSettings(OWN, has_peers=True), clock)
+    budgets = SharedRetryBudget(TERMS, clock, fleet, clock.elapsed())
+    clock.advance(timedelta(hours=1))
+    assert not budgets.spend('plain')
+    assert budgets.use('plain').daemons is None
+    fleet.hear_peer(PEER, (), leaving=False)
+    assert budgets.spend('plain')
+    assert budgets.use('plain').daemons == 2
+
+
+def test_a_silent_daemon_keeps_its_part_of_the_allowance():
+    """Guards against halves without contact that each spend all of it."""
+    clock = ManualClock(datetime(2026, 1, 1, tzinfo=UTC))
+    fleet = FleetTracker(FleetSettings(OWN, has_peers=True), clock)
+    budgets = SharedRetryBudget(TERMS, clock, fleet, LONG_UP)
+    fleet.hear_peer(PEER, (), leaving=False)
+    clock.advance(timedelta(minutes=2))
+    fleet.hear_peer(Address('10.0.0.3', 7), (), leaving=False)
+    assert budgets.use('plain').daemons == 3
--- a/linnetwind/gateway_state.py
+++ b/linnetwind/gateway_state.py
@@ -49,6 +49,7 @@
         own: Address,
         terms: RetryBudgetTerms,
         bound: ColdBound = NO_COLD_BOUND,
+        started_at: timedelta | None = None,
     ) -> None:
         """Start without configuration, upstreams and peers.
 
@@ -57,6 +58,8 @@
           own: The address at which peers reach this daemon.
           terms: The terms of the shared retry budget.
           bound: The bound for cold upstreams.
+          started_at: The monotonic time at which the daemon started, None for
+            now.
         """
         self._clock = clock
         self._lock = threading.Lock()
@@ -67,7 +70,11 @@
         self._timeouts_checked_at = timedelta()
         self._records = UpstreamRecords(clock)
         self._history = make_request_history(
-            terms, clock, lambda: self._peer_table, bound
+            terms,
+            clock,
+            lambda: self._peer_table,
+            bound,
+            clock.elapsed() if started_at is None else started_at,
         )
         self._admission = StreamAdmission(clock)
         self._expiry_checked_at = timedelta()
@@ -174,9 +181,7 @@
             if now - self._expiry_checked_at > _EXPIRY_CHECK_INTERVAL:
                 self._expiry_checked_at = now
                 self._peer_table = self._peer_table.expire_peers(now)
-        self._history.merge_advertised(
-            state, 1 + len(self._peer_table.received)
-        )
+        self._history.merge_advertised(state)
         self._admission.peer_totals.merge(state.name, received.loads)
         for summary in state.groups:
             self._admission.apply_summary(summary)
--- a/linnetwind/request_history.py
+++ b/linnetwind/request_history.py
@@ -3,6 +3,7 @@
 import zlib
 from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass
+from datetime import timedelta
 
 from linnetwind.address import Address
 from linnetwind.admission.shared_retry_budget import (
@@ -24,6 +25,7 @@
 from linnetwind.upstreams.cold_quotas import ColdQuotas, ColdSettings
 from linnetwind.upstreams.cold_upstreams import ColdUpstreams
 from linnetwind.upstreams.ejected_upstreams import EjectedUpstreams
+from linnetwind.upstreams.fleet_members import LEFT_SILENCE
 from linnetwind.upstreams.fleet_tracker import FleetSettings, FleetTracker
 from linnetwind.upstreams.prompt_quarantines import PromptQuarantines
 from linnetwind.upstreams.upstream_limits import ServiceDemand, UpstreamLimits
@@ -64,18 +66,16 @@
         self.cold.keep_only(lives)
         self.ejections.keep_only(lives)
 
-    def merge_advertised(self, state: PeerState, daemons: int) -> None:
+    def merge_advertised(self, state: PeerState) -> None:
         """Merge the state that a peer sent.
 
         Args:
           state: The peer's state.
-          daemons: The number of daemons, including this one.
         """
         self.refusals.merge_advertised(state.refused)
         self.crashes.merge_advertised(state.crashes, state.answered)
         for news in state.prompts:
             self.prompts.merge_advertised(news)
-        self.retry_budgets.set_daemon_count(daemons)
         self.limits.merge_advertised(state.limits)
         self.fleet.hear_peer(
             state.address,
@@ -91,6 +91,7 @@
     clock: Clock,
     peers: Callable[[], PeerTable],
     bound: ColdBound,
+    started_at: timedelta,
 ) -> RequestHistory:
     """Return an empty request history.
 
@@ -99,18 +100,18 @@
       clock: The clock for expiring records.
       peers: Returns the current states of the peers.
       bound: The bound for cold upstreams.
+      started_at: The monotonic time at which this daemon started.
 
     Returns:
       The request history.
     """
-    retry_budgets = SharedRetryBudget(terms, clock)
+    fleet = FleetTracker(_fleet_settings(terms, peers().own, bound), clock)
+    retry_budgets = SharedRetryBudget(terms, clock, fleet, started_at)
 
     def demands(service: str) -> Mapping[str, float]:  # noqa: WPS430
         own_demand = ServiceDemand(service, retry_budgets.demand(service))
         return demands_of(peers(), own_demand, clock.elapsed())
 
-    fleet_settings = FleetSettings(peers().own, bound.has_peers, PEER_EXPIRY)
-    fleet = FleetTracker(fleet_settings, clock)
     cold_settings = ColdSettings(bound, lambda: peers().peer_timeout)
     cold = ColdUpstreams(ColdQuotas(cold_settings, fleet), clock)
     return RequestHistory(
@@ -126,6 +127,14 @@
     )
 
 
+def _fleet_settings(
+    terms: RetryBudgetTerms, own: Address, bound: ColdBound
+) -> FleetSettings:
+    """Return the settings with which no bound is divided among too few."""
+    left_silence = max(LEFT_SILENCE, terms.longest_use)
+    return FleetSettings(own, bound.has_peers, PEER_EXPIRY, left_silence)
+
+
 def _spread(own: Address) -> float:
     """Return a number from 0 to 1 that differs from daemon to daemon."""
     return zlib.crc32(str(own).encode()) / _MAX_CRC32
--- a/standins/gateway_harness.py
+++ b/standins/gateway_harness.py
@@ -26,6 +26,7 @@
 from standins.scripted_upstream import ScriptedUpstream, serve_in_threads
 
 _STOP_WITHIN = timedelta(seconds=8)
+_UPTIME = timedelta(hours=1)
 
 
 @dataclass
@@ -75,10 +76,15 @@
             lambda _now: Fleet((), 1),
         )
         terms = RetryBudgetTerms(timedelta(seconds=10), 0.2, 88)
-        self.state = GatewayState(self.clock, Address('127.0.0.1', 1), terms)
+        # It has been up for long: a planner has told of a group.
+        self.state = GatewayState(
+            self.clock,
+            Address('127.0.0.1', 1),
+            terms,
+            started_at=self.clock.elapsed() - _UPTIME,
+        )
         if table is not None:
             self.state.apply_table(table)
-        # It has been up for long: a planner has told of a group.
         told = GroupSummary('model', 'group', 1, True, 1.5, 0, ())
         self.state.stream_admission.apply_summary(told)
         self.bytes_in_hand = BytesInHand(memory)
--- a/standins/retry_replay.py
+++ b/standins/retry_replay.py
@@ -14,6 +14,7 @@
 from linnetwind.admission.shared_retry_budget import RetryBudgetTerms
 from linnetwind.clock import ManualClock
 from linnetwind.gateway_state import GatewayState
+from linnetwind.upstreams.cold_allowance import ColdBound
 from standins.gateway_fixtures import make_peer
 
 SERVICE = 'model'
@@ -133,7 +134,10 @@
 
     def _start(self, number: int) -> GatewayState:
         self._starts[number] += 1
-        return GatewayState(self._clock, _address(number), self.scene.terms)
+        bound = ColdBound(has_peers=True)
+        return GatewayState(
+            self._clock, _address(number), self.scene.terms, bound
+        )
 
     def _apply_due(self) -> None:
         now = self._clock.elapsed()
@@ -164,6 +168,7 @@
                 address=_address(sender),
                 leaving=sender in self._leaving,
                 members=tuple(self._states[sender].peer_table.known_addresses),
+                unheard=self._states[sender].request_history.fleet.unheard(),
             )
             for receiver in filter(self._is_up, self._states):
                 if receiver != sender and self._hears(sender, receiver):
