Requests pay for retries only within a window, on the own interface too

What callers saw: after a long time without failures an entry daemon retried up to a hundred requests of an outage at once.

Cause: the tokens that requests add never expired. The same class as the shared budget: retries paid for by the requests of another time.

Change: both budgets use RequestCredit.

--- a/linnetwind/admission/shared_retry_budget.py
+++ b/linnetwind/admission/shared_retry_budget.py
@@ -18,6 +18,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from linnetwind.admission.request_credit import RequestCredit
 from linnetwind.clock import Clock
 from linnetwind.upstreams.fleet_tracker import FleetTracker
 
@@ -74,35 +75,6 @@
         return self.window + _MAX_DELAY
 
 
-class _RequestCredit:
-    """The retries that callers' requests pay for, each within the window."""
-
-    def __init__(self, terms: RetryBudgetTerms) -> None:
-        self._window = terms.window
-        self._per_request = _REQUEST_PART * terms.ratio
-        self._unspent: deque[timedelta] = deque()
-        # What is spent of the oldest request's credit.
-        self._spent_of_oldest: float = 0
-
-    def add_request(self, now: timedelta) -> None:
-        self._unspent.append(now)
-
-    def available(self, now: timedelta) -> float:
-        """Return the unspent credit in retries, after expiring old requests."""
-        start = now - self._window
-        while self._unspent and self._unspent[0] < start:
-            self._unspent.popleft()
-            self._spent_of_oldest = 0
-        return len(self._unspent) * self._per_request - self._spent_of_oldest
-
-    def spend(self, amount: float) -> None:
-        """Spend credit of the oldest requests; `amount` is available."""
-        self._spent_of_oldest += amount
-        while self._unspent and self._spent_of_oldest >= self._per_request:
-            self._unspent.popleft()
-            self._spent_of_oldest -= self._per_request
-
-
 class WindowedRetryBudget:
     """The retries that this daemon may still send to one service."""
 
@@ -116,7 +88,7 @@
         self._terms = terms
         self._started_at = started_at
         self._requests: deque[timedelta] = deque()
-        self._credit = _RequestCredit(terms)
+        self._credit = RequestCredit(terms.window, _REQUEST_PART * terms.ratio)
         # The retries still in use, with what each took of the allowance.
         self._retries: deque[tuple[timedelta, float]] = deque()
 
--- a/linnetwind/dispatch.py
+++ b/linnetwind/dispatch.py
@@ -61,7 +61,7 @@
         self._clock = clock
         self._rng = rng
         self._call_numbers = count()
-        self._budget = RetryBudget(0)
+        self._budget = RetryBudget(clock)
         self._crashes = DispatchCrashTracker(clock)
         self._lock = links.lock
 
@@ -81,8 +81,7 @@
         deadline = self._clock.elapsed() + request.timeout
         base = self._fleet.base
         attempts = base.routing.max_attempts if base else 1
-        self._budget.ratio = base.routing.retry_budget if base else 0
-        self._budget.earn()
+        self._budget.earn(base.routing.retry_budget if base else 0)
         tried: set[str] = set()
         while True:
             attempts -= 1
--- a/linnetwind/retry.py
+++ b/linnetwind/retry.py
@@ -7,10 +7,18 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from linnetwind.admission.request_credit import RequestCredit
+from linnetwind.clock import Clock
 from linnetwind.outcome import NotRun, Reason, Unknown
 
-_STARTING_TOKENS = 10.0
-_MAX_TOKENS = 100.0
+# How long a request pays for retries.
+_WINDOW = timedelta(seconds=10)
+# The most retries that no request pays for, and the time in which an empty
+# reserve is filled.
+_MAX_RESERVE = 10
+_REFILL_TIME = timedelta(seconds=10)
+# The most by which sums of parts of a retry are rounded.
+_ROUNDING = 1e-6
 
 # Refusals that every other upstream would repeat.
 _FINAL_REASONS = frozenset(
@@ -26,32 +34,54 @@
 
 
 class RetryBudget:
-    """A token budget: requests add tokens and each retry spends one."""
+    """The retries of this daemon: a part of its requests, plus a reserve.
 
-    def __init__(self, ratio: float) -> None:
-        """Start with a few tokens, so that retries work under low traffic too.
+    The reserve is for retries under low traffic.
+    """
+
+    def __init__(self, clock: Clock, ratio: float = 0) -> None:
+        """Start with a full reserve.
 
         Args:
-          ratio: The tokens that each request adds.
+          clock: For the window of requests and the refill of the reserve.
+          ratio: The retries that each request pays for.
         """
-        self.ratio = ratio
-        self._tokens = _STARTING_TOKENS
+        self._clock = clock
+        self._credit = RequestCredit(_WINDOW, ratio)
+        self._reserve: float = _MAX_RESERVE
+        self._refilled_at = clock.elapsed()
+
+    def earn(self, ratio: float) -> None:
+        """Count a new request.
 
-    def earn(self) -> None:
-        """Add the tokens of a new request."""
-        self._tokens = min(_MAX_TOKENS, self._tokens + self.ratio)
+        Args:
+          ratio: The retries that each request pays for from now on.
+        """
+        self._credit.per_request = ratio
+        self._credit.add_request(self._clock.elapsed())
 
     def spend(self) -> bool:
-        """Spend a token on a retry.
+        """Spend the budget of one retry.
 
         Returns:
-          Whether a token was available.
+          Whether the budget allows it.
         """
-        if self._tokens < 1:
+        now = self._clock.elapsed()
+        self._refill(now)
+        paid_by_requests = min(1, self._credit.available(now))
+        rest = 1 - paid_by_requests
+        if rest > self._reserve + _ROUNDING:
             return False
-        self._tokens -= 1
+        self._credit.spend(paid_by_requests)
+        self._reserve -= rest
         return True
 
+    def _refill(self, now: timedelta) -> None:
+        since = now - self._refilled_at
+        refilled = self._reserve + since / _REFILL_TIME * _MAX_RESERVE
+        self._reserve = min(_MAX_RESERVE, refilled)
+        self._refilled_at = now
+
 
 @dataclass(frozen=True, slots=True)
 class Retry:
