--- /dev/null
+++ b/standins/platform_retry_budget_test.py
@@ -0,0 +1,99 @@
+"""Tests of the retry budget of several gateway processes."""
+
+import random
+import threading
+import time
+from contextlib import suppress
+from http.client import HTTPException
+from itertools import count
+
+from standins.platform_cluster import (
+    PlatformCluster,
+    configuration,
+    entry_of,
+    until,
+)
+from standins.scripted_upstream import ScriptedUpstream
+
+HOSTS = tuple(f'127.0.0.{number}' for number in range(1, 7))
+UPSTREAMS = 6
+PER_S = 60
+LENGTH_S = 20
+KILLS_AT_S = (9, 12, 15)
+WINDOW_S = 10
+RATIO = 0.2
+ALLOWANCE = 88
+
+
+class _Load:
+    """Callers, and upstreams that refuse four requests in five."""
+
+    def __init__(self):
+        self.sent_at = []
+        self.retries_at = []
+        self._seen = set()
+        self._numbers = count()
+        self._random = random.Random(1)
+        self.upstreams = [
+            ScriptedUpstream(self._respond) for _number in range(UPSTREAMS)
+        ]
+
+    def _respond(self, connection, request):
+        attempt = request.headers['attempt-id']
+        if attempt in self._seen:
+            self.retries_at.append(time.monotonic())
+        self._seen.add(attempt)
+        if self._random.random() < 0.8:
+            connection.answer(request, 'no', 503, Not_Executed='1')
+        else:
+            connection.answer(request)
+
+    def send(self, gateway):
+        """Send one request, without waiting for its answer."""
+        threading.Thread(target=self._ask, args=(gateway,), daemon=True).start()
+
+    def _ask(self, gateway):
+        self.sent_at.append(time.monotonic())
+        with suppress(HTTPException, OSError):
+            gateway.ask(**{'Attempt-Id': f'a{next(self._numbers)}'})
+
+    def excess(self):
+        """Return by how many retries the worst window exceeds the budget."""
+        return max(
+            self._count(self.retries_at, start)
+            - ALLOWANCE
+            - RATIO
+            * max(
+                self._count(self.sent_at, start - before)
+                for before in (0, WINDOW_S / 2, WINDOW_S)
+            )
+            for start in self.retries_at
+        )
+
+    def _count(self, times, start):
+        return sum(start <= each <= start + WINDOW_S for each in times)
+
+
+def test_gateways_killed_together_stay_within_the_retry_budget(tmp_path):
+    """Guards against processes that spend what their predecessors spent."""
+    cluster = PlatformCluster(tmp_path)
+    load = _Load()
+    for number, upstream in enumerate(load.upstreams):
+        cluster.store.put('keyed.servers', f'i-{number}', entry_of(upstream))
+    cluster.store.put('keyed.op', 'config', configuration(1, 'plain'))
+    gateways = [cluster.start(ip, seeds=HOSTS[:3]) for ip in HOSTS]
+    until(lambda: all(each.is_ready() for each in gateways))
+    kills = list(KILLS_AT_S)
+    begin = time.monotonic()
+    for number in range(LENGTH_S * PER_S):
+        now = time.monotonic() - begin
+        if kills and now >= kills[0]:
+            kills.pop(0)
+            for each in gateways:
+                each.kill()
+            gateways = [cluster.start(ip, seeds=HOSTS[:3]) for ip in HOSTS]
+        load.send(gateways[number % len(gateways)])
+        time.sleep(max(0, begin + number / PER_S - time.monotonic()))
+    cluster.close()
+    assert len(load.retries_at) > 20
+    assert load.excess() <= 0
