--- a/standins/platform_cluster.py
+++ b/standins/platform_cluster.py
@@ -7,14 +7,17 @@
 import subprocess
 import sys
 import time
+from datetime import timedelta
 from http.client import HTTPConnection
 from pathlib import Path
 
+from linnetwind.admission.shared_retry_budget import RetryBudgetTerms
 from linnetwind.explanation import LogLine, read_lines
 from standins.platform_store import PlatformStore
 
 ROOT = Path(__file__).parent.parent
 GRACE_S = 8
+RETRY_TERMS = RetryBudgetTerms(timedelta(seconds=10), 0.2, 88)
 _START_TRIES = 300
 _LOOKS = 400
 _RESERVING_IP = '127.0.0.9'
@@ -200,9 +203,9 @@
         'bounds': {
             'graceS': GRACE_S,
             'drainMs': 2000,
-            'retryRatio': 0.2,
-            'retryWindowS': 10,
-            'retryAllowance': 88,
+            'retryRatio': RETRY_TERMS.ratio,
+            'retryWindowS': RETRY_TERMS.window.total_seconds(),
+            'retryAllowance': RETRY_TERMS.allowance,
         },
         'platform': {'address': f'127.0.0.1:{store}'},
     }
--- a/standins/platform_retry_budget_test.py
+++ b/standins/platform_retry_budget_test.py
@@ -8,11 +8,13 @@
 from itertools import count
 
 from standins.platform_cluster import (
+    RETRY_TERMS,
     PlatformCluster,
     configuration,
     entry_of,
     until,
 )
+from standins.retry_arrivals import most_excess
 from standins.scripted_upstream import ScriptedUpstream
 
 HOSTS = tuple(f'127.0.0.{number}' for number in range(1, 7))
@@ -20,9 +22,6 @@
 PER_S = 60
 LENGTH_S = 20
 KILLS_AT_S = (9, 12, 15)
-WINDOW_S = 10
-RATIO = 0.2
-ALLOWANCE = 88
 
 
 class _Load:
@@ -59,20 +58,10 @@
 
     def excess(self):
         """Return by how many retries the worst window exceeds the budget."""
-        return max(
-            self._count(self.retries_at, start)
-            - ALLOWANCE
-            - RATIO
-            * max(
-                self._count(self.sent_at, start - before)
-                for before in (0, WINDOW_S / 2, WINDOW_S)
-            )
-            for start in self.retries_at
+        return most_excess(
+            sorted(self.sent_at), sorted(self.retries_at), RETRY_TERMS
         )
 
-    def _count(self, times, start):
-        return sum(start <= each <= start + WINDOW_S for each in times)
-
 
 def test_gateways_killed_together_stay_within_the_retry_budget(tmp_path):
     """Guards against processes that spend what their predecessors spent."""
--- a/standins/retry_replay.py
+++ b/standins/retry_replay.py
@@ -5,8 +5,6 @@
 """
 
 import random
-from bisect import bisect_left, bisect_right
-from collections.abc import Sequence
 from dataclasses import dataclass, field
 from datetime import UTC, datetime, timedelta
 
@@ -16,6 +14,7 @@
 from linnetwind.gateway_state import GatewayState
 from linnetwind.upstreams.cold_allowance import ColdBound
 from standins.gateway_fixtures import make_peer
+from standins.retry_arrivals import most_excess
 
 SERVICE = 'model'
 SECOND = timedelta(seconds=1)
@@ -113,24 +112,9 @@
 
     def excess(self) -> float:
         """Return by how many retries the worst window exceeds the budget."""
-        return max(
-            (
-                self._retries_from(start) - self._allowed_from(start)
-                for start in self.retries
-            ),
-            default=0,
-        )
-
-    def _retries_from(self, start: timedelta) -> int:
-        return _count(self.retries, start, start + self.scene.terms.window)
-
-    def _allowed_from(self, start: timedelta) -> float:
-        window = self.scene.terms.window
-        most = max(
-            _count(self.requests, start - before, start - before + window)
-            for before in (timedelta(), window / 2, window)
-        )
-        return self.scene.terms.ratio * most + self.scene.terms.allowance
+        sent = [each.total_seconds() for each in self.requests]
+        retries = [each.total_seconds() for each in self.retries]
+        return most_excess(sent, retries, self.scene.terms)
 
     def _start(self, number: int) -> GatewayState:
         self._starts[number] += 1
@@ -224,7 +208,3 @@
 
 def _address(number: int) -> Address:
     return Address(f'10.0.0.{number + 1}', 7)
-
-
-def _count(times: Sequence[timedelta], start: timedelta, end: timedelta) -> int:
-    return bisect_right(times, end) - bisect_left(times, start)
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -35,6 +35,7 @@
     check_drains,
     check_evacuations,
     check_recovery,
+    check_retries,
     check_stops,
 )
 from standins.soak_extras import (
@@ -157,6 +158,7 @@
             *check_crashes(self.history),
             *check_backpressure(self.history, self.registered),
             *check_evacuations(self.history, self.registered),
+            *check_retries(self.book, self.registered),
             *self.book.broken(),
         ]
 
--- a/standins/soak_checks.py
+++ b/standins/soak_checks.py
@@ -4,7 +4,8 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from standins.platform_cluster import GatewayProcess
+from standins.platform_cluster import RETRY_TERMS, GatewayProcess
+from standins.retry_arrivals import most_excess
 from standins.soak_book import Book, Call
 from standins.soak_callers import describe
 from standins.soak_upstreams import Arrival, SoakUpstream
@@ -163,6 +164,25 @@
                 yield f'{upstream.instance} got {got} after {told}'
 
 
+def check_retries(book: Book, upstreams: list[SoakUpstream]) -> Iterator[str]:
+    """Yield it if more calls arrived again than the shared budget allows."""
+    arrivals = sorted(
+        (each.at, each.call)
+        for upstream in upstreams
+        for each in upstream.arrivals
+    )
+    seen: set[str] = set()
+    retries = []
+    for at, call in arrivals:
+        if call in seen:
+            retries.append(at)
+        seen.add(call)
+    sent = sorted(call.sent for call in book.calls)
+    excess = most_excess(sent, retries, RETRY_TERMS)
+    if excess > 0:
+        yield f'{excess:.0f} retries beyond the shared budget'
+
+
 def check_evacuations(
     history: History, upstreams: list[SoakUpstream]
 ) -> Iterator[str]:
--- a/standins/soak_test.py
+++ b/standins/soak_test.py
@@ -8,7 +8,8 @@
 from standins.soak import soak
 from standins.soak_book import Book, Call, Extras
 from standins.soak_callers import expected_events
-from standins.soak_upstreams import SoakUpstream
+from standins.soak_checks import check_retries
+from standins.soak_upstreams import Arrival, SoakUpstream
 
 _SHORT_S = 12
 # Each seed failed once within so many seconds; the cause stands beside it.
@@ -154,6 +155,19 @@
     )
 
 
+@pytest.mark.parametrize(('retries', 'broken'), [(88, False), (90, True)])
+def test_retries_beyond_the_shared_budget_are_found(retries, broken):
+    """Guards against a check that no number of retries can fail."""
+    book = Book()
+    book.take(_call())
+    first, *others = [Arrival(1, 'a', 0) for _retry in range(retries + 1)]
+    upstreams = [
+        SimpleNamespace(arrivals=[first]),
+        SimpleNamespace(arrivals=others),
+    ]
+    assert bool(list(check_retries(book, upstreams))) == broken
+
+
 def test_a_run_that_nobody_asked_for_is_found():
     book = Book()
     book.run('smuggled')
