A gateway has a part of the retry allowance once it has heard most seeds

What callers saw: nothing. Cause: gateways that start anew in a partition know only their part of the fleet, and each part divided the whole allowance among itself.

Change: most seeds have to be heard since the start. Two parts of the fleet cannot both have heard most of them, as long as all have the same seeds.

--- a/linnetwind/admission/retry_events.py
+++ b/linnetwind/admission/retry_events.py
@@ -9,7 +9,7 @@
     """The retry budget of a service allowed or denied a retry.
 
     `daemons` are the gateways that share the allowance as this one counts
-    them, None if it knows none of its peers. `spent` are its own retries that
+    them, None if it cannot know all of them. `spent` are its own retries that
     still count, and `uptime` is the time since its process started.
     """
 
--- a/linnetwind/admission/shared_retry_budget.py
+++ b/linnetwind/admission/shared_retry_budget.py
@@ -47,7 +47,7 @@
 class RetryBudgetUse:
     """How much of a service's budget this daemon uses.
 
-    `daemons` share the allowance, None if this daemon knows none of its peers.
+    `daemons` share the allowance, None if this daemon cannot know all of them.
     `spent` are this daemon's retries that still count, and `uptime` is the
     time since it started.
     """
@@ -240,7 +240,7 @@
         return RetryBudgetUse(self._daemons(), spent, now - self._started_at)
 
     def _daemons(self) -> int | None:
-        return len(self._fleet.names) if self._fleet.knows_peers else None
+        return len(self._fleet.names) if self._fleet.knows_fleet else None
 
     def _budget(self, service: str) -> WindowedRetryBudget:
         return self._budgets.setdefault(
--- a/linnetwind/admission/shared_retry_budget_test.py
+++ b/linnetwind/admission/shared_retry_budget_test.py
@@ -19,6 +19,8 @@
 LONG_UP = timedelta(hours=-1)
 OWN = Address('10.0.0.1', 7)
 PEER = Address('10.0.0.2', 7)
+SECOND_PEER = Address('10.0.0.3', 7)
+SEEDS = frozenset((PEER, SECOND_PEER, Address('10.0.0.4', 7)))
 
 
 def _spend_all(budget, now, daemons=1):
@@ -94,25 +96,27 @@
     assert _spend_all(budget, SECOND, daemons=14) == 1
 
 
-def test_a_daemon_without_contact_to_peers_has_no_allowance():
+def test_a_daemon_that_has_not_heard_most_seeds_has_no_allowance():
     """Guards against a daemon that takes the whole allowance for itself."""
     clock = ManualClock(datetime(2026, 1, 1, tzinfo=UTC))
-    fleet = FleetTracker(FleetSettings(OWN, has_peers=True), clock)
+    fleet = FleetTracker(FleetSettings(OWN, SEEDS), clock)
     budgets = SharedRetryBudget(TERMS, clock, fleet, clock.elapsed())
     clock.advance(timedelta(hours=1))
     assert not budgets.spend('plain')
     assert budgets.use('plain').daemons is None
     fleet.hear_peer(PEER, (), leaving=False)
+    assert not budgets.spend('plain')
+    fleet.hear_peer(SECOND_PEER, (), leaving=False)
     assert budgets.spend('plain')
-    assert budgets.use('plain').daemons == 2
+    assert budgets.use('plain').daemons == 3
 
 
 def test_a_silent_daemon_keeps_its_part_of_the_allowance():
     """Guards against halves without contact that each spend all of it."""
     clock = ManualClock(datetime(2026, 1, 1, tzinfo=UTC))
-    fleet = FleetTracker(FleetSettings(OWN, has_peers=True), clock)
+    fleet = FleetTracker(FleetSettings(OWN), clock)
     budgets = SharedRetryBudget(TERMS, clock, fleet, LONG_UP)
     fleet.hear_peer(PEER, (), leaving=False)
     clock.advance(timedelta(minutes=2))
-    fleet.hear_peer(Address('10.0.0.3', 7), (), leaving=False)
+    fleet.hear_peer(SECOND_PEER, (), leaving=False)
     assert budgets.use('plain').daemons == 3
--- a/linnetwind/gateway_daemon.py
+++ b/linnetwind/gateway_daemon.py
@@ -109,6 +109,7 @@
             setup.mesh,
             setup.retry_terms,
             setup.cold_bound,
+            seeds=setup.seeds,
         )
         history = self._state.request_history
         UpstreamLog(log).follow(history)
--- a/linnetwind/gateway_state.py
+++ b/linnetwind/gateway_state.py
@@ -6,7 +6,7 @@
 
 import random
 import threading
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import replace
 from datetime import timedelta
 
@@ -50,6 +50,7 @@
         terms: RetryBudgetTerms,
         bound: ColdBound = NO_COLD_BOUND,
         started_at: timedelta | None = None,
+        seeds: Collection[Address] = (),
     ) -> None:
         """Start without configuration, upstreams and peers.
 
@@ -60,6 +61,7 @@
           bound: The bound for cold upstreams.
           started_at: The monotonic time at which the daemon started, None for
             now.
+          seeds: The addresses of the first peers.
         """
         self._clock = clock
         self._lock = threading.Lock()
@@ -75,6 +77,7 @@
             lambda: self._peer_table,
             bound,
             clock.elapsed() if started_at is None else started_at,
+            seeds,
         )
         self._admission = StreamAdmission(clock)
         self._expiry_checked_at = timedelta()
--- a/linnetwind/request_history.py
+++ b/linnetwind/request_history.py
@@ -92,6 +92,7 @@
     peers: Callable[[], PeerTable],
     bound: ColdBound,
     started_at: timedelta,
+    seeds: Collection[Address],
 ) -> RequestHistory:
     """Return an empty request history.
 
@@ -101,11 +102,12 @@
       peers: Returns the current states of the peers.
       bound: The bound for cold upstreams.
       started_at: The monotonic time at which this daemon started.
+      seeds: The addresses of the first peers.
 
     Returns:
       The request history.
     """
-    fleet = FleetTracker(_fleet_settings(terms, peers().own, bound), clock)
+    fleet = FleetTracker(_fleet_settings(terms, peers().own, seeds), clock)
     retry_budgets = SharedRetryBudget(terms, clock, fleet, started_at)
 
     def demands(service: str) -> Mapping[str, float]:  # noqa: WPS430
@@ -128,11 +130,11 @@
 
 
 def _fleet_settings(
-    terms: RetryBudgetTerms, own: Address, bound: ColdBound
+    terms: RetryBudgetTerms, own: Address, seeds: Collection[Address]
 ) -> FleetSettings:
     """Return the settings with which no bound is divided among too few."""
     left_silence = max(LEFT_SILENCE, terms.longest_use)
-    return FleetSettings(own, bound.has_peers, PEER_EXPIRY, left_silence)
+    return FleetSettings(own, frozenset(seeds), PEER_EXPIRY, left_silence)
 
 
 def _spread(own: Address) -> float:
--- a/linnetwind/upstreams/cold_quotas.py
+++ b/linnetwind/upstreams/cold_quotas.py
@@ -62,7 +62,7 @@
         delay = max(WINDOW, self._settings.peer_timeout())
         left = self._fleet.grown_at + delay - now
         if left <= timedelta():
-            self._settled = self._fleet.knows_peers
+            self._settled = self._fleet.hears_peers
         return max(left, timedelta())
 
     def quota(self, life: UpstreamIncarnation, per_s: float) -> int:
--- a/linnetwind/upstreams/cold_upstreams_test.py
+++ b/linnetwind/upstreams/cold_upstreams_test.py
@@ -45,16 +45,15 @@
     return clock
 
 
-def _fleet(clock, *, has_peers=False):
-    return FleetTracker(FleetSettings(OWN, has_peers), clock)
+def _fleet(clock):
+    return FleetTracker(FleetSettings(OWN), clock)
 
 
-def _cold(clock, fleet=None, *, tolerance=TOLERANCE, service=SERVICE):
+def _cold(
+    clock, fleet=None, *, has_peers=False, tolerance=TOLERANCE, service=SERVICE
+):
     fleet = fleet or _fleet(clock)
-    settings = ColdSettings(
-        ColdBound(tolerance, has_peers=not fleet.knows_peers),
-        lambda: SECOND / 2,
-    )
+    settings = ColdSettings(ColdBound(tolerance, has_peers), lambda: SECOND / 2)
     cold = ColdUpstreams(ColdQuotas(settings, fleet), clock)
     cold.apply_services({'plain': service})
     return cold
@@ -200,8 +199,8 @@
 
 def test_a_daemon_that_has_just_started_waits_for_its_peers(clock):
     # It knows none of the others, which divide the bound without it.
-    fleet = _fleet(clock, has_peers=True)
-    cold = _cold(clock, fleet)
+    fleet = _fleet(clock)
+    cold = _cold(clock, fleet, has_peers=True)
     upstream = make_upstream('a', cold=COLD_TIME)
     _register(cold, upstream)
     fleet.hear_peer(PEER, (OWN,), leaving=False)
@@ -215,7 +214,7 @@
 
 
 def test_a_daemon_that_hears_no_peer_sends_one_request_at_a_time(clock):
-    cold = _cold(clock, _fleet(clock, has_peers=True))
+    cold = _cold(clock, has_peers=True)
     upstream = make_upstream('a', cold=COLD_TIME)
     _register(cold, upstream)
     clock.advance(2 * SECOND)
--- a/linnetwind/upstreams/fleet_tracker.py
+++ b/linnetwind/upstreams/fleet_tracker.py
@@ -16,14 +16,14 @@
 class FleetSettings:
     """This daemon's place in the fleet.
 
-    `own` is the address of this daemon, and `has_peers` says that there are
-    other daemons, even if none has been heard. `unlisted_after` is the time
-    after which peers no longer list a silent daemon, and `left_silence` how
-    long one that has left still counts.
+    `own` is the address of this daemon, and `seeds` are those of the first
+    peers, the same for all daemons. `unlisted_after` is the time after which
+    peers no longer list a silent daemon, and `left_silence` how long one that
+    has left still counts.
     """
 
     own: Address
-    has_peers: bool = False
+    seeds: frozenset[Address] = frozenset()
     unlisted_after: timedelta = timedelta()
     left_silence: timedelta = LEFT_SILENCE
 
@@ -46,6 +46,7 @@
         )
         self._names = self._members.names()
         self._checked_at = timedelta()
+        self._unheard_seeds = settings.seeds - {settings.own}
 
     @property
     def own(self) -> str:
@@ -63,9 +64,18 @@
         return self._members.grown_at
 
     @property
-    def knows_peers(self) -> bool:
-        """Return whether a peer has been heard, if there are any."""
-        return self._members.hears_peers or not self._settings.has_peers
+    def hears_peers(self) -> bool:
+        """Return whether any peer has been heard since the start."""
+        return self._members.hears_peers
+
+    @property
+    def knows_fleet(self) -> bool:
+        """Return whether most seeds have been heard since the start.
+
+        Two parts of the fleet that do not hear each other cannot both know most
+        seeds, whose peers are all that a daemon can learn of.
+        """
+        return len(self._unheard_seeds) * 2 < max(1, len(self._settings.seeds))
 
     def hear_peer(
         self, peer: Address, listed: Iterable[Address], *, leaving: bool
@@ -79,6 +89,7 @@
         """
         now = self._clock.elapsed()
         with self._lock:
+            self._unheard_seeds -= {peer}
             before = self._members
             self._members = before.hear(peer, listed, now, leaving=leaving)
             has_grown = len(self._members.heard) > len(before.heard)
--- a/standins/cold_fleet.py
+++ b/standins/cold_fleet.py
@@ -66,7 +66,7 @@
 class _Daemon:
     def __init__(self, clock, address, interval_s):
         timeout = 3 * interval_s * SECOND
-        self.fleet = FleetTracker(FleetSettings(address, has_peers=True), clock)
+        self.fleet = FleetTracker(FleetSettings(address), clock)
         settings = ColdSettings(
             ColdBound(TOLERANCE, has_peers=True), lambda: timeout
         )
--- a/standins/retry_replay.py
+++ b/standins/retry_replay.py
@@ -12,7 +12,6 @@
 from linnetwind.admission.shared_retry_budget import RetryBudgetTerms
 from linnetwind.clock import ManualClock
 from linnetwind.gateway_state import GatewayState
-from linnetwind.upstreams.cold_allowance import ColdBound
 from standins.gateway_fixtures import make_peer
 from standins.retry_arrivals import most_excess
 
@@ -25,6 +24,7 @@
 _MAX_DELAY_S = 0.4
 _RESTART = timedelta(milliseconds=500)
 _LEAVING_TIME = timedelta(seconds=2)
+_SEEDS = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,9 +118,12 @@
 
     def _start(self, number: int) -> GatewayState:
         self._starts[number] += 1
-        bound = ColdBound(has_peers=True)
+        seeds = range(min(_SEEDS, self.scene.gateways))
         return GatewayState(
-            self._clock, _address(number), self.scene.terms, bound
+            self._clock,
+            _address(number),
+            self.scene.terms,
+            seeds=[_address(seed) for seed in seeds],
         )
 
     def _apply_due(self) -> None:
--- a/standins/retry_replay_test.py
+++ b/standins/retry_replay_test.py
@@ -74,6 +74,14 @@
     assert _excess(per_s, cut, length=length) <= 0
 
 
+@pytest.mark.parametrize('per_s', RATES)
+@pytest.mark.parametrize('parts', [2, 4, 6])
+def test_parts_that_start_without_contact_stay_within_the_budget(parts, per_s):
+    """Guards against new processes that know only a part of the fleet."""
+    cuts = [Cut(24 * SECOND, LENGTH, ALL[part::parts]) for part in range(parts)]
+    assert _excess(per_s, *cuts, Kill(25 * SECOND, ALL)) <= 0
+
+
 @pytest.mark.parametrize('per_s', RATES)
 def test_gateways_that_leave_stay_within_the_budget(per_s):
     """Guards against parts that others take over before they are unused."""
