One place decides whether requests and a reserve pay for a retry

Both budgets, of gateways and of the own interface, split a retry between the credit of requests and a reserve, with the same rounding. RequestCredit does so for both now.

--- a/linnetwind/admission/shared_retry_budget.py
+++ b/linnetwind/admission/shared_retry_budget.py
@@ -29,8 +29,6 @@
 # that those which have started within it spend in addition.
 _ALLOWANCE_PART = 0.7
 _START_PART = 0.2
-# The most by which sums of parts of a retry are rounded.
-_ROUNDING = 1e-6
 # How much later than it was allowed a retry may arrive.
 _MAX_DELAY = timedelta(seconds=2)
 
@@ -138,12 +136,12 @@
           Whether the retry may be sent.
         """
         self._expire(now)
-        paid_by_requests = min(1, self._credit.available(now))
-        rest = 1 - paid_by_requests
-        if rest > self._allowance_left(now, daemons) + _ROUNDING:
+        taken = self._credit.spend_retry(
+            now, self._allowance_left(now, daemons)
+        )
+        if taken is None:
             return False
-        self._credit.spend(paid_by_requests)
-        self._retries.append((now, rest))
+        self._retries.append((now, taken))
         return True
 
     def _allowance_left(self, now: timedelta, daemons: int | None) -> float:
--- a/linnetwind/retry.py
+++ b/linnetwind/retry.py
@@ -17,8 +17,6 @@
 # reserve is filled.
 _MAX_RESERVE = 10
 _REFILL_TIME = timedelta(seconds=10)
-# The most by which sums of parts of a retry are rounded.
-_ROUNDING = 1e-6
 
 # Refusals that every other upstream would repeat.
 _FINAL_REASONS = frozenset(
@@ -57,7 +55,7 @@
         Args:
           ratio: The retries that each request pays for from now on.
         """
-        self._credit.per_request = ratio
+        self._credit.change_rate(ratio)
         self._credit.add_request(self._clock.elapsed())
 
     def spend(self) -> bool:
@@ -68,12 +66,10 @@
         """
         now = self._clock.elapsed()
         self._refill(now)
-        paid_by_requests = min(1, self._credit.available(now))
-        rest = 1 - paid_by_requests
-        if rest > self._reserve + _ROUNDING:
+        taken = self._credit.spend_retry(now, self._reserve)
+        if taken is None:
             return False
-        self._credit.spend(paid_by_requests)
-        self._reserve -= rest
+        self._reserve -= taken
         return True
 
     def _refill(self, now: timedelta) -> None:
@@ -110,7 +106,7 @@
 
     Args:
       attempt: The failed attempt.
-      budget: The daemon's retry budget, from which a retry spends a token.
+      budget: The daemon's retry budget, which has to allow a retry.
 
     Returns:
       The decision.
