Retry budget: reasons of three safeguards, a plainer name

Why a daemon that has left counts for longer, why most seeds have to be heard, and why the set of names stays one object were not said or hard to follow; `longest_use` is `retention`. Behaviour is unchanged (knows_fleet is the same comparison, written out).

--- a/linnetwind/admission/shared_retry_budget.py
+++ b/linnetwind/admission/shared_retry_budget.py
@@ -68,8 +68,8 @@
     allowance: float
 
     @property
-    def longest_use(self) -> timedelta:
-        """Return how long a retry counts: the window, from its arrival on."""
+    def retention(self) -> timedelta:
+        """Return how long a retry counts after it was allowed."""
         return self.window + _MAX_DELAY
 
 
@@ -149,7 +149,7 @@
             return 0
         own_allowance = self._terms.allowance / daemons
         uptime = now - self._started_at
-        if uptime >= self._terms.longest_use:
+        if uptime >= self._terms.retention:
             limit = _ALLOWANCE_PART * own_allowance
         else:
             limit = _START_PART * own_allowance * (uptime / self._terms.window)
@@ -159,8 +159,8 @@
         window_start = now - self._terms.window
         while self._requests and self._requests[0] < window_start:
             self._requests.popleft()
-        oldest_use = now - self._terms.longest_use
-        while self._retries and self._retries[0][0] < oldest_use:
+        oldest = now - self._terms.retention
+        while self._retries and self._retries[0][0] < oldest:
             self._retries.popleft()
 
 
--- a/linnetwind/request_history.py
+++ b/linnetwind/request_history.py
@@ -132,8 +132,13 @@
 def _fleet_settings(
     terms: RetryBudgetTerms, own: Address, seeds: Collection[Address]
 ) -> FleetSettings:
-    """Return the settings with which no bound is divided among too few."""
-    left_silence = max(LEFT_SILENCE, terms.longest_use)
+    """Return the settings for the fleet.
+
+    A daemon that has left counts until its last retries do not count any more.
+    If the others took over its part of the allowance before that, all of them
+    together would exceed the budget.
+    """
+    left_silence = max(LEFT_SILENCE, terms.retention)
     return FleetSettings(own, frozenset(seeds), PEER_EXPIRY, left_silence)
 
 
--- a/linnetwind/upstreams/fleet_tracker.py
+++ b/linnetwind/upstreams/fleet_tracker.py
@@ -72,10 +72,11 @@
     def knows_fleet(self) -> bool:
         """Return whether most seeds have been heard since the start.
 
-        Two parts of the fleet that do not hear each other cannot both know most
-        seeds, whose peers are all that a daemon can learn of.
+        Daemons that start while the network is partitioned know only those on
+        their side. Only one side can have heard most of the seeds.
         """
-        return len(self._unheard_seeds) * 2 < max(1, len(self._settings.seeds))
+        seeds = self._settings.seeds
+        return not seeds or len(self._unheard_seeds) < len(seeds) / 2
 
     def hear_peer(
         self, peer: Address, listed: Iterable[Address], *, leaving: bool
@@ -106,5 +107,7 @@
 
     def _update_names(self) -> None:
         names = self._members.names()
+        # The set stays the same object while its members do, so that whoever
+        # divides a bound detects a change without comparing hundreds of names.
         if names != self._names:
             self._names = names
