Replay and test of the retry budget: usual names, no repeated steps

`happenings` are disruptions, the start of traffic has a name, and the test with processes starts its gateways in one place.

--- a/standins/platform_retry_budget_test.py
+++ b/standins/platform_retry_budget_test.py
@@ -18,6 +18,7 @@
 from standins.scripted_upstream import ScriptedUpstream
 
 HOSTS = tuple(f'127.0.0.{number}' for number in range(1, 7))
+SEEDS = HOSTS[:3]
 UPSTREAMS = 6
 PER_S = 60
 LENGTH_S = 20
@@ -63,6 +64,10 @@
         )
 
 
+def _start_all(cluster):
+    return [cluster.start(ip, seeds=SEEDS) for ip in HOSTS]
+
+
 def test_gateways_killed_together_stay_within_the_retry_budget(tmp_path):
     """Guards against processes that spend what their predecessors spent."""
     cluster = PlatformCluster(tmp_path)
@@ -70,19 +75,18 @@
     for number, upstream in enumerate(load.upstreams):
         cluster.store.put('keyed.servers', f'i-{number}', entry_of(upstream))
     cluster.store.put('keyed.op', 'config', configuration(1, 'plain'))
-    gateways = [cluster.start(ip, seeds=HOSTS[:3]) for ip in HOSTS]
+    gateways = _start_all(cluster)
     until(lambda: all(each.is_ready() for each in gateways))
-    kills = list(KILLS_AT_S)
-    begin = time.monotonic()
+    kills_due = list(KILLS_AT_S)
+    start = time.monotonic()
     for number in range(LENGTH_S * PER_S):
-        now = time.monotonic() - begin
-        if kills and now >= kills[0]:
-            kills.pop(0)
+        if kills_due and time.monotonic() - start >= kills_due[0]:
+            kills_due.pop(0)
             for each in gateways:
                 each.kill()
-            gateways = [cluster.start(ip, seeds=HOSTS[:3]) for ip in HOSTS]
+            gateways = _start_all(cluster)
         load.send(gateways[number % len(gateways)])
-        time.sleep(max(0, begin + number / PER_S - time.monotonic()))
+        time.sleep(max(0, start + number / PER_S - time.monotonic()))
     cluster.close()
     assert len(load.retries_at) > 20
     assert load.excess() <= 0
--- a/standins/retry_replay.py
+++ b/standins/retry_replay.py
@@ -25,6 +25,8 @@
 _RESTART = timedelta(milliseconds=500)
 _LEAVING_TIME = timedelta(seconds=2)
 _SEEDS = 3
+# New processes have their whole budget by then.
+TRAFFIC_START = 16 * SECOND
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,17 +64,17 @@
 
 @dataclass(frozen=True, slots=True)
 class RetryScene:
-    """The gateways, their load in requests a second, and what happens.
+    """The gateways, their load in requests a second, and the disruptions.
 
-    `failing` are the times from and until which first attempts fail; if there
-    are none, all fail.
+    The first requests come at `TRAFFIC_START`. `failing` are the times from and
+    until which first attempts fail; if there are none, all fail.
     """
 
     gateways: int
     per_s: float
     length: timedelta
     seed: int
-    happenings: tuple[Kill | Leave | Cut | Move, ...] = ()
+    disruptions: tuple[Kill | Leave | Cut | Move, ...] = ()
     failing: tuple[tuple[timedelta, timedelta], ...] = ()
     terms: RetryBudgetTerms = RetryBudgetTerms(10 * SECOND, 0.2, 118)
 
@@ -95,16 +97,16 @@
         self._starts = dict.fromkeys(numbers, 0)
         self._states = {number: self._start(number) for number in numbers}
         self._callers = tuple(numbers)
-        self._due = sorted(self.scene.happenings, key=lambda each: each.at)
+        self._due = sorted(self.scene.disruptions, key=lambda each: each.at)
 
     def run(self) -> None:
-        """Run until the end of the scene; no calls come in the first 16 s."""
+        """Run until the end of the scene."""
         ticks = 0
         while self._clock.elapsed() < self.scene.length:
             self._apply_due()
             if ticks % _TICKS_PER_STATE == 0:
                 self._exchange(ticks)
-            if self._clock.elapsed() >= 16 * SECOND:
+            if self._clock.elapsed() >= TRAFFIC_START:
                 self._send_requests()
             self._clock.advance(_TICK)
             ticks += 1
@@ -167,7 +169,7 @@
             isinstance(each, Cut)
             and each.at <= now < each.until
             and (sender in each.gateways) != (receiver in each.gateways)
-            for each in self.scene.happenings
+            for each in self.scene.disruptions
         )
 
     def _fails(self, now: timedelta) -> bool:
--- a/standins/retry_replay_test.py
+++ b/standins/retry_replay_test.py
@@ -19,7 +19,6 @@
 ALL = tuple(range(GATEWAYS))
 HALF = ALL[: GATEWAYS // 2]
 RATES = (30, 133, 400)
-# Calls begin at 16 s.
 LENGTH = 50 * SECOND
 TWO_OUTAGES = (
     (28 * SECOND, 30 * SECOND),
@@ -27,8 +26,8 @@
 )
 
 
-def _excess(per_s, *happenings, length=LENGTH, seed=1, failing=()):
-    scene = RetryScene(GATEWAYS, per_s, length, seed, happenings, failing)
+def _excess(per_s, *disruptions, length=LENGTH, seed=1, failing=()):
+    scene = RetryScene(GATEWAYS, per_s, length, seed, disruptions, failing)
     return replay_retries(scene).excess()
 
 
@@ -36,10 +35,10 @@
 @pytest.mark.parametrize('kills', [1, 2, 5])
 def test_gateways_that_start_again_stay_within_the_budget(per_s, kills):
     """Guards against processes that spend what their predecessors spent."""
-    happenings = [
+    disruptions = [
         Kill((25 + 2 * number) * SECOND, ALL) for number in range(kills)
     ]
-    assert _excess(per_s, *happenings) <= 0
+    assert _excess(per_s, *disruptions) <= 0
 
 
 @pytest.mark.parametrize('per_s', RATES)
@@ -96,13 +95,13 @@
     def some():
         return tuple(draw.sample(ALL, draw.randint(1, GATEWAYS)))
 
-    happenings = []
+    disruptions = []
     for _number in range(draw.randint(2, 8)):
         at = timedelta(seconds=draw.uniform(16, 45))
         cut_until = at + timedelta(seconds=draw.uniform(1, 20))
-        happenings.append(
+        disruptions.append(
             draw.choice(
                 [Kill(at, some()), Move(at, some()), Cut(at, cut_until, some())]
             )
         )
-    assert _excess(draw.choice(RATES), *happenings, seed=seed) <= 0
+    assert _excess(draw.choice(RATES), *disruptions, seed=seed) <= 0
