One function polls a socket for received bytes

`caller_connection` and `idle_connections` each had the same four lines, and neither said why it uses poll: select fails for descriptors above 1,023. The behaviour is the same; the tests of both and of the gateway pass.

--- a/linnetwind/admission/idle_connections.py
+++ b/linnetwind/admission/idle_connections.py
@@ -5,7 +5,6 @@
 caller lost a second before it turned to another gateway.
 """
 
-import select
 import socket
 import threading
 from collections.abc import Callable, Iterator
@@ -14,6 +13,7 @@
 from datetime import timedelta
 
 from linnetwind.clock import Clock
+from linnetwind.socket_poll import is_readable
 
 # A connection that was opened or answered just now may have its next request
 # on its way.
@@ -117,7 +117,7 @@
         for connection in self._waiting:
             if now - connection.since < _MIN_IDLE:
                 return None
-            if not _has_received(connection.sock):
+            if not is_readable(connection.sock):
                 return connection
         return None
 
@@ -132,11 +132,5 @@
         self._on_shed(*closed)
 
 
-def _has_received(sock: socket.socket) -> bool:
-    poller = select.poll()
-    poller.register(sock, select.POLLIN)
-    return bool(poller.poll(0))
-
-
 def _ignore_shed(closed_idle: int, closed_unread: int) -> None:
     """Do nothing, until a listener is set."""
--- a/linnetwind/caller_connection.py
+++ b/linnetwind/caller_connection.py
@@ -19,6 +19,7 @@
 from linnetwind.call_types import CallerRequest, Headers
 from linnetwind.clock import Clock
 from linnetwind.routes import CallerLimits
+from linnetwind.socket_poll import is_readable
 
 _READ_BYTES = 65_536
 # A caller whose receive window stays full for this long counts as
@@ -260,7 +261,7 @@
         self._sock.shutdown(socket.SHUT_WR)
         while self._clock.elapsed() < until and not self._is_closing():
             left = min(until - self._clock.elapsed(), _LIMITS_CHECK_INTERVAL)
-            if _readable(self._sock, max(left, timedelta())):
+            if is_readable(self._sock, max(left, timedelta())):
                 if not self._sock.recv(_READ_BYTES):
                     return
 
@@ -297,7 +298,7 @@
         started_at = self._clock.elapsed()
         if self._body_until is not None and started_at > self._body_until:
             return False
-        while not _readable(self._sock, _LIMITS_CHECK_INTERVAL):
+        while not is_readable(self._sock, _LIMITS_CHECK_INTERVAL):
             limits = self._limits()
             idle = not self._request_begun
             limit = limits.idle_timeout if idle else limits.head_timeout
@@ -324,12 +325,6 @@
         return True
 
 
-def _readable(sock: socket.socket, limit: timedelta) -> bool:
-    poller = select.poll()
-    poller.register(sock, select.POLLIN)
-    return bool(poller.poll(limit / timedelta(milliseconds=1)))
-
-
 def _declared_size(head: h11.Request) -> int:
     """Return the declared size of the body in bytes, 0 if it is not declared.
 
