--- a/review/2/case.py
+++ b/review/2/case.py
@@ -23,6 +23,8 @@
 RANK_HOSTS = (11, 12, 13, 14)
 GAP_S = 1.0
 RESTART_S = 0.5
+# Each gateway is stopped while it answers a request.
+BUSY_S = 0.2
 SENT_AFTER_S = 3.3
 TOKEN_S = 0.012
 MAX_TOKENS = 500
@@ -142,7 +144,10 @@
     if TROUBLE:
         say('== the gateways are stopped and started in turn')
         restart(gateways[0])
-        time.sleep(GAP_S)
+        time.sleep(GAP_S - BUSY_S)
+        busy = Caller(cluster.record, gateways[1])
+        threading.Thread(target=ask, args=(busy, USUAL_TOKENS)).start()
+        time.sleep(BUSY_S)
         restart(gateways[1])
     time.sleep(SENT_AFTER_S)
     say('== long answers, on connections that have been open all the time')
