Deny callers once the last API key is revoked

Cause: `RouteTable.customers_by_key` flattened the customers to their keys, and `call_policy.allow` took an empty mapping for a configuration without customers. The log could not tell the two apart: `ConfigurationApplied` counts 0 keys in both cases.

Change: the table says by itself whether requests need a key. They do if the configuration has the field, also with an empty list or null; they don't only if it is absent. `ConfigurationApplied` logs it.

Related paths, read: the own interface finds a customer by the digest of its key and refuses whoever is none, also without any customer. A gateway without a configuration answers 503, a dropped record of the configuration leaves the table in force, and a configuration without services or routes leaves none to route to (`restrict_to_services` separates an empty set from none).

--- a/linnetwind/call_policy.py
+++ b/linnetwind/call_policy.py
@@ -47,7 +47,7 @@
     if route is None:
         return Denied(HTTPStatus.NOT_FOUND, 'no route')
     customer = table.customers_by_key.get(facts.api_key or '')
-    if customer is None and table.customers_by_key and not route.anonymous:
+    if customer is None and table.requires_key and not route.anonymous:
         return Denied(HTTPStatus.UNAUTHORIZED, 'unknown key')
     return Allowed(route, customer)
 
--- a/linnetwind/gateway_events.py
+++ b/linnetwind/gateway_events.py
@@ -46,7 +46,9 @@
 class ConfigurationApplied:
     """A newer configuration is in force on this daemon.
 
-    `before` is the version that it replaced, or 0.
+    `before` is the version that it replaced, or 0. `customers` counts the API
+    keys; without any, `requires_key` says whether all callers are denied or
+    none.
     """
 
     version: int
@@ -54,6 +56,7 @@
     source: str
     routes: int
     customers: int
+    requires_key: bool
 
 
 @dataclass(frozen=True, slots=True)
--- a/linnetwind/gateway_feeds.py
+++ b/linnetwind/gateway_feeds.py
@@ -218,6 +218,7 @@
                     source,
                     sum(len(each) for each in table.routes_by_host.values()),
                     len(table.customers_by_key),
+                    table.requires_key,
                 )
             )
 
--- a/linnetwind/platform/table_format.py
+++ b/linnetwind/platform/table_format.py
@@ -4,7 +4,7 @@
 from types import MappingProxyType
 from typing import Annotated, Literal
 
-from msgspec import Meta, Struct
+from msgspec import UNSET, Meta, Struct, UnsetType
 from msgspec.json import Decoder
 
 from linnetwind.bad_format import BadFormat
@@ -132,7 +132,7 @@
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...]
     limits: _Limits
-    tenants: tuple[_Tenant, ...] | None = None
+    tenants: tuple[_Tenant, ...] | None | UnsetType = UNSET
 
 
 _DECODER = Decoder(_Table)
@@ -167,7 +167,10 @@
 
 def _to_table(table: _Table) -> RouteTable:
     services = [_to_service(each) for each in table.services]
-    customers = table.tenants or ()
+    # Without the field all callers are anonymous. An empty list or null means
+    # that no key is valid: the last customer has been removed.
+    has_customers = table.tenants is not UNSET
+    customers = (table.tenants or ()) if has_customers else ()
     return RouteTable(
         version=table.version,
         routes_by_host=order_routes([_to_route(each) for each in table.routes]),
@@ -178,6 +181,7 @@
             head_timeout=_to_timedelta(table.limits.header_timeout_ms),
             idle_timeout=_to_timedelta(table.limits.idle_timeout_ms),
         ),
+        requires_key=has_customers,
         customers_by_key={
             key: each.name for each in customers for key in each.api_keys
         },
--- a/linnetwind/platform/table_format_test.py
+++ b/linnetwind/platform/table_format_test.py
@@ -8,11 +8,14 @@
 from hypothesis import strategies as st
 
 from linnetwind.bad_format import BadFormat
+from linnetwind.call_policy import Denied, allow
+from linnetwind.call_types import RequestFacts
 from linnetwind.platform.table_format import decode_table
 from linnetwind.routes import RouteTable
 from standins.bad_messages import MISSING, near_misses, plain_json
 from standins.platform_cluster import configuration
 
+SECOND = timedelta(seconds=1)
 BOUNDED = settings(max_examples=150, derandomize=True, deadline=None)
 TABLE = {
     **configuration(3, 'plain', 'model', targetGapMs=120),
@@ -62,6 +65,35 @@
     assert (model.cold_time, model.cold_per_s) == (timedelta(), 0)
 
 
+def _denied_status(fields, key):
+    facts = RequestFacts('id', 'a.example', '/x/1', SECOND, key, None, '')
+    decision = allow(_table(fields), facts)
+    return decision.status if isinstance(decision, Denied) else None
+
+
+@pytest.mark.parametrize('key', ['revoked', '', None])
+@pytest.mark.parametrize(
+    'customers',
+    [
+        pytest.param([{'name': 'c', 'apiKeys': []}], id='no key is left'),
+        pytest.param([], id='no customer is left'),
+        pytest.param(None, id='null'),
+        pytest.param([{'name': 'c', 'apiKeys': ['k']}], id='other key'),
+    ],
+)
+def test_callers_are_denied_once_the_last_key_is_revoked(customers, key):
+    # A configuration whose last key was revoked let every caller in.
+    keyed = configuration(4, 'plain', anonymous=False)
+    assert _denied_status({**keyed, 'tenants': customers}, key) == 401
+
+
+def test_callers_need_no_key_if_the_configuration_has_no_customers():
+    keyless = configuration(4, 'plain', anonymous=False)
+    keyless.pop('tenants')
+    assert _denied_status(keyless, None) is None
+    assert _denied_status(keyless, 'unknown') is None
+
+
 def _changed_route(**changes):
     route = {**TABLE['routes'][0], **changes}
     return {key: found for key, found in route.items() if found is not MISSING}
--- a/linnetwind/routes.py
+++ b/linnetwind/routes.py
@@ -119,14 +119,17 @@
     """One version of the published configuration.
 
     `routes_by_host` holds each host's routes, the longest prefix first.
-    `customers_by_key` maps an API key to its customer's name. `priorities`
-    maps customers that have a priority of their own to it.
+    `requires_key` says whether requests need an API key, except on anonymous
+    routes; it may be true while no key is valid. `customers_by_key` maps an API
+    key to its customer's name. `priorities` maps customers that have a priority
+    of their own to it.
     """
 
     version: int
     routes_by_host: Mapping[str, tuple[Route, ...]]
     services: Mapping[str, RoutedService]
     limits: CallerLimits
+    requires_key: bool
     customers_by_key: Mapping[str, str]
     priorities: Mapping[str, int]
 
--- a/linnetwind/routes_test.py
+++ b/linnetwind/routes_test.py
@@ -85,7 +85,15 @@
     # All customers have a priority of their own. If it took the place of the
     # routes', urgent and batch streams would be one class.
     urgent, batch = make_route('u', priority=0), make_route('b', priority=2)
-    table = RouteTable(1, {}, {}, None, {}, {'first': 0, 'x': 1, 'y': 1})
+    table = RouteTable(
+        1,
+        {},
+        {},
+        None,
+        requires_key=True,
+        customers_by_key={},
+        priorities={'first': 0, 'x': 1, 'y': 1},
+    )
     ordered = [
         request_priority(table, route, customer)
         for customer, route in (
--- a/standins/gateway_fixtures.py
+++ b/standins/gateway_fixtures.py
@@ -67,7 +67,10 @@
 def make_table(
     *routes: Route, keys: Mapping[str, str] | None = None, version: int = 1
 ) -> RouteTable:
-    """Return a configuration with a plain and a model service."""
+    """Return a configuration with a plain and a model service.
+
+    Requests need a key if `keys` is given, even if it is empty.
+    """
     services = (
         RoutedService('plain', '/health', 96, None),
         RoutedService('model', '/health', 248, make_engine()),
@@ -77,6 +80,7 @@
         routes_by_host=order_routes(list(routes)),
         services={each.name: each for each in services},
         limits=CallerLimits(16_384, 65_536, SECOND, 2 * SECOND),
+        requires_key=keys is not None,
         customers_by_key=keys or {},
         priorities={},
     )
--- a/standins/planner_harness.py
+++ b/standins/planner_harness.py
@@ -168,5 +168,11 @@
 def _table():
     table = make_table()
     return RouteTable(
-        table.version, {}, {'model': PLANNED_SERVICE}, table.limits, {}, {}
+        table.version,
+        {},
+        {'model': PLANNED_SERVICE},
+        table.limits,
+        requires_key=False,
+        customers_by_key={},
+        priorities={},
     )
