A stopping gateway takes late streams only by a bound on their end

Cause: while other daemons had to drain first (`StopPhase.SERVES`), `may_start` went on accepting requests after the notice period if `EndEstimate.expected` lay before the end. That time is the slowest of the last 32 streams per token of the largest response they might have had, times 1.5: after short responses it is several times too low for a long one, and no factor makes it a bound.

Change: after the notice period only a request whose own time limit ends in time is accepted, in every phase; all others are refused as not run at once. `max_stream_duration` is named for what it returns.

Related paths: calls have no estimate, their bound is the time limit. A request that waits in the queue, for an upstream, or for a group that opens was sent within the notice period or has a bound. The own interface uses no estimate: its entry refuses after the notice and waits for what runs.

--- a/linnetwind/gateway_stop.py
+++ b/linnetwind/gateway_stop.py
@@ -59,9 +59,9 @@
     """The monotonic times of a graceful shutdown.
 
     It starts with the stop signal at `stop_started_at`. From `closes_at` on new
-    callers are expected to be routed to other daemons. Requests are only
-    accepted if they should end by `ends_at`. At `cuts_at` the process ends and
-    cuts the requests in flight.
+    callers are expected to be routed to other daemons, and requests are only
+    accepted if their time limit ends by `ends_at`. At `cuts_at` the process
+    ends and cuts the requests in flight.
     """
 
     stop_started_at: timedelta
@@ -93,8 +93,9 @@
 
     SERVES: it accepts requests, since callers are still routed to it or other
     daemons have to drain first. HURRIES: it is its turn to drain and other
-    daemons wait for it; it accepts only requests that end soon. DRAINS: it
-    accepts only requests whose own time limit ends in time.
+    daemons wait for it; it accepts only requests that are expected to end soon.
+    DRAINS: it accepts only requests whose own time limit ends in time, as all
+    daemons do after their notice period.
     """
 
     SERVES = 'serves'
@@ -127,8 +128,8 @@
 class EndEstimate:
     """The monotonic times at which a request ends.
 
-    `latest` is given by its time limit, `expected` by the durations of earlier
-    requests of its kind.
+    `latest` is given by its time limit and is a bound. `expected` follows from
+    the durations of earlier requests of its kind; the request may last longer.
     """
 
     latest: timedelta
@@ -146,6 +147,10 @@
     once. This also holds for a request on an idle connection just after the
     notice period. A request whose own time limit ends in time cannot be cut.
 
+    Within the notice period most callers have no other daemon yet, and nearly
+    all streams end in time. Afterwards an estimate is not enough: after short
+    responses it is far too low for a long one.
+
     Args:
       plan: The times of the shutdown.
       now: The monotonic time.
@@ -157,9 +162,11 @@
     """
     if ending.latest <= plan.ends_at:
         return True
+    if now >= plan.closes_at:
+        return False
     match phase:
         case StopPhase.SERVES:
-            return now < plan.closes_at or ending.expected <= plan.ends_at
+            return True
         case StopPhase.HURRIES:
             return ending.expected <= min(
                 plan.stop_started_at + AWAITED_DRAIN_TIME, plan.ends_at
--- a/linnetwind/stream_durations.py
+++ b/linnetwind/stream_durations.py
@@ -18,10 +18,13 @@
 _START = timedelta(milliseconds=_START_MS)
 
 
-def max_stream_duration(
+def estimate_duration(
     token_times: Iterable[timedelta], tokens: TokenCounts
 ) -> timedelta | None:
-    """Return how long a stream takes at most, with a margin.
+    """Return how long a stream should take, with a margin.
+
+    This is no bound: if recent responses were much shorter than they could have
+    been, one of full length takes several times as long.
 
     Args:
       token_times: The time per token of recent streams, each computed with
@@ -68,7 +71,7 @@
     def expected_duration(
         self, service: str, tokens: TokenCounts | None
     ) -> timedelta | None:
-        """Return how long a stream is expected to take at most.
+        """Return how long a stream is expected to take.
 
         Args:
           service: The stream's service.
@@ -81,4 +84,4 @@
             return None
         with self._lock:
             recent = tuple(self._token_times.get(service, ()))
-        return max_stream_duration(recent, tokens)
+        return estimate_duration(recent, tokens)
--- a/standins/rolling_stop_test.py
+++ b/standins/rolling_stop_test.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
 from http.client import HTTPConnection, HTTPException
 
@@ -14,6 +15,8 @@
 EVENTS = 25
 GAP_S = 0.1
 CALLERS = 24
+SHORT_EVENTS = 5
+LONG_EVENTS = 60
 
 
 @pytest.fixture(name='cluster')
@@ -128,6 +131,73 @@
     assert ends == [0] * len(HOSTS)
 
 
+def _answer_of_any_length(connection, request):
+    """Answer with as many events as the path says."""
+    events = int(request.target.rpartition('/')[2])
+    connection.head(request, Transfer_Encoding='chunked')
+    for number in range(events):
+        connection.chunk(f'id: {number + 1}\ndata: x\n\n')
+        time.sleep(GAP_S)
+    connection.send('0\r\n\r\n')
+
+
+class _KeptConnection:
+    """A caller that sends its streams on one connection."""
+
+    def __init__(self, process):
+        self._http = HTTPConnection(process.ip, process.front, timeout=12)
+        self.outcomes = []
+
+    def ask(self, events):
+        """Ask for a stream of so many events; its end is in `outcomes`."""
+        headers = {
+            'Host': 'a.example',
+            'Attempt-Id': f'{id(self)}-{len(self.outcomes)}',
+            'Token-Count': f'100,{LONG_EVENTS}',
+            'Deadline-Ms': '8000',
+        }
+        self._http.request('GET', f'/x/{events}', headers=headers)
+        response = self._http.getresponse()
+        try:
+            body = response.read()
+        except (OSError, HTTPException):
+            self.outcomes.append('cut')
+            return
+        if response.status == 200:
+            self.outcomes.append(body.count(b'\n\n'))
+        else:
+            self.outcomes.append(response.status)
+
+
+def test_a_host_that_waits_to_drain_cuts_no_stream_that_came_late(cluster):
+    # Two hosts were stopped 1 s apart. The second one went on taking streams
+    # by an estimate that short answers had made too low. Streams of 6 s that it
+    # took 3.3 s after its SIGTERM were cut when its process ended.
+    upstream = ScriptedUpstream(_answer_of_any_length)
+    published = configuration(1, 'plain', kind='streaming', timeoutMs=8000)
+    cluster.store.put('keyed.op', 'config', published)
+    cluster.store.put('keyed.servers', 'i-1', entry_of(upstream))
+    first, second = [cluster.start(ip, seeds=HOSTS[:2]) for ip in HOSTS[:2]]
+    for process in (first, second):
+        process.wait_ready()
+    before_stop = _KeptConnection(first)
+    callers = [_KeptConnection(second) for _number in range(3)]
+    for caller in (before_stop, *callers):
+        caller.ask(SHORT_EVENTS)
+    with ThreadPoolExecutor() as pool:
+        pool.submit(before_stop.ask, LONG_EVENTS)
+        time.sleep(0.5)
+        first.terminate()
+        time.sleep(1)
+        second.terminate()
+        time.sleep(3.3)
+        for caller in callers:
+            pool.submit(caller.ask, LONG_EVENTS)
+    assert before_stop.outcomes == [SHORT_EVENTS, LONG_EVENTS]
+    for caller in callers:
+        assert caller.outcomes == [SHORT_EVENTS, 503]
+
+
 def _ends(process):
     """Return whether a process is at its end."""
     for _look in range(20):
