A caller without a key is no customer, on both interfaces

What callers would see: if an operator publishes an empty key for a customer (an unset variable is enough), everybody who sends no key runs as that customer.

Change: a caller without a key, or with an empty one, is denied before the lookup, on the platform's interface and on the own one.

--- a/linnetwind/call_policy.py
+++ b/linnetwind/call_policy.py
@@ -46,7 +46,10 @@
     route = find_route(table, facts.host, facts.path)
     if route is None:
         return Denied(HTTPStatus.NOT_FOUND, 'no route')
-    customer = table.customers_by_key.get(facts.api_key or '')
+    customer = None
+    # A caller without a key is nobody, even if an empty key is configured.
+    if facts.api_key:
+        customer = table.customers_by_key.get(facts.api_key)
     if customer is None and table.requires_key and not route.anonymous:
         return Denied(HTTPStatus.UNAUTHORIZED, 'unknown key')
     return Allowed(route, customer)
--- a/linnetwind/http_request_test.py
+++ b/linnetwind/http_request_test.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import json
+from dataclasses import replace
 from datetime import timedelta
 
 import pytest
@@ -41,13 +42,13 @@
 )
 
 
-def check(method='GET', path='/codes/x', body=b'', **headers):
+def check(method='GET', path='/codes/x', body=b'', base=BASE, **headers):
     lowercase_headers = {
         key.replace('_', '-'): text for key, text in headers.items()
     }
     lowercase_headers.setdefault('x-api-key', KEY)
     request = HttpRequest(method, path, 'a=1', lowercase_headers, body)
-    return check_request(request, BASE, 'id')
+    return check_request(request, base, 'id')
 
 
 def chat(**facts):
@@ -103,6 +104,16 @@
     assert checked.tokens == checked.prompt_tokens + 7
 
 
+@pytest.mark.parametrize('headers', [{}, {'authorization': 'Bearer '}])
+def test_a_caller_without_a_key_is_no_customer(headers):
+    # If the digest of an empty key was published for a customer, callers
+    # without a key ran as that customer.
+    keyless = Customer('k', hashlib.sha256(b'').hexdigest())
+    base = replace(BASE, customers=(*BASE.customers, keyless))
+    checked = check(base=base, x_api_key='', **headers)
+    assert checked.unwrap_err().reason is Reason.UNKNOWN_CUSTOMER
+
+
 REFUSED = [
     (lambda: check(x_api_key='wrong'), Reason.UNKNOWN_CUSTOMER),
     (lambda: check(path='/none/x'), Reason.UNKNOWN_SERVICE),
--- a/linnetwind/routes_test.py
+++ b/linnetwind/routes_test.py
@@ -81,6 +81,18 @@
     assert decision.status == status
 
 
+@pytest.mark.parametrize('key', [None, ''])
+def test_a_caller_without_a_key_is_no_customer(key):
+    # If a customer's key was published empty, callers without a key ran as
+    # that customer.
+    route = make_route('r')
+    table = make_table(route, keys={'': 'customer', 'good': 'other'})
+    assert isinstance(allow(table, _facts(key=key)), Denied)
+    anonymous = make_route('r', anonymous=True)
+    open_table = make_table(anonymous, keys={'': 'customer'})
+    assert allow(open_table, _facts(key=key)) == Allowed(anonymous, None)
+
+
 def test_the_route_decides_among_customers_of_the_same_priority():
     # All customers have a priority of their own. If it took the place of the
     # routes', urgent and batch streams would be one class.
