Parts that most prompts share are no cause of crashes by chance

Cause: after four crashes without an answer in between, a part that the crashed requests had in common was taken for the cause at once, since the daemon was "warm". That all requests have the part, so that it was on every crashed rank whatever the reason, did not count; and a broken group answers nothing, so that "not answered since" says nothing either. As no request without the part existed, none could be answered to end the quarantine, and the store carried it over the restart.

Change: parts that were answered before, or that nine tenths of the requests have, are a cause only if chance is excluded at one in thirty: by how common they are, and by the answers to requests without them since the first crash. How common a part is counts among the requests of its own service, as other services' requests would make it look rare (`RecentPrompts`).

--- a/linnetwind/crash_guard.py
+++ b/linnetwind/crash_guard.py
@@ -114,7 +114,7 @@
     """
     if events >= _MIN_EVENTS_OF_ANSWER:
         prompts = tools.state.request_history.prompts
-        prompts.record_answer(context.prompt_parts)
+        prompts.record_answer(context.service.name, context.prompt_parts)
 
 
 def record_complete_answer(
@@ -131,7 +131,9 @@
     if success:
         history = tools.state.request_history
         history.crashes.record_answer(context.fingerprint)
-        history.prompts.record_answer(context.prompt_parts)
+        history.prompts.record_answer(
+            context.service.name, context.prompt_parts
+        )
 
 
 def _record_prompt_crash(
--- a/linnetwind/dispatch_crash_tracker.py
+++ b/linnetwind/dispatch_crash_tracker.py
@@ -67,7 +67,7 @@
         Args:
           request: The request.
         """
-        self._prompts.record_arrival(request.prompt_parts)
+        self._prompts.record_arrival(request.service.name, request.prompt_parts)
 
     def refusal(self, request: CheckedRequest) -> NotRun | None:
         """Return the refusal of a request that is in quarantine.
@@ -152,7 +152,9 @@
             raise
         if opened.status >= _FIRST_FAILURE:
             return
-        self._prompts.record_answer(sent.request.prompt_parts)
+        self._prompts.record_answer(
+            sent.request.service.name, sent.request.prompt_parts
+        )
         if self._crashes.has_crashes:
             self._crashes.record_answer(_fingerprint(sent.request))
 
--- a/linnetwind/quarantine_store_test.py
+++ b/linnetwind/quarantine_store_test.py
@@ -240,6 +240,6 @@
     daemon = _Daemon(store)
     _crash_under_part(daemon)
     daemon.rounds()
-    daemon.prompts.record_answer((PromptPart('bad'),))
+    daemon.prompts.record_answer('s', (PromptPart('bad'),))
     daemon.rounds()
     assert not any(store.records.values())
--- a/linnetwind/relay.py
+++ b/linnetwind/relay.py
@@ -128,7 +128,7 @@
         if context.service is None:
             return self._refuse(context, 'no such service')
         self._tools.state.request_history.prompts.record_arrival(
-            context.prompt_parts
+            name, context.prompt_parts
         )
         quarantine_remaining = remaining_quarantine(self._tools, context)
         if quarantine_remaining is not None:
--- a/linnetwind/upstreams/prompt_crash_inference.py
+++ b/linnetwind/upstreams/prompt_crash_inference.py
@@ -42,6 +42,10 @@
 # After so many answered requests, a part of each tenth request has probably
 # been answered here, and peers know of others.
 _WARM_ANSWERS = 20
+# A part that more than this share of a service's requests have.
+_UBIQUITOUS_SHARE = 0.9
+# With fewer requests, how common a part is is not known.
+_MIN_ARRIVALS = 20
 # When hosts fail together, most of their requests have nothing in common. Parts
 # that fewer than half of the upstreams had which crashed within this time are
 # not supported by any of these crashes.
@@ -61,14 +65,16 @@
 class PromptTraffic:
     """What a daemon has seen of the prompts of requests.
 
-    `answered` holds when parts were last answered, here or at a peer.
-    `arrived` are the shareable parts of the most recent requests, and `answers`
-    counts the requests that were answered here.
+    `answered` holds when parts were last answered, here or at a peer, and
+    `answers` counts the requests that were answered here. `arrived` are the
+    shareable parts of the most recent requests of the service, and
+    `answered_at` the times of its most recent answers here.
     """
 
     answered: Answers
     arrived: Collection[Parts] = ()
     answers: int = 0
+    answered_at: Collection[timedelta] = ()
 
     @property
     def is_warm(self) -> bool:
@@ -119,11 +125,12 @@
         for each in crashes
         if any(cause <= each.parts for cause in known_causes)
     }
-    causes = [
+    measured = [
         _measure(parts, crashes, traffic)
         for parts in _common_parts(newest, crashes, traffic.answered)
         if _is_convincing(parts, crashes, traffic.answered, explained)
     ]
+    causes = [each for each in measured if not _is_by_chance(each, traffic)]
     best = max(
         causes,
         key=lambda each: (each.strength, each.crashes, len(each.parts)),
@@ -143,19 +150,58 @@
     return other.strength >= _RIVAL_STRENGTH * best.strength
 
 
+def _is_by_chance(cause: Cause, traffic: PromptTraffic) -> bool:
+    """Return whether common parts were on crashed upstreams by chance.
+
+    When ranks of a group crash together, nothing is answered until it is open
+    again. A part that all requests have was then on each crashed rank, and is
+    not answered afterwards. If it were taken for the cause, all requests would
+    be refused, and none could be answered to end the quarantine.
+    """
+    if cause.strength >= _CERTAIN_STRENGTH:
+        return False
+    if len(traffic.arrived) < _MIN_ARRIVALS:
+        return False
+    if any(part in traffic.answered for part in cause.parts):
+        return True
+    return traffic.share(cause.parts) > _UBIQUITOUS_SHARE
+
+
 def _measure(
     parts: Parts, crashes: Collection[PromptCrash], traffic: PromptTraffic
 ) -> Cause:
     batches = Counter(each.crash.life for each in crashes)
     share = traffic.share(parts)
-    lives = {each.crash.life for each in crashes if parts <= each.parts}
+    matching = [each.crash for each in crashes if parts <= each.parts]
+    lives = {crash.life for crash in matching}
     strength = sum(
         -math.log(1 - (1 - share) ** batches[life]) for life in lives
     )
+    strength += _strength_of_answers(parts, matching, traffic)
     certain = traffic.is_warm or strength >= _CERTAIN_STRENGTH
     return Cause(parts, count_crashes(parts, crashes), strength, certain)
 
 
+def _strength_of_answers(
+    parts: Parts, matching: Iterable[Crash], traffic: PromptTraffic
+) -> float:
+    """Return how unlikely it is that harmless parts are not answered.
+
+    All answers since the first crash were to requests without these parts.
+    """
+    answered = [traffic.answered.get(part, timedelta.min) for part in parts]
+    last_answer = max(answered)
+    first_crash = min(
+        (each.ended for each in matching if each.ended > last_answer),
+        default=None,
+    )
+    if first_crash is None:
+        return 0
+    answers = sum(at > first_crash for at in traffic.answered_at)
+    without = max(1 - traffic.share(parts), 1 / (len(traffic.arrived) + 2))
+    return -math.log(without) * answers
+
+
 def count_crashes(parts: Parts, crashes: Collection[PromptCrash]) -> int:
     """Count the independent crashes under requests with all of these parts.
 
--- a/linnetwind/upstreams/prompt_quarantines.py
+++ b/linnetwind/upstreams/prompt_quarantines.py
@@ -1,7 +1,6 @@
 """The prompt parts that crash upstreams; may be used from any thread."""
 
 import threading
-from collections import deque
 from collections.abc import Callable, Collection, Iterable
 from datetime import timedelta
 
@@ -28,13 +27,12 @@
     AdvertisedPromptQuarantine,
     PromptNews,
 )
+from linnetwind.upstreams.recent_prompts import RecentPrompts
 
 # How long a part that was answered counts as harmless after a single crash.
 _ANSWER_MEMORY_MINUTES = 10
 _ANSWER_MEMORY = timedelta(minutes=_ANSWER_MEMORY_MINUTES)
 _MAX_ANSWERED = 1_024
-# The number of the latest requests from which the shares of parts are computed.
-_MAX_ARRIVED = 256
 # How long news is advertised. Peers may miss some of this daemon's states.
 _ADVERTISING_TIME = timedelta(seconds=2)
 # The number of each kind of news that a state carries.
@@ -60,7 +58,7 @@
         # The latest answers are at the end.
         self._answered: dict[PromptPart, timedelta] = {}
         self._answers = 0
-        self._arrived: deque[Parts] = deque(maxlen=_MAX_ARRIVED)
+        self._recent = RecentPrompts()
         # When parts of quarantines were answered here.
         self._cleared: dict[PromptPart, timedelta] = {}
         self._on_quarantine: QuarantineListener = _ignore_quarantine
@@ -96,23 +94,28 @@
         crash = Crash(life, began, self._clock.elapsed())
         self._add_crashes([PromptCrash(request, crash, frozenset(parts))])
 
-    def record_arrival(self, parts: Iterable[PromptPart]) -> None:
+    def record_arrival(self, service: str, parts: Iterable[PromptPart]) -> None:
         """Record that a request has arrived, for the shares of parts.
 
         Args:
+          service: The name of its service.
           parts: The shareable parts of the request's prompt.
         """
-        self._arrived.append(frozenset(parts))
+        self._recent.record_arrival(service, frozenset(parts))
 
-    def record_answer(self, parts: Collection[PromptPart]) -> None:
+    def record_answer(
+        self, service: str, parts: Collection[PromptPart]
+    ) -> None:
         """Record that an upstream answered a request without a crash.
 
         Args:
+          service: The name of the request's service.
           parts: The shareable parts of the request's prompt.
         """
+        now = self._clock.elapsed()
+        self._recent.record_answer(service, now)
         if not parts:
             return
-        now = self._clock.elapsed()
         with self._lock:
             suspected = frozenset().union(*self._history.quarantines)
             self._cleared.update(
@@ -249,7 +252,7 @@
             before = self._history
             for crash in crashes:
                 self._history = self._history.record_crash(
-                    crash, self._traffic(), now
+                    crash, self._traffic(crash.parts), now
                 )
         self._report_new(before)
 
@@ -265,9 +268,10 @@
                 )
         self._report_new(before)
 
-    def _traffic(self) -> PromptTraffic:
+    def _traffic(self, parts: Parts) -> PromptTraffic:
+        arrived, answered_at = self._recent.beside(parts)
         return PromptTraffic(
-            self._answered, tuple(self._arrived), self._answers
+            self._answered, arrived, self._answers, answered_at
         )
 
     def _merge_answers(
--- a/linnetwind/upstreams/prompt_quarantines_test.py
+++ b/linnetwind/upstreams/prompt_quarantines_test.py
@@ -15,6 +15,7 @@
 SECOND = timedelta(seconds=1)
 BAD = PromptPart('bad')
 FIRST = PromptPart('first')
+SERVICE = 'model'
 # The users' bound on the crashes before a part is refused everywhere.
 MAX_CRASHES = 5
 OUTAGE = 4 * SECOND
@@ -75,7 +76,7 @@
     clock = _clock()
     daemons = [PromptQuarantines(clock)]
     for _number in range(100):
-        daemons[0].record_answer((FIRST,))
+        daemons[0].record_answer(SERVICE, (FIRST,))
     _crash(daemons[0], 1, BAD)
     clock.advance(SECOND)
     _crash(daemons[0], 2, BAD)
@@ -91,7 +92,7 @@
     daemons = [PromptQuarantines(clock) for _number in range(3)]
     _crash_twice(daemons[0], clock)
     _exchange(daemons)
-    daemons[2].record_answer((BAD,))
+    daemons[2].record_answer(SERVICE, (BAD,))
     for _state in range(3):
         clock.advance(100 * MS)
         _exchange(daemons)
@@ -105,7 +106,7 @@
     clock = _clock()
     daemons = [PromptQuarantines(clock) for _number in range(2)]
     _crash_twice(daemons[0], clock)
-    daemons[0].record_answer((BAD,))
+    daemons[0].record_answer(SERVICE, (BAD,))
     for number in range(2, 7):
         _exchange(daemons)
         clock.advance(300 * MS)
@@ -122,7 +123,7 @@
 def test_a_daemon_without_news_advertises_nothing():
     clock = _clock()
     daemon = PromptQuarantines(clock)
-    daemon.record_answer((FIRST,))
+    daemon.record_answer(SERVICE, (FIRST,))
     assert daemon.to_advertise() == ()
     _crash(daemon, 1, BAD)
     assert daemon.to_advertise()
@@ -183,9 +184,9 @@
 
     def _serve(self, parts, *, is_open):
         daemon = self._rng.choice(self.daemons)
-        daemon.record_arrival(parts)
+        daemon.record_arrival(SERVICE, parts)
         if is_open and daemon.quarantine(parts) is None:
-            daemon.record_answer(parts)
+            daemon.record_answer(SERVICE, parts)
 
     def _crash(self, sender, number):
         batch = [(sender, self.bad())]
@@ -196,7 +197,7 @@
         self._rng.shuffle(batch)
         for daemon, parts in batch:
             self._requests += 1
-            daemon.record_arrival(parts)
+            daemon.record_arrival(SERVICE, parts)
             daemon.record_crash(
                 Fingerprint(f'request-{self._requests}'),
                 parts,
@@ -234,3 +235,74 @@
     replay = _Replay(daemons, losses, seed, warm=True)
     assert replay.count_crashes(BAD_REQUESTS) <= MAX_CRASHES
     assert not _count_refused_sound(replay)
+
+
+def _crash_ranks(daemons, clock, ranks, prompt):
+    """Crash ranks of a group shortly after each other, each with a batch."""
+    for rank in range(ranks):
+        for slot in range(RANK_SLOTS):
+            daemons[slot % len(daemons)].record_crash(
+                Fingerprint(f'request-{rank}-{slot}'),
+                prompt(slot),
+                IncarnationTag(rank),
+                clock.elapsed() - 100 * MS,
+            )
+        clock.advance(60 * MS)
+        _exchange(daemons)
+
+
+@pytest.mark.parametrize('ranks', [2, 4, 12])
+@pytest.mark.parametrize('daemons', [1, 4])
+@pytest.mark.parametrize('is_answered', [True, False])
+@pytest.mark.parametrize('share', [1.0, 0.5])
+def test_a_part_that_most_requests_share_is_not_blamed_for_a_broken_group(
+    ranks, daemons, is_answered, share
+):
+    # Guards against refusing all requests after some ranks crash together. A
+    # broken group answers nothing, so that a part of all prompts was on each
+    # crashed rank, and was not answered afterwards.
+    clock = _clock()
+    started = [PromptQuarantines(clock) for _number in range(daemons)]
+    for daemon in started:
+        for number in range(ARRIVALS):
+            has_first = number < share * ARRIVALS
+            parts = (FIRST,) if has_first else (PromptPart('other'),)
+            daemon.record_arrival(SERVICE, parts)
+            # Other services have other parts.
+            daemon.record_arrival('other service', (PromptPart('elsewhere'),))
+            if is_answered or not has_first:
+                daemon.record_answer(SERVICE, parts)
+    clock.advance(SECOND)
+
+    def prompt(slot):
+        return (FIRST,) if slot < share * RANK_SLOTS else ()
+
+    _crash_ranks(started, clock, ranks, prompt)
+    if share < 1 and not is_answered:
+        # Half of the requests were answered, and never one with this part.
+        assert all(each.quarantine((FIRST,)) for each in started)
+    else:
+        assert not any(each.quarantine((FIRST,)) for each in started)
+
+
+def test_a_part_of_most_requests_is_refused_if_only_others_are_answered():
+    # Guards against a popular part that begins to crash upstreams.
+    clock = _clock()
+    daemon = PromptQuarantines(clock)
+    for _number in range(ARRIVALS):
+        daemon.record_arrival(SERVICE, (FIRST, BAD))
+        daemon.record_answer(SERVICE, (FIRST, BAD))
+    for crash in range(MAX_CRASHES - 1):
+        clock.advance(SECOND)
+        for slot in range(RANK_SLOTS):
+            daemon.record_crash(
+                Fingerprint(f'request-{crash}-{slot}'),
+                (FIRST, BAD),
+                IncarnationTag(crash),
+                clock.elapsed() - 100 * MS,
+            )
+        for _number in range(RANK_SLOTS):
+            daemon.record_arrival(SERVICE, (FIRST,))
+            daemon.record_answer(SERVICE, (FIRST,))
+    assert daemon.quarantine((FIRST, BAD))
+    assert not daemon.quarantine((FIRST,))
