A crashing prompt part is found at any place of the prompt

Cause: `shareable_parts` kept the first 16 parts to bound what daemons remember and send to each other.

Change: up to 1,024 parts are known of a prompt. What is remembered is bounded where it is kept: the latest requests of a service by the sum of their parts, a crashed request to the 64 parts that most likely crash upstreams, of which peers are told 16. Parts that were never answered come first, then those whose answer is longest ago.

Evidence: `test_the_crashing_part_is_found_in_a_long_prompt` (3, 20 and 200 shared parts, 1 and 4 daemons) failed in the 4 cases of 20 and 200 with the old limit and passes in all 6. The case of `prompt_parts_test` that named the old limit names the new one.

--- a/linnetwind/prompt_parts.py
+++ b/linnetwind/prompt_parts.py
@@ -9,7 +9,7 @@
 
 # Bounds what a caller can make the daemons remember and send to each other.
 _MAX_PART_CHARACTERS = 64
-_MAX_PARTS = 16
+_MAX_PARTS = 1_024
 
 
 def shareable_parts(
--- a/linnetwind/prompt_parts_test.py
+++ b/linnetwind/prompt_parts_test.py
@@ -14,7 +14,7 @@
         (('first', 'first', 'own'), ('first',)),
         (('', 'first', 'own'), ('first',)),
         (('x' * 65, 'first', 'own'), ('first',)),
-        (tuple(f'part-{number}' for number in range(40)), 16),
+        (tuple(f'part-{number}' for number in range(4_000)), 1_024),
     ],
 )
 def test_the_last_part_and_unbounded_ones_are_left_out(prompt, shareable):
--- a/linnetwind/upstreams/prompt_quarantines.py
+++ b/linnetwind/upstreams/prompt_quarantines.py
@@ -32,7 +32,11 @@
 # How long a part that was answered counts as harmless after a single crash.
 _ANSWER_MEMORY_MINUTES = 10
 _ANSWER_MEMORY = timedelta(minutes=_ANSWER_MEMORY_MINUTES)
-_MAX_ANSWERED = 1_024
+_MAX_ANSWERED = 8_192
+# The number of parts that are kept of the prompt of a crashed request, and that
+# peers are told of.
+_MAX_SUSPECTS = 64
+_MAX_ADVERTISED_SUSPECTS = 16
 # How long news is advertised. Peers may miss some of this daemon's states.
 _ADVERTISING_TIME = timedelta(seconds=2)
 # The number of each kind of news that a state carries.
@@ -92,7 +96,8 @@
           began: The monotonic time at which the request was sent there.
         """
         crash = Crash(life, began, self._clock.elapsed())
-        self._add_crashes([PromptCrash(request, crash, frozenset(parts))])
+        suspects = self._suspects(parts, _MAX_SUSPECTS)
+        self._add_crashes([PromptCrash(request, crash, frozenset(suspects))])
 
     def record_arrival(self, service: str, parts: Iterable[PromptPart]) -> None:
         """Record that a request has arrived, for the shares of parts.
@@ -179,7 +184,7 @@
                 each.crash.life,
                 age_of(each.crash.began, now),
                 age_of(each.crash.ended, now),
-                tuple(sorted(each.parts)),
+                self._suspects(sorted(each.parts), _MAX_ADVERTISED_SUSPECTS),
             )
             for each in history.crashes
             if now - each.crash.ended < _ADVERTISING_TIME
@@ -268,6 +273,22 @@
                 )
         self._report_new(before)
 
+    def _suspects(
+        self, parts: Iterable[PromptPart], limit: int
+    ) -> tuple[PromptPart, ...]:
+        """Return the parts that most likely crash upstreams.
+
+        These are the parts that were never answered, then those whose last
+        answer is longest ago: a long prompt has mostly harmless parts.
+        """
+        with self._lock:
+            return tuple(
+                sorted(
+                    parts,
+                    key=lambda part: self._answered.get(part, timedelta.min),
+                )[:limit]
+            )
+
     def _traffic(self, parts: Parts) -> PromptTraffic:
         arrived, answered_at = self._recent.beside(parts)
         return PromptTraffic(
--- a/linnetwind/upstreams/prompt_quarantines_test.py
+++ b/linnetwind/upstreams/prompt_quarantines_test.py
@@ -7,7 +7,7 @@
 
 from linnetwind.clock import ManualClock
 from linnetwind.fingerprint import Fingerprint
-from linnetwind.prompt_parts import PromptPart
+from linnetwind.prompt_parts import PromptPart, shareable_parts
 from linnetwind.upstream_incarnation import IncarnationTag
 from linnetwind.upstreams.prompt_quarantines import PromptQuarantines
 
@@ -306,3 +306,31 @@
             daemon.record_answer(SERVICE, (FIRST,))
     assert daemon.quarantine((FIRST, BAD))
     assert not daemon.quarantine((FIRST,))
+
+
+@pytest.mark.parametrize('shared', [3, 20, 200])
+@pytest.mark.parametrize('daemons', [1, 4])
+def test_the_crashing_part_is_found_in_a_long_prompt(shared, daemons):
+    # Guards against looking for the cause among the first parts only.
+    clock = _clock()
+    started = [PromptQuarantines(clock) for _number in range(daemons)]
+    common = shareable_parts(
+        (*(PromptPart(f'{number}') for number in range(shared)), '')
+    )
+    for daemon in started:
+        for _number in range(ARRIVALS):
+            daemon.record_arrival(SERVICE, common)
+            daemon.record_answer(SERVICE, common)
+    harmful = shareable_parts((*common, BAD, PromptPart('own')))
+    crashes = 0
+    for number in range(BAD_REQUESTS):
+        daemon = started[number % daemons]
+        clock.advance(SECOND)
+        daemon.record_arrival(SERVICE, harmful)
+        if daemon.quarantine(harmful) is None:
+            crashes += 1
+            _crash(daemon, number, *harmful)
+        _exchange(started)
+    assert crashes <= MAX_CRASHES
+    assert all(each.quarantine(harmful) for each in started)
+    assert not any(each.quarantine(common) for each in started)
--- a/linnetwind/upstreams/recent_prompts.py
+++ b/linnetwind/upstreams/recent_prompts.py
@@ -16,22 +16,37 @@
 
 # The number of the latest requests, and of answers, kept for each service.
 _MAX_KEPT = 256
+# The number of prompt parts kept for each service, since prompts may be long.
+_MAX_KEPT_PARTS = 16_384
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class ServicePrompts:
     """The shareable parts of a service's latest requests, and its answers.
 
-    `answered_at` are the monotonic times of the latest complete answers.
+    `kept_parts` is the number of parts in `arrived`. `answered_at` are the
+    monotonic times of the latest complete answers.
     """
 
-    arrived: deque[Parts] = field(
-        default_factory=lambda: deque(maxlen=_MAX_KEPT)
-    )
+    arrived: deque[Parts] = field(default_factory=deque)
+    kept_parts: int = 0
     answered_at: deque[timedelta] = field(
         default_factory=lambda: deque(maxlen=_MAX_KEPT)
     )
 
+    def add_arrival(self, parts: Parts) -> None:
+        """Add a request and drop the oldest ones beyond the limits.
+
+        Args:
+          parts: The shareable parts of its prompt.
+        """
+        self.arrived.append(parts)
+        self.kept_parts += len(parts)
+        while (
+            len(self.arrived) > _MAX_KEPT or self.kept_parts > _MAX_KEPT_PARTS
+        ):
+            self.kept_parts -= len(self.arrived.popleft())
+
 
 class RecentPrompts:
     """The latest requests of all services; may be used from any thread."""
@@ -49,7 +64,7 @@
           parts: The shareable parts of its prompt.
         """
         with self._lock:
-            self._of(service).arrived.append(parts)
+            self._of(service).add_arrival(parts)
 
     def record_answer(self, service: str, at: timedelta) -> None:
         """Add a complete answer.
