Signals during the start of a daemon wait for their handlers

Cause: the port is opened before the program is loaded, the handlers come after.

Change: SIGHUP, SIGTERM and SIGINT are held back from the first line of the program until `StopSignals` has installed the handlers; the same for the entry and side daemons of the own interface. Not covered: the time in which the interpreter itself starts, when no port is open yet.

--- a/linnetwind/cmd_daemons.py
+++ b/linnetwind/cmd_daemons.py
@@ -9,7 +9,7 @@
 from linnetwind.decision_log import start_logging
 from linnetwind.errors import Described
 from linnetwind.settings import load_entry_settings, load_side_settings
-from linnetwind.stop_signals import StopSignals
+from linnetwind.stop_signals import StopSignals, hold_signals
 
 EXIT_BAD_SETTINGS = 2
 
@@ -34,6 +34,7 @@
     the load balancer has removed it, finishes the requests in flight and exits
     with 0.
     """
+    hold_signals()
     from linnetwind.entry_daemon import EntryDaemon
 
     settings, errors = load_entry_settings(settings_file)
@@ -50,6 +51,7 @@
     SIGTERM or SIGINT drains it: it refuses new calls, finishes the calls in
     flight and exits with 0.
     """
+    hold_signals()
     from linnetwind.side_daemon import SideDaemon
 
     settings, errors = load_side_settings(settings_file)
--- a/linnetwind/platform/__main__.py
+++ b/linnetwind/platform/__main__.py
@@ -3,6 +3,8 @@
 import os
 import sys
 
+from linnetwind.stop_signals import hold_signals
+
 
 def main(role: str, *ports: str) -> None:
     """Run a daemon until it is stopped.
@@ -13,6 +15,7 @@
         memory is the main cost of a rank agent.
       ports: For `entry`, the port on which it serves its metrics.
     """
+    hold_signals()
     if role == 'entry':
         from linnetwind.platform.front_port import open_front
 
--- a/linnetwind/stop_signals.py
+++ b/linnetwind/stop_signals.py
@@ -6,6 +6,17 @@
 
 _MAX_SIGNALS = 64
 _STOP_SIGNALS = frozenset((signal.SIGTERM, signal.SIGINT))
+_HANDLED_SIGNALS = _STOP_SIGNALS | {signal.SIGHUP}
+
+
+def hold_signals() -> None:
+    """Hold the signals of a daemon back until it has a `StopSignals`.
+
+    Without a handler, SIGHUP ends the process, and callers that wait in the
+    queue of its port are reset. Loading the program takes a third of a second.
+    Call this in the main thread, before any other thread starts.
+    """
+    signal.pthread_sigmask(signal.SIG_BLOCK, _HANDLED_SIGNALS)
 
 
 class StopSignals:
@@ -24,9 +35,10 @@
         self._reader = reader
         os.set_blocking(writer, False)
         signal.set_wakeup_fd(writer)
-        for number in (*_STOP_SIGNALS, signal.SIGHUP):
+        for number in _HANDLED_SIGNALS:
             # Without a handler the signal would not be written to the pipe.
             signal.signal(number, _do_nothing)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, _HANDLED_SIGNALS)
 
     def wait(self, on_reload: Callable[[], None]) -> None:
         """Wait for SIGTERM or SIGINT.
--- a/standins/platform_cluster.py
+++ b/standins/platform_cluster.py
@@ -7,6 +7,7 @@
 import subprocess
 import sys
 import time
+from contextlib import suppress
 from datetime import timedelta
 from http.client import HTTPConnection
 from pathlib import Path
@@ -124,6 +125,15 @@
             time.sleep(0.05)
         raise TimeoutError(self.log.read_text())
 
+    def wait_listening(self) -> None:
+        """Wait until the port for callers is open."""
+        for _try in range(_START_TRIES):
+            with suppress(OSError):
+                socket.create_connection((self.ip, self.front), 1).close()
+                return
+            time.sleep(0.005)
+        raise TimeoutError(self.log.read_text())
+
     def ask(self, path='/x/1', **headers):
         """Send a request on a new connection; return status, headers, body."""
         connection = HTTPConnection(self.ip, self.front, timeout=10)
--- a/standins/platform_cluster_test.py
+++ b/standins/platform_cluster_test.py
@@ -102,6 +102,28 @@
     assert process.events('Stopped')
 
 
+def test_a_reload_during_the_start_does_not_end_the_process(cluster):
+    # Guards against SIGHUP before its handler: callers already wait in the
+    # queue of the port, and were reset.
+    _publish(cluster, ScriptedUpstream(_answer))
+    process = cluster.start()
+    process.wait_listening()
+    process.process.send_signal(signal.SIGHUP)
+    assert process.ask()[0] == 200
+    assert process.wait_event('SettingsReloaded')
+
+
+def test_a_stop_during_the_start_is_graceful(cluster):
+    # Guards against SIGTERM before its handler: callers that wait in the queue
+    # of the port were reset.
+    _publish(cluster, ScriptedUpstream(_answer))
+    process = cluster.start()
+    process.wait_listening()
+    process.terminate()
+    assert process.ask()[0] in {200, 503}
+    assert process.process.wait(20) == 0
+
+
 def test_a_killed_process_serves_again_when_it_is_started(cluster):
     _publish(cluster, ScriptedUpstream(_answer))
     process = cluster.start()
