A gateway applies the seeds of its settings while it runs

What callers would see: a gateway that started while its seeds were outdated never met its peers, also after the settings file was corrected and SIGHUP sent.

Cause: seeds were read at the start only; `_reload` logged and applied nothing.

Change: the settings file is read on SIGHUP and every 2 s, since it may change without a signal, and changed seeds replace those of the mesh and of the fleet tracker.

Evidence: `test_a_host_with_outdated_seeds_meets_its_peers_later` failed before, with and without SIGHUP, and passes; `fleet_tracker_test`.

--- a/linnetwind/gateway_daemon.py
+++ b/linnetwind/gateway_daemon.py
@@ -58,6 +58,8 @@
 _FIRST_STATE_TIMEOUT_MS = 600
 _FIRST_STATE_TIMEOUT = timedelta(milliseconds=_FIRST_STATE_TIMEOUT_MS)
 _FIRST_STATE_POLL_S = 0.005
+# How often the settings file is read.
+_SETTINGS_POLL_INTERVAL = timedelta(seconds=2)
 # How long the process waits at most for its last log lines to be written: the
 # shorter of this time and this fraction of the time until it is killed.
 _LOG_FLUSH_TIMEOUT = timedelta(seconds=1)
@@ -97,6 +99,8 @@
         threading.stack_size(_STACK_BYTES)
         sys.setswitchinterval(_SWITCH_INTERVAL_S)
         self._setup = setup
+        self._newest_setup = setup
+        self._settings_lock = threading.Lock()
         self._ports = ports
         self._clock = clock
         self._log = log
@@ -176,6 +180,7 @@
         self._mesh.start(
             self._threads, self._feeds.copy, self._feeds.apply_advertised
         )
+        self._threads.repeat_forever(self._poll_settings, 'settings')
         self._threads.repeat_forever(self._quarantines.run_round, 'quarantines')
         self._threads.repeat_forever(self._planner.run_once, 'planner')
         self._threads.repeat_forever(
@@ -301,11 +306,30 @@
         self._threads.run_in_thread(self._reload, 'reload')
 
     def _reload(self) -> None:
-        # Addresses do not change while the process runs, so no setting is
-        # applied; the event shows that the file was read.
-        changed = self._ports.reload() != self._setup
+        changed = self._apply_settings()
         self._log.event(SettingsReloaded(changed))
 
+    def _poll_settings(self) -> timedelta:
+        # The settings may change without a signal.
+        if self._apply_settings():
+            self._log.event(SettingsReloaded(changed=True))
+        return _SETTINGS_POLL_INTERVAL
+
+    def _apply_settings(self) -> bool:
+        """Read the settings file again; return whether it has changed.
+
+        Only the seeds are applied. A daemon that started with outdated seeds
+        would never meet its peers. Its own addresses do not change while the
+        process runs.
+        """
+        with self._settings_lock:
+            setup = self._ports.reload()
+            before = self._newest_setup
+            self._newest_setup = setup
+            if setup.seeds != before.seeds:
+                self._mesh.replace_seeds(setup.seeds)
+        return setup != before
+
 
 def _listen(address: Address) -> socket.socket:
     return socket.create_server(
--- a/linnetwind/gateway_events.py
+++ b/linnetwind/gateway_events.py
@@ -6,7 +6,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SettingsReloaded:
-    """SIGHUP was received and the settings were read again."""
+    """The settings were read again after SIGHUP, or they have changed."""
 
     changed: bool
 
--- a/linnetwind/peer_mesh.py
+++ b/linnetwind/peer_mesh.py
@@ -127,6 +127,7 @@
           clock: The clock, for intervals.
         """
         self._settings = settings
+        self._seeds = settings.seeds
         self._state = state
         self._clock = clock
         self._started = clock.elapsed()
@@ -168,6 +169,16 @@
             self._listener, self._serve, 'mesh-copy', _SERVER_THREADS
         )
 
+    def replace_seeds(self, seeds: tuple[Address, ...]) -> None:
+        """Use other first peers, since the settings have changed.
+
+        Args:
+          seeds: Their addresses.
+        """
+        self._seeds = seeds
+        self._state.request_history.fleet.replace_seeds(seeds)
+        self._changed.set()
+
     def publish(
         self, summaries: tuple[GroupSummary, ...], *, can_plan: bool
     ) -> None:
@@ -228,7 +239,7 @@
         return StoreUnavailable('no peer has a copy')
 
     def _addresses(self) -> set[Address]:
-        seeds = set(self._settings.seeds) - {self._settings.own}
+        seeds = set(self._seeds) - {self._settings.own}
         return seeds | self._state.peer_table.known_addresses
 
     def _query(self, peer: Address, topic: Topic) -> Records | StoreUnavailable:
--- a/linnetwind/upstreams/fleet_tracker.py
+++ b/linnetwind/upstreams/fleet_tracker.py
@@ -17,9 +17,9 @@
     """This daemon's place in the fleet.
 
     `own` is the address of this daemon, and `seeds` are those of the first
-    peers, the same for all daemons. `unlisted_after` is the time after which
-    peers no longer list a silent daemon, and `left_silence` how long one that
-    has left still counts.
+    peers at its start, the same for all daemons. `unlisted_after` is the time
+    after which peers no longer list a silent daemon, and `left_silence` how
+    long one that has left still counts.
     """
 
     own: Address
@@ -46,6 +46,7 @@
         )
         self._names = self._members.names()
         self._checked_at = timedelta()
+        self._seeds = settings.seeds
         self._unheard_seeds = settings.seeds - {settings.own}
 
     @property
@@ -75,9 +76,21 @@
         Daemons that start while the network is partitioned know only those on
         their side. Only one side can have heard most of the seeds.
         """
-        seeds = self._settings.seeds
+        seeds = self._seeds
         return not seeds or len(self._unheard_seeds) < len(seeds) / 2
 
+    def replace_seeds(self, seeds: Iterable[Address]) -> None:
+        """Use other first peers, since the settings have changed.
+
+        Args:
+          seeds: Their addresses. Those that were no seeds before count as not
+            heard until their next state.
+        """
+        with self._lock:
+            heard = self._seeds - self._unheard_seeds
+            self._seeds = frozenset(seeds)
+            self._unheard_seeds = self._seeds - heard - {self._settings.own}
+
     def hear_peer(
         self, peer: Address, listed: Iterable[Address], *, leaving: bool
     ) -> None:
--- a/standins/platform_cluster.py
+++ b/standins/platform_cluster.py
@@ -102,10 +102,17 @@
             },
             'seeds': [f'{seed}:{control}' for seed in seeds],
         }
+        self._settings = settings
+        self._control = control
         self.process = _spawn(
             self.log, settings, 'entry', str(self.metrics_port)
         )
 
+    def change_seeds(self, seeds) -> None:
+        """Write other seeds to the settings file."""
+        changed = [f'{seed}:{self._control}' for seed in seeds]
+        _write_settings(self.log, {**self._settings, 'seeds': changed})
+
     def is_ready(self) -> bool:
         """Ask as the platform does."""
         connection = HTTPConnection(self.ip, self.readiness, timeout=1)
@@ -221,9 +228,14 @@
     }
 
 
-def _spawn(log, settings, *arguments):
+def _write_settings(log, settings) -> Path:
     path = log.with_suffix('.json')
     path.write_text(json.dumps(settings))
+    return path
+
+
+def _spawn(log, settings, *arguments):
+    path = _write_settings(log, settings)
     with log.open('a') as output:
         return subprocess.Popen(
             [sys.executable, '-m', 'linnetwind.platform', *arguments],
--- a/standins/platform_cluster_test.py
+++ b/standins/platform_cluster_test.py
@@ -134,6 +134,23 @@
     assert again.ask()[0] == 200
 
 
+@pytest.mark.parametrize('reloads', [0, 1])
+def test_a_host_with_outdated_seeds_meets_its_peers_later(cluster, reloads):
+    # Guards against seeds that are read only at the start: the host never met
+    # its peers, and without the store it had no configuration, or kept an old
+    # one. The settings may change without a signal.
+    _publish(cluster, ScriptedUpstream(_answer))
+    cluster.start('127.0.0.2').wait_ready()
+    isolated = cluster.start('127.0.0.3', store=9, seeds=['127.0.0.4'])
+    isolated.wait_event('Started')
+    assert not isolated.is_ready()
+    isolated.change_seeds(['127.0.0.2'])
+    for _time in range(reloads):
+        isolated.process.send_signal(signal.SIGHUP)
+    isolated.wait_ready()
+    assert isolated.ask()[0] == 200
+
+
 def test_a_host_that_the_store_refuses_learns_from_its_peer(cluster):
     # The store serves one host and turns the other away. That one must still
     # know the configuration and the upstreams, and hear of newer ones.
