Soak stops hosts in series while some streams are long

With `--rolls` only planned work goes on, mostly stops that overlap, and a quarter of the streams are 13 times as long as the others. The draws of all other seeds stay.

--- a/standins/soak.py
+++ b/standins/soak.py
@@ -25,7 +25,7 @@
     configuration,
 )
 from standins.soak_book import Book, Extras, timeline
-from standins.soak_callers import Caller
+from standins.soak_callers import start_callers
 from standins.soak_checks import (
     History,
     Span,
@@ -39,6 +39,7 @@
     check_stops,
 )
 from standins.soak_extras import (
+    PLANNED_WORK,
     chosen_extras,
     crash_by_prompts,
     crash_upstreams,
@@ -50,7 +51,6 @@
 _UPSTREAMS = 4
 # The data centres of the upstreams, in turn.
 _SITES = ('z', 'y')
-_CALLERS = 12
 # After the last fault everything has to be served again by then.
 _RECOVERY_S = 12
 # A drained upstream gets nothing after this.
@@ -124,10 +124,9 @@
         Returns:
           The broken promises, a line each.
         """
-        callers = [
-            Caller(self.book, self._seed, number, self.hosts, self._path)
-            for number in range(_CALLERS)
-        ]
+        callers = start_callers(
+            self.book, self._seed, self.hosts, self._path, self._extras
+        )
         until = time.monotonic() + self._seconds
         for extra in chosen_extras(self._extras):
             self._begin(extra, until)
@@ -213,7 +212,8 @@
 
     def _fault(self) -> None:
         """Draw a fault and let it pass in a thread of its own."""
-        kind = self._random.choice(tuple(_FAULTS))
+        kinds = PLANNED_WORK if self._extras.rolls else tuple(_FAULTS)
+        kind = self._random.choice(kinds)
         length = self._random.uniform(0.5, 4)
         # Drawn here: threads must not share the random choices.
         source = random.Random(self._random.random())
--- a/standins/soak_book.py
+++ b/standins/soak_book.py
@@ -18,9 +18,11 @@
 
     `restarts`: upstreams start again under their names; `strangers`: other
     writers write among the entries of upstreams; `returns`: the store comes
-    back from older copies; `crashers`: a request crashes upstreams; `prompts`: a part of
-    prompts crashes upstreams; `backpressure`: upstreams ask to back off or say
-    that they leave; `evacuations`: an operator evacuates a data centre.
+    back from older copies; `crashers`: a request crashes upstreams; `prompts`:
+    a part of prompts crashes upstreams; `backpressure`: upstreams ask to back
+    off or say that they leave; `evacuations`: an operator evacuates a data
+    centre; `rolls`: only planned work, mostly stops, and some streams are much
+    longer than the others.
     """
 
     restarts: bool = False
@@ -30,6 +32,7 @@
     prompts: bool = False
     backpressure: bool = False
     evacuations: bool = False
+    rolls: bool = False
 
 
 @dataclass
--- a/standins/soak_callers.py
+++ b/standins/soak_callers.py
@@ -6,11 +6,15 @@
 import time
 from http.client import HTTPConnection, HTTPException, IncompleteRead
 
-from standins.soak_book import SOUND_PROMPT, Book, Call
+from standins.soak_book import SOUND_PROMPT, Book, Call, Extras
 
+_CALLERS = 12
 # A caller's patience, longer than the route's timeout.
 _TIMEOUT_S = 8
 _EVENTS = 6
+_LONG_EVENTS = 80
+_LONG = '-long'
+_LONG_SHARE = 0.25
 
 
 def expected_body(name: str) -> bytes:
@@ -20,13 +24,23 @@
 
 def expected_events(name: str) -> list[str]:
     """Return the events of the whole answer to a stream."""
-    return [f'id: {number}\ndata: {name}' for number in range(1, _EVENTS + 1)]
+    count = _LONG_EVENTS if name.endswith(_LONG) else _EVENTS
+    return [f'id: {number}\ndata: {name}' for number in range(1, count + 1)]
 
 
 class Caller:
     """One caller in a thread, with the gateways it may use."""
 
-    def __init__(self, book: Book, seed: int, number: int, gateways, paths):
+    def __init__(
+        self,
+        book: Book,
+        seed: int,
+        number: int,
+        gateways,
+        paths,
+        *,
+        lengths: bool = False,
+    ):
         """Start to call.
 
         Args:
@@ -35,9 +49,13 @@
           number: Which caller this is.
           gateways: The gateway processes, in the order of preference.
           paths: Returns the path of a kind of call in force now.
+          lengths: Whether some streams are long. All name the same largest
+            number of tokens.
         """
         self._book = book
         self._random = random.Random(f'{seed}/{number}')
+        # With choices of its own: those of the other extras stay.
+        self._lengths = random.Random(f'{seed}/{number}') if lengths else None
         self._number = number
         self._gateways = gateways
         self._paths = paths
@@ -70,7 +88,7 @@
         """Send one call; return whether the connection can be used again."""
         kind = self._random.choice(('plain', 'plain', 'once', 'stream'))
         self._calls += 1
-        name = f'c{self._number}-{self._calls}'
+        name = f'c{self._number}-{self._calls}{self._length(kind)}'
         path = self._paths(kind)
         call = Call(name, kind, path, gateway.ip, time.monotonic())
         usable = False
@@ -82,6 +100,11 @@
         self._book.take(call)
         return usable
 
+    def _length(self, kind: str) -> str:
+        if self._lengths is None or kind != 'stream':
+            return ''
+        return _LONG if self._lengths.random() < _LONG_SHARE else ''
+
     def _exchange(self, call: Call, connection: HTTPConnection) -> bool:
         method = 'GET' if call.kind == 'plain' else 'POST'
         headers = {
@@ -90,6 +113,8 @@
             'Prompt-Prefix': SOUND_PROMPT,
             'Deadline-Ms': str(_TIMEOUT_S * 1000),
         }
+        if self._lengths is not None:
+            headers['Token-Count'] = f'100,{_LONG_EVENTS}'
         body = None if call.kind == 'plain' else b'x' * 200
         connection.request(method, f'{call.path}{call.name}', body, headers)
         response = connection.getresponse()
@@ -105,6 +130,16 @@
         return not response.will_close
 
 
+def start_callers(
+    book: Book, seed: int, gateways, paths, extras: Extras
+) -> list[Caller]:
+    """Start the callers of a soak; the arguments are those of `Caller`."""
+    return [
+        Caller(book, seed, number, gateways, paths, lengths=extras.rolls)
+        for number in range(_CALLERS)
+    ]
+
+
 def _events(content: bytes) -> list[str]:
     return [each for each in content.decode().split('\n\n') if each]
 
--- a/standins/soak_extras.py
+++ b/standins/soak_extras.py
@@ -15,6 +15,8 @@
 # The share of bad entries that stand beside the upstreams' own, and their keys.
 _BESIDE = 0.5
 _STRANGERS = 20
+# What `rolls` draws from.
+PLANNED_WORK = ('stop', 'stop', 'stop', 'reload', 'configuration')
 # The share of those that leave; the others ask to back off.
 _LEAVING = 0.3
 
--- a/standins/soak_test.py
+++ b/standins/soak_test.py
@@ -69,6 +69,14 @@
     assert broken == [], picture
 
 
+def test_promises_hold_while_hosts_stop_in_series(tmp_path):
+    # Hosts stop again and again, one while the other, and some streams are
+    # much longer than all before: one that comes late would be cut.
+    broken, picture = soak(2002, _SHORT_S, tmp_path, Extras(rolls=True))
+    assert ' stop ' in picture
+    assert broken == [], picture
+
+
 def test_promises_hold_while_upstreams_back_off_and_leave(tmp_path):
     # Upstreams refuse calls and ask to back off, or say that they leave, while
     # everything else goes wrong as well.
