A group that opens again starts a new history of its skew

Cause: a group opens with its initial map, whose skew is high until the first planned map is in use. `SkewHistory` saw that rise after the start and after the break, took the time between for the period at which the demand for experts changes, and expected the next rise.

Change: a summary of another epoch starts a new history.

Evidence: `test_the_initial_map_of_a_group_that_opened_again_is_not_expected_again` failed before; regular changes of the demand are still expected after a break.

--- a/linnetwind/admission/group_capacity.py
+++ b/linnetwind/admission/group_capacity.py
@@ -120,6 +120,10 @@
       summary: The summary.
       now: The monotonic time.
     """
+    if group.summary is not None and group.summary.epoch != summary.epoch:
+        # A group opens with its initial map. The high skew until it has its
+        # first planned one is no change of the demand that would come again.
+        group.skews = SkewHistory()
     group.summary = summary
     group.summary_at = now
     group.paces = group.paces.apply_pace(summary.pace, now)
