A settings file that cannot be read is logged once for each poll

The poll is guarded by itself now and keeps its interval; the settings in force stay. `RecentPrompts` uses the type of its package for the parts of a prompt.

Evidence: `test_settings_that_cannot_be_read_are_logged_and_not_applied`, written with the change; not run on the code before.

--- a/linnetwind/gateway_daemon.py
+++ b/linnetwind/gateway_daemon.py
@@ -310,10 +310,14 @@
         self._log.event(SettingsReloaded(changed))
 
     def _poll_settings(self) -> timedelta:
-        # The settings may change without a signal.
+        # The settings may change without a signal. If the file cannot be read,
+        # that is logged once for each poll.
+        self._threads.guarded(self._apply_if_changed, 'settings')
+        return _SETTINGS_POLL_INTERVAL
+
+    def _apply_if_changed(self) -> None:
         if self._apply_settings():
             self._log.event(SettingsReloaded(changed=True))
-        return _SETTINGS_POLL_INTERVAL
 
     def _apply_settings(self) -> bool:
         """Read the settings file again; return whether it has changed.
--- a/linnetwind/upstreams/recent_prompts.py
+++ b/linnetwind/upstreams/recent_prompts.py
@@ -10,9 +10,7 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
-from linnetwind.prompt_parts import PromptPart
-
-Parts = frozenset[PromptPart]
+from linnetwind.upstreams.prompt_crash_inference import Parts
 
 # The number of the latest requests, and of answers, kept for each service.
 _MAX_KEPT = 256
--- a/standins/platform_cluster_test.py
+++ b/standins/platform_cluster_test.py
@@ -151,6 +151,22 @@
     assert isolated.ask()[0] == 200
 
 
+def test_settings_that_cannot_be_read_are_logged_and_not_applied(cluster):
+    # Guards against a log that is flooded, and against seeds that are lost,
+    # while the platform writes the file.
+    _publish(cluster, ScriptedUpstream(_answer))
+    process = cluster.start()
+    process.wait_ready()
+    settings = process.log.with_suffix('.json')
+    content = settings.read_text()
+    settings.write_text(content[:50])
+    process.wait_event('RoundFailed')
+    time.sleep(1)
+    assert len(process.events('RoundFailed')) == 1
+    settings.write_text(content)
+    assert process.ask()[0] == 200
+
+
 def test_a_host_that_the_store_refuses_learns_from_its_peer(cluster):
     # The store serves one host and turns the other away. That one must still
     # know the configuration and the upstreams, and hear of newer ones.
