--- a/linnetwind/call_policy.py
+++ b/linnetwind/call_policy.py
@@ -47,7 +47,7 @@
     if route is None:
         return Denied(HTTPStatus.NOT_FOUND, 'no route')
     customer = None
-    # A caller without a key is nobody, even if an empty key is configured.
+    # Without a key a caller is no customer, even if an empty key is configured.
     if facts.api_key:
         customer = table.customers_by_key.get(facts.api_key)
     if customer is None and table.requires_key and not route.anonymous:
--- a/linnetwind/http_request.py
+++ b/linnetwind/http_request.py
@@ -119,8 +119,8 @@
     bearer = headers.get('authorization', '').removeprefix('Bearer ')
     key = headers.get('x-api-key') or bearer
     if not key:
-        # A caller without a key is nobody, even if the digest of an empty key
-        # is configured.
+        # Without a key a caller is no customer, even if the digest of an empty
+        # key is configured.
         return None
     digest = hashlib.sha256(key.encode()).hexdigest()
     for customer in base.customers:
--- a/linnetwind/platform/table_format.py
+++ b/linnetwind/platform/table_format.py
@@ -167,8 +167,8 @@
 
 def _to_table(table: _Table) -> RouteTable:
     services = [_to_service(each) for each in table.services]
-    # Without the field all callers are anonymous. An empty list or null means
-    # that no key is valid: the last customer has been removed.
+    # Callers need no key only if the field is absent. With an empty list or
+    # null no key is valid, since the last customer has been removed.
     has_customers = table.tenants is not UNSET
     customers = (table.tenants or ()) if has_customers else ()
     return RouteTable(
--- a/linnetwind/upstreams/prompt_crash_inference.py
+++ b/linnetwind/upstreams/prompt_crash_inference.py
@@ -42,9 +42,10 @@
 # After so many answered requests, a part of each tenth request has probably
 # been answered here, and peers know of others.
 _WARM_ANSWERS = 20
-# A part that more than this share of a service's requests have.
+# A part is on every crashed upstream, whatever crashed it, if more than this
+# share of the service's requests have it.
 _UBIQUITOUS_SHARE = 0.9
-# With fewer requests, how common a part is is not known.
+# The share of a part is not known from fewer requests than these.
 _MIN_ARRIVALS = 20
 # When hosts fail together, most of their requests have nothing in common. Parts
 # that fewer than half of the upstreams had which crashed within this time are
--- a/linnetwind/upstreams/prompt_quarantines.py
+++ b/linnetwind/upstreams/prompt_quarantines.py
@@ -290,7 +290,7 @@
             )
 
     def _traffic(self, parts: Parts) -> PromptTraffic:
-        arrived, answered_at = self._recent.beside(parts)
+        arrived, answered_at = self._recent.history_for(parts)
         return PromptTraffic(
             self._answered, arrived, self._answers, answered_at
         )
--- a/linnetwind/upstreams/recent_prompts.py
+++ b/linnetwind/upstreams/recent_prompts.py
@@ -74,7 +74,7 @@
         with self._lock:
             self._of(service).answered_at.append(at)
 
-    def beside(
+    def history_for(
         self, parts: Parts
     ) -> tuple[tuple[Parts, ...], tuple[timedelta, ...]]:
         """Return the latest requests and answers of the service of some parts.
