--- a/linnetwind/gateway_events.py
+++ b/linnetwind/gateway_events.py
@@ -47,8 +47,8 @@
     """A newer configuration is in force on this daemon.
 
     `before` is the version that it replaced, or 0. `customers` counts the API
-    keys; without any, `requires_key` says whether all callers are denied or
-    none.
+    keys. Without any, `requires_key` says whether callers are denied on all
+    routes that are not anonymous, or need no key at all.
     """
 
     version: int
--- a/linnetwind/gateway_stop.py
+++ b/linnetwind/gateway_stop.py
@@ -341,12 +341,16 @@
     def has_time(self, ending: EndEstimate) -> bool:
         """Return whether a queued request should stay in the wait queue.
 
+        An estimate is enough here: a request without a bound was accepted
+        within the notice period, when it could have started at once. The
+        estimate only rejects, so that its caller retries elsewhere in time.
+
         Args:
           ending: When the request ends if it starts now.
 
         Returns:
-          Whether it ends before requests are cut, or callers are still routed
-          to this daemon.
+          Whether it should end before requests are cut, or callers are still
+          routed to this daemon.
         """
         plan = self._plan
         if plan is None or self._clock.elapsed() < plan.closes_at:
--- a/standins/soak_callers.py
+++ b/standins/soak_callers.py
@@ -12,6 +12,7 @@
 # A caller's patience, longer than the route's timeout.
 _TIMEOUT_S = 8
 _EVENTS = 6
+# Long streams of `rolls`: their events, how their names end, and their share.
 _LONG_EVENTS = 80
 _LONG = '-long'
 _LONG_SHARE = 0.25
